--- /dev/null
+++ b/crates/guavavane_platform/src/lib.rs
@@ -0,0 +1,4 @@
+//! Contract with the platform's workers and with endpoints.
+
+/// Commonly used items of this crate.
+pub mod prelude {}
--- /dev/null
+++ b/crates/guavavane_protocol/src/lib.rs
@@ -0,0 +1,4 @@
+//! Messages between the processes of the system.
+
+/// Commonly used items of this crate.
+pub mod prelude {}
