Add names, identities, resources and boot time to the model

Cause: every crate needs the same checked types before it can be built beside the others. Ruled out: floating-point amounts and wall clocks, which the safety rules forbid.

--- a/crates/guavavane_model/src/lib.rs
+++ b/crates/guavavane_model/src/lib.rs
@@ -1,4 +1,36 @@
-//! Domain types, checked settings and environment documents.
+//! Domain types of guavavane, raw and checked.
+//!
+//! Raw input becomes a checked type by `TryFrom`; a value of a checked type is valid for its
+//! whole life. Names are shared immutable strings, amounts are integers, and time is passed in
+//! as [`time::BootTime`], so that the decision cores stay free of I/O.
+
+pub mod identity;
+pub mod name;
+pub mod resource;
+pub mod time;
 
 /// Commonly used items of this crate.
-pub mod prelude {}
+pub mod prelude {
+    pub use crate::identity::AttemptNumber;
+    pub use crate::identity::BootId;
+    pub use crate::identity::CellId;
+    pub use crate::identity::DocumentVersion;
+    pub use crate::identity::FenceNumber;
+    pub use crate::identity::IncarnationId;
+    pub use crate::identity::JobId;
+    pub use crate::identity::RequestId;
+    pub use crate::identity::TaskId;
+    pub use crate::name::BatchName;
+    pub use crate::name::DataCentreName;
+    pub use crate::name::EndpointName;
+    pub use crate::name::EnvironmentName;
+    pub use crate::name::NameError;
+    pub use crate::name::RackName;
+    pub use crate::name::RegionName;
+    pub use crate::name::ServiceName;
+    pub use crate::name::TeamName;
+    pub use crate::name::WorkerName;
+    pub use crate::resource::ResourceVector;
+    pub use crate::time::BootClock;
+    pub use crate::time::BootTime;
+}
