--- a/crates/guavavane_protocol/src/agent.rs
+++ b/crates/guavavane_protocol/src/agent.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call::CallKind;
+use crate::call::RemoteCall;
 use guavavane_model::prelude::DataCentreName;
 use guavavane_model::prelude::EndpointName;
 use guavavane_model::prelude::IncarnationId;
@@ -12,9 +14,6 @@
 use guavavane_model::prelude::ServiceName;
 use guavavane_model::prelude::WorkerName;
 
-use crate::call::CallKind;
-use crate::call::RemoteCall;
-
 /// Whether an endpoint takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum EndpointState {
--- a/crates/guavavane_protocol/src/claim.rs
+++ b/crates/guavavane_protocol/src/claim.rs
@@ -9,14 +9,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use guavavane_model::prelude::ServiceName;
-
 use crate::call::CallKind;
 use crate::call::RemoteCall;
 use crate::entry::DispatchTarget;
 use crate::entry::HttpAnswer;
 use crate::entry::RequestAttempt;
 use crate::replica::ControlRefusal;
+use guavavane_model::prelude::ServiceName;
 
 /// What a claim is for: one key of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/guavavane_protocol/src/entry.rs
+++ b/crates/guavavane_protocol/src/entry.rs
@@ -8,14 +8,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call::CallKind;
+use crate::call::RemoteCall;
 use guavavane_model::prelude::EndpointName;
 use guavavane_model::prelude::IncarnationId;
 use guavavane_model::prelude::RequestId;
 use guavavane_model::prelude::ServiceName;
 
-use crate::call::CallKind;
-use crate::call::RemoteCall;
-
 /// One HTTP header.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeaderField {
--- a/crates/guavavane_protocol/src/operator.rs
+++ b/crates/guavavane_protocol/src/operator.rs
@@ -6,6 +6,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call::CallKind;
+use crate::call::RemoteCall;
+use crate::replica::ControlRefusal;
 use guavavane_model::prelude::BatchName;
 use guavavane_model::prelude::BootId;
 use guavavane_model::prelude::DataCentreName;
@@ -16,10 +19,6 @@
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::WorkerName;
 
-use crate::call::CallKind;
-use crate::call::RemoteCall;
-use crate::replica::ControlRefusal;
-
 /// A command of an operator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/guavavane_protocol/src/poll.rs
+++ b/crates/guavavane_protocol/src/poll.rs
@@ -11,6 +11,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::call::CallKind;
+use crate::call::RemoteCall;
+use crate::replica::ControlRefusal;
 use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootId;
 use guavavane_model::prelude::DataCentreName;
@@ -24,10 +27,6 @@
 use guavavane_model::prelude::TaskId;
 use guavavane_model::prelude::WorkerName;
 
-use crate::call::CallKind;
-use crate::call::RemoteCall;
-use crate::replica::ControlRefusal;
-
 /// One attempt at a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskAttempt {
--- a/crates/guavavane_transport/src/client.rs
+++ b/crates/guavavane_transport/src/client.rs
@@ -22,15 +22,14 @@
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
-use guavavane_protocol::call::CallKind;
-use guavavane_protocol::call::RemoteCall;
-
 use crate::codec;
 use crate::codec::CodecError;
 use crate::codec::FrameIdentity;
 use crate::runtime::runtime;
 use crate::server::read_body;
 use crate::server::WINDOW_BYTES;
+use guavavane_protocol::call::CallKind;
+use guavavane_protocol::call::RemoteCall;
 
 /// Time between two pings of a connection.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/guavavane_transport/src/server.rs
+++ b/crates/guavavane_transport/src/server.rs
@@ -16,16 +16,15 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
-use guavavane_model::prelude::IncarnationId;
-use guavavane_protocol::call::CallKind;
-use guavavane_protocol::call::RemoteCall;
-use guavavane_protocol::call::FRAME_MAX_BYTES;
-
 use crate::codec;
 use crate::codec::CheckedFrame;
 use crate::codec::CodecError;
 use crate::codec::FrameIdentity;
 use crate::runtime::runtime;
+use guavavane_model::prelude::IncarnationId;
+use guavavane_protocol::call::CallKind;
+use guavavane_protocol::call::RemoteCall;
+use guavavane_protocol::call::FRAME_MAX_BYTES;
 
 /// Calls of one connection that run at once; further streams wait at the caller.
 const STREAMS_MAX: u32 = 1_024;
