--- /dev/null
+++ b/crates/guavavane_model/src/document/raw.rs
@@ -0,0 +1,111 @@
+//! The document as written, before any check.
+
+use serde::Deserialize;
+use toml::Spanned;
+
+use crate::resource::ResourceVector;
+
+const DEFAULT_WEIGHT: u32 = 1;
+const DEFAULT_SLOTS: u16 = 8;
+const DEFAULT_CONNECTIONS: u16 = 64;
+const DEFAULT_REQUEST_TIMEOUT_MS: u32 = 5_000;
+const DEFAULT_MAX_FAILURES: u32 = 5;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawDocument {
+    pub(crate) environment: Spanned<String>,
+    #[serde(default)]
+    pub(crate) data_centre: Vec<Spanned<RawDataCentre>>,
+    #[serde(default)]
+    pub(crate) team: Vec<Spanned<RawTeam>>,
+    #[serde(default)]
+    pub(crate) service: Vec<Spanned<RawService>>,
+    #[serde(default)]
+    pub(crate) batch: Vec<Spanned<RawBatch>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawDataCentre {
+    pub(crate) name: Spanned<String>,
+    pub(crate) region: Spanned<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawTeam {
+    pub(crate) name: Spanned<String>,
+    #[serde(default = "default_weight")]
+    pub(crate) weight: u32,
+    #[serde(default)]
+    pub(crate) quota: Option<ResourceVector>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawRoute {
+    #[serde(default)]
+    pub(crate) method: Option<Spanned<String>>,
+    pub(crate) path_prefix: Spanned<String>,
+    pub(crate) idempotent: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawService {
+    pub(crate) name: Spanned<String>,
+    pub(crate) team: Spanned<String>,
+    #[serde(default)]
+    pub(crate) data_centres: Vec<Spanned<String>>,
+    pub(crate) instances: Spanned<u32>,
+    pub(crate) demand: Spanned<ResourceVector>,
+    #[serde(default = "default_slots")]
+    pub(crate) slots: u16,
+    #[serde(default = "default_connections")]
+    pub(crate) connections: u16,
+    #[serde(default = "default_request_timeout")]
+    pub(crate) request_timeout_ms: u32,
+    #[serde(default)]
+    pub(crate) hedge: bool,
+    #[serde(default)]
+    pub(crate) routes: Vec<RawRoute>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawBatch {
+    pub(crate) name: Spanned<String>,
+    pub(crate) team: Spanned<String>,
+    #[serde(default)]
+    pub(crate) data_centres: Vec<Spanned<String>>,
+    pub(crate) tasks: Spanned<u32>,
+    pub(crate) demand: Spanned<ResourceVector>,
+    pub(crate) run_ms: Spanned<u64>,
+    #[serde(default)]
+    pub(crate) urgent: bool,
+    #[serde(default = "default_max_failures")]
+    pub(crate) max_failures: u32,
+    #[serde(default)]
+    pub(crate) runs: Vec<Spanned<String>>,
+}
+
+fn default_weight() -> u32 {
+    DEFAULT_WEIGHT
+}
+
+fn default_slots() -> u16 {
+    DEFAULT_SLOTS
+}
+
+fn default_connections() -> u16 {
+    DEFAULT_CONNECTIONS
+}
+
+fn default_request_timeout() -> u32 {
+    DEFAULT_REQUEST_TIMEOUT_MS
+}
+
+fn default_max_failures() -> u32 {
+    DEFAULT_MAX_FAILURES
+}
--- a/crates/guavavane_model/src/lib.rs
+++ b/crates/guavavane_model/src/lib.rs
@@ -4,6 +4,7 @@
 //! whole life. Names are shared immutable strings, amounts are integers, and time is passed in
 //! as [`time::BootTime`], so that the decision cores stay free of I/O.
 
+pub mod document;
 pub mod identity;
 pub mod name;
 pub mod resource;
@@ -11,6 +12,11 @@
 
 /// Commonly used items of this crate.
 pub mod prelude {
+    pub use crate::document::BatchSpec;
+    pub use crate::document::DocumentFault;
+    pub use crate::document::DocumentFaults;
+    pub use crate::document::EnvironmentDocument;
+    pub use crate::document::ServiceSpec;
     pub use crate::identity::AttemptNumber;
     pub use crate::identity::BootId;
     pub use crate::identity::CellId;
--- a/crates/guavavane_protocol/src/operator.rs
+++ b/crates/guavavane_protocol/src/operator.rs
@@ -12,6 +12,7 @@
 use guavavane_model::prelude::BatchName;
 use guavavane_model::prelude::BootId;
 use guavavane_model::prelude::DataCentreName;
+use guavavane_model::prelude::DocumentFault;
 use guavavane_model::prelude::DocumentVersion;
 use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::JobId;
@@ -105,17 +106,6 @@
     pub digest: u64,
 }
 
-/// One fault of a document.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DocumentFault {
-    /// Line in the text, counted from one; zero if no line is to blame.
-    pub line: usize,
-    /// Field, as a dotted path.
-    pub field: String,
-    /// What is wrong and what is allowed.
-    pub reason: String,
-}
-
 /// State of a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobStatus {
