Add the agent: request guard, worker side and daemon

The first whole pipeline of guavavane-agent. The guard takes dispatches and revocations, keeps a record of attempts and hands requests to endpoints over attohttpc. The worker side lists the platform's worker, polls the leader and applies orders.

The platform contract gains the boot that the times of a start or renewal belong to: a start delayed across a reboot of the worker would otherwise carry a deadline far in the future of the new boot's clock. It also names a header that tells endpoints the time left. The worker client no longer reads proxy settings from the environment.

--- /dev/null
+++ b/crates/guavavane_agent/src/daemon/command_lane.rs
@@ -0,0 +1,75 @@
+//! Threads that send commands to the worker.
+
+use flume::Receiver;
+use flume::Sender;
+
+use super::spawn;
+use super::worker_loop::WorkerEvent;
+use crate::worker::CommandResult;
+use crate::worker::WorkerCommand;
+use crate::worker::WorkerInput;
+use guavavane_model::prelude::BootClock;
+use guavavane_platform::prelude::ClientError;
+use guavavane_platform::prelude::OrderAnswer;
+use guavavane_platform::prelude::WorkerClient;
+
+/// Commands that run at once, so that a slow checkpoint holds up no start.
+const LANES: usize = 3;
+
+/// Starts the lanes; commands go into the returned channel.
+pub(super) fn start(
+    client: &WorkerClient,
+    events: &Sender<WorkerEvent>,
+) -> anyhow::Result<Sender<WorkerCommand>> {
+    let (sender, commands) = flume::unbounded();
+    for _ in 0..LANES {
+        let client = client.clone();
+        let commands = commands.clone();
+        let events = events.clone();
+        spawn("command", move || run_lane(&client, &commands, &events))?;
+    }
+    Ok(sender)
+}
+
+fn run_lane(
+    client: &WorkerClient,
+    commands: &Receiver<WorkerCommand>,
+    events: &Sender<WorkerEvent>,
+) {
+    while let Ok(command) = commands.recv() {
+        let result = send_command(client, &command);
+        let input = WorkerInput::CommandDone { command, result };
+        if events.send(WorkerEvent::Input(input)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends a command if it is still valid.
+pub(super) fn send_command(client: &WorkerClient, command: &WorkerCommand) -> CommandResult {
+    if !command.is_valid(BootClock.now()) {
+        return CommandResult::NotSent;
+    }
+    let answer = match command {
+        WorkerCommand::Start { order, .. } => client.start(order),
+        WorkerCommand::Renew { order, .. } => client.renew(order),
+        WorkerCommand::Throttle(order) => client.throttle(order),
+        WorkerCommand::Checkpoint(key) => client.checkpoint(key),
+        WorkerCommand::Stop(key) => client.stop(key),
+        WorkerCommand::Forget(key) => client.forget(key),
+    };
+    command_result(command, answer)
+}
+
+fn command_result(
+    command: &WorkerCommand,
+    answer: Result<OrderAnswer, ClientError>,
+) -> CommandResult {
+    match answer {
+        Ok(answer) => CommandResult::Answered(answer),
+        Err(error) => {
+            tracing::warn!(event = "command_failed", ?command, %error);
+            CommandResult::Unknown
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavavane_agent/src/daemon/guard_loop.rs
@@ -0,0 +1,319 @@
+//! Thread of the request guard.
+
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Selector;
+use flume::Sender;
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use super::hop_pool::HopBounds;
+use super::hop_pool::HopPool;
+use super::worker_loop::WorkerEvent;
+use crate::announce::AnnouncementPlan;
+use crate::announce::AnnouncementRound;
+use crate::guard::CallTicket;
+use crate::guard::GuardInput;
+use crate::guard::GuardOutcome;
+use crate::guard::RequestGuard;
+use crate::settings::AgentSettings;
+use crate::worker::AgentIdentity;
+use guavavane_daemon::prelude::MetricSink;
+use guavavane_model::prelude::BootClock;
+use guavavane_model::prelude::BootTime;
+use guavavane_platform::prelude::WorkerFacts;
+use guavavane_protocol::prelude::CallKind;
+use guavavane_protocol::prelude::DispatchReply;
+use guavavane_protocol::prelude::DispatchRequest;
+use guavavane_protocol::prelude::EndpointAnnouncement;
+use guavavane_protocol::prelude::EntryDirectory;
+use guavavane_protocol::prelude::RemoteCall;
+use guavavane_protocol::prelude::RevokeRequest;
+use guavavane_transport::prelude::CallClient;
+use guavavane_transport::prelude::CallServer;
+use guavavane_transport::prelude::IncomingCall;
+use guavavane_transport::prelude::ReplySender;
+
+/// Longest wait for an entry's receipt of an announcement.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Shortest drain: the entries must hear that the endpoints are leaving.
+const DRAIN_MIN: Duration = Duration::from_millis(300);
+
+/// Longest sleep of the guard's thread.
+const IDLE_MAX: Duration = Duration::from_millis(500);
+
+/// What arrives at the guard's thread.
+#[derive(Debug)]
+pub(super) enum GuardEvent {
+    /// A call of an entry.
+    Call(IncomingCall),
+    /// An input of the core.
+    Input(GuardInput),
+    /// The entries to announce to.
+    Entries(EntryDirectory),
+    /// What the worker is.
+    Facts(WorkerFacts),
+    /// The agent shuts down.
+    Drain,
+    /// Somebody asks for the state.
+    Status(Sender<GuardStatus>),
+}
+
+/// State of the guard for `/status`.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct GuardStatus {
+    incarnation: u64,
+    draining: bool,
+    endpoints: usize,
+    outstanding: usize,
+    recorded: usize,
+    kept_answers: usize,
+    entries: usize,
+}
+
+impl GuardStatus {
+    pub(super) fn is_draining(&self) -> bool {
+        self.draining
+    }
+}
+
+/// The guard and what is around it.
+pub(super) struct GuardLoop {
+    settings: AgentSettings,
+    identity: AgentIdentity,
+    server: CallServer,
+    client: CallClient,
+    events: Receiver<GuardEvent>,
+    worker: Sender<WorkerEvent>,
+    drained: Sender<()>,
+    metrics: MetricSink,
+    guard: RequestGuard,
+    plan: AnnouncementPlan,
+    pool: HopPool,
+    replies: IndexMap<CallTicket, ReplySender>,
+    next_ticket: u64,
+    facts: Option<WorkerFacts>,
+    drain_since: Option<BootTime>,
+}
+
+impl GuardLoop {
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn new(
+        settings: AgentSettings,
+        identity: AgentIdentity,
+        server: CallServer,
+        client: CallClient,
+        events: Receiver<GuardEvent>,
+        sender: Sender<GuardEvent>,
+        worker: Sender<WorkerEvent>,
+        drained: Sender<()>,
+        metrics: MetricSink,
+    ) -> Self {
+        let bounds = HopBounds {
+            linger: settings.linger,
+            answer_max_bytes: settings.limits.answer_max_bytes,
+        };
+        Self {
+            guard: RequestGuard::new(identity.incarnation, settings.limits.clone()),
+            plan: AnnouncementPlan::new(BootClock.now(), settings.announce_interval),
+            pool: HopPool::new(bounds, sender),
+            settings,
+            identity,
+            server,
+            client,
+            events,
+            worker,
+            drained,
+            metrics,
+            replies: IndexMap::new(),
+            next_ticket: 0,
+            facts: None,
+            drain_since: None,
+        }
+    }
+
+    pub(super) fn run(mut self) {
+        loop {
+            let event = self.next_event();
+            let now = BootClock.now();
+            match event {
+                Some(event) => self.take_event(now, event),
+                None => self.step(now, GuardInput::Tick),
+            }
+            self.announce(now);
+            if self.is_drained(now) {
+                // The owner may be gone.
+                let _ = self.drained.send(());
+                self.drain_since = None;
+            }
+        }
+    }
+
+    fn next_event(&self) -> Option<GuardEvent> {
+        let now = BootClock.now();
+        let due = self.plan.next_due();
+        let wake = self.guard.next_wake().map_or(due, |wake| wake.min(due));
+        let wait = wake.saturating_since(now).min(IDLE_MAX);
+        Selector::new()
+            .recv(self.server.calls(), |call| call.ok().map(GuardEvent::Call))
+            .recv(&self.events, Result::ok)
+            .wait_timeout(wait)
+            .ok()
+            .flatten()
+    }
+
+    fn take_event(&mut self, now: BootTime, event: GuardEvent) {
+        match event {
+            GuardEvent::Call(call) => self.take_call(now, call),
+            GuardEvent::Input(input) => self.step(now, input),
+            GuardEvent::Entries(directory) => self.plan.set_entries(now, directory),
+            GuardEvent::Facts(facts) => self.take_facts(now, facts),
+            GuardEvent::Drain => {
+                self.drain_since = Some(now);
+                self.step(now, GuardInput::Drain);
+            }
+            GuardEvent::Status(sender) => {
+                // The asker may have stopped waiting.
+                let _ = sender.send(self.status(now));
+            }
+        }
+    }
+
+    fn take_facts(&mut self, now: BootTime, facts: WorkerFacts) {
+        if self.facts.as_ref() != Some(&facts) {
+            self.facts = Some(facts);
+            self.plan.hasten(now);
+        }
+    }
+
+    fn take_call(&mut self, now: BootTime, call: IncomingCall) {
+        let ticket = CallTicket(self.next_ticket);
+        self.next_ticket += 1;
+        let input = match call.kind {
+            CallKind::Dispatch => call
+                .decode::<DispatchRequest>()
+                .map(|request| GuardInput::Dispatch { ticket, request }),
+            CallKind::Revoke => call
+                .decode::<RevokeRequest>()
+                .map(|request| GuardInput::Revoke { ticket, request }),
+            kind => {
+                // Dropping the reply fails the call at the caller.
+                tracing::warn!(event = "call_refused", ?kind, remote = %call.remote);
+                return;
+            }
+        };
+        match input {
+            Ok(input) => {
+                self.replies.insert(ticket, call.reply);
+                self.step(now, input);
+            }
+            Err(error) => tracing::warn!(event = "call_refused", remote = %call.remote, %error),
+        }
+    }
+
+    fn step(&mut self, now: BootTime, input: GuardInput) {
+        for outcome in self.guard.step(now, input) {
+            self.apply(now, outcome);
+        }
+    }
+
+    fn apply(&mut self, now: BootTime, outcome: GuardOutcome) {
+        match outcome {
+            GuardOutcome::Run(order) => {
+                self.metrics.count("requests_run", 1);
+                let running = self.guard.running();
+                self.pool.run(order, running);
+            }
+            GuardOutcome::Reply { ticket, reply } => {
+                self.metrics.count(reply_metric(&reply), 1);
+                if let Some(sender) = self.replies.swap_remove(&ticket) {
+                    send_reply::<DispatchRequest>(sender, &reply);
+                }
+            }
+            GuardOutcome::RevokeReply { ticket, reply } => {
+                self.metrics.count("revocations", 1);
+                if let Some(sender) = self.replies.swap_remove(&ticket) {
+                    send_reply::<RevokeRequest>(sender, &reply);
+                }
+            }
+            GuardOutcome::Announce => self.plan.hasten(now),
+            GuardOutcome::ServiceDrained(service) => {
+                // The worker's thread runs as long as this one.
+                let _ = self.worker.send(WorkerEvent::ServiceDrained(service));
+            }
+        }
+    }
+
+    fn announce(&mut self, now: BootTime) {
+        let Some(facts) = self.facts.clone() else {
+            return;
+        };
+        let Some(round) = self.plan.take_due(now) else {
+            return;
+        };
+        let announcement = self.announcement(now, &facts, &round);
+        for entry in &round.entries {
+            // Lost announcements are followed by others: the receipt is not waited for.
+            drop(
+                self.client
+                    .start_call(*entry, &announcement, ANNOUNCE_TIMEOUT),
+            );
+        }
+        self.metrics
+            .gauge("outstanding", self.guard.outstanding() as u64);
+    }
+
+    fn announcement(
+        &self,
+        now: BootTime,
+        facts: &WorkerFacts,
+        round: &AnnouncementRound,
+    ) -> EndpointAnnouncement {
+        let expiry = self.settings.announce_expiry.as_millis();
+        EndpointAnnouncement {
+            worker: facts.worker.clone(),
+            data_centre: facts.data_centre.clone(),
+            rack: facts.rack.clone(),
+            address: self.identity.address,
+            incarnation: self.identity.incarnation,
+            sequence: round.sequence,
+            expiry_ms: u32::try_from(expiry).unwrap_or(u32::MAX),
+            endpoints: self.guard.statuses(now),
+        }
+    }
+
+    fn is_drained(&self, now: BootTime) -> bool {
+        let long_enough = self
+            .drain_since
+            .is_some_and(|since| now.saturating_since(since) >= DRAIN_MIN);
+        long_enough && self.guard.outstanding() == 0 && self.server.calls().is_empty()
+    }
+
+    fn status(&self, now: BootTime) -> GuardStatus {
+        GuardStatus {
+            incarnation: self.identity.incarnation.0,
+            draining: self.drain_since.is_some(),
+            endpoints: self.guard.statuses(now).len(),
+            outstanding: self.guard.outstanding(),
+            recorded: self.guard.recorded(),
+            kept_answers: self.guard.kept(),
+            entries: self.plan.entries().len(),
+        }
+    }
+}
+
+fn send_reply<C: RemoteCall>(sender: ReplySender, reply: &C::Reply) {
+    if let Err(error) = sender.send::<C>(reply) {
+        tracing::error!(event = "reply_failed", %error);
+    }
+}
+
+fn reply_metric(reply: &DispatchReply) -> &'static str {
+    match reply {
+        DispatchReply::Answered(_) => "requests_answered",
+        DispatchReply::Refused(_) => "requests_refused",
+        DispatchReply::Unknown(_) => "requests_unknown",
+    }
+}
--- /dev/null
+++ b/crates/guavavane_agent/src/daemon/listener.rs
@@ -0,0 +1,99 @@
+//! Local HTTP listener for endpoints, health and status.
+
+use std::time::Duration;
+
+use flume::Sender;
+use rouille::Request;
+use rouille::Response;
+use serde::Serialize;
+
+use super::guard_loop::GuardEvent;
+use super::guard_loop::GuardStatus;
+use super::worker_loop::WorkerEvent;
+use super::worker_loop::WorkerStatus;
+use crate::guard::GuardInput;
+use crate::settings::AgentSettings;
+use guavavane_daemon::http::json_response;
+use guavavane_daemon::http::read_body;
+use guavavane_daemon::http::BodyOutcome;
+use guavavane_daemon::prelude::HttpError;
+use guavavane_daemon::prelude::HttpServer;
+use guavavane_platform::prelude::EndpointNotice;
+
+/// Threads of the listener.
+const LISTENER_THREADS: usize = 16;
+
+/// Longest announcement of an endpoint, in bytes.
+const NOTICE_MAX_BYTES: usize = 4_096;
+
+/// Longest wait for a loop's state.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// State of the agent.
+#[derive(Debug, Serialize)]
+struct AgentStatus {
+    guard: Option<GuardStatus>,
+    worker: Option<WorkerStatus>,
+}
+
+pub(super) fn start(
+    settings: &AgentSettings,
+    guard: Sender<GuardEvent>,
+    worker: Sender<WorkerEvent>,
+) -> Result<HttpServer, HttpError> {
+    HttpServer::start(settings.http, LISTENER_THREADS, move |request| {
+        handle(request, &guard, &worker)
+    })
+}
+
+fn handle(request: &Request, guard: &Sender<GuardEvent>, worker: &Sender<WorkerEvent>) -> Response {
+    match (request.method(), request.url().as_str()) {
+        ("POST", "/announce") => take_notice(request, guard),
+        ("GET", "/health") => answer_health(guard),
+        ("GET", "/status") => json_response(&AgentStatus {
+            guard: ask_guard(guard),
+            worker: ask_worker(worker),
+        }),
+        _ => Response::text("not found").with_status_code(404),
+    }
+}
+
+fn take_notice(request: &Request, guard: &Sender<GuardEvent>) -> Response {
+    let body = match read_body(request, NOTICE_MAX_BYTES) {
+        BodyOutcome::Whole(body) => body,
+        BodyOutcome::Oversized => return Response::text("too long").with_status_code(413),
+        BodyOutcome::Broken => return Response::text("broken body").with_status_code(400),
+    };
+    let notice: EndpointNotice = match serde_json::from_slice(&body) {
+        Ok(notice) => notice,
+        Err(error) => {
+            tracing::warn!(event = "notice_refused", remote = %request.remote_addr(), %error);
+            return Response::text(error.to_string()).with_status_code(400);
+        }
+    };
+    let event = GuardEvent::Input(GuardInput::Notice(notice));
+    match guard.send(event) {
+        Ok(()) => Response::empty_204(),
+        Err(_) => Response::text("stopping").with_status_code(503),
+    }
+}
+
+fn answer_health(guard: &Sender<GuardEvent>) -> Response {
+    match ask_guard(guard) {
+        Some(status) if status.is_draining() => Response::text("draining").with_status_code(503),
+        Some(_) => Response::text("ok"),
+        None => Response::text("stuck").with_status_code(503),
+    }
+}
+
+fn ask_guard(guard: &Sender<GuardEvent>) -> Option<GuardStatus> {
+    let (sender, status) = flume::bounded(1);
+    guard.try_send(GuardEvent::Status(sender)).ok()?;
+    status.recv_timeout(STATUS_TIMEOUT).ok()
+}
+
+fn ask_worker(worker: &Sender<WorkerEvent>) -> Option<WorkerStatus> {
+    let (sender, status) = flume::bounded(1);
+    worker.try_send(WorkerEvent::Status(sender)).ok()?;
+    status.recv_timeout(STATUS_TIMEOUT).ok()
+}
--- /dev/null
+++ b/crates/guavavane_agent/src/daemon/mod.rs
@@ -0,0 +1,193 @@
+//! The running agent: threads around the decision cores, connected by channels.
+//!
+//! Calls, notices of endpoints and ends of exchanges flow into the guard's thread, which hands
+//! requests to a bounded pool of threads and announces the endpoints. The worker's thread owns
+//! the other core; one thread lists and polls for it, others send its commands.
+
+mod command_lane;
+mod guard_loop;
+mod hop_pool;
+mod listener;
+mod poll_lane;
+mod worker_loop;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::Context;
+use flume::Receiver;
+use flume::Sender;
+
+use self::guard_loop::GuardEvent;
+use self::guard_loop::GuardLoop;
+use self::worker_loop::WorkerEvent;
+use self::worker_loop::WorkerLoop;
+use crate::settings::AgentSettings;
+use crate::worker::AgentIdentity;
+use guavavane_daemon::prelude::draw_incarnation;
+use guavavane_daemon::prelude::HttpServer;
+use guavavane_daemon::prelude::MetricSink;
+use guavavane_daemon::prelude::ShutdownSignal;
+use guavavane_model::prelude::IncarnationId;
+use guavavane_transport::prelude::CallClient;
+use guavavane_transport::prelude::CallServer;
+use guavavane_transport::prelude::FrameIdentity;
+
+/// Calls that wait for the guard.
+const CALL_BACKLOG: usize = 256;
+
+/// Events that wait for the guard or the worker side.
+const EVENT_BACKLOG: usize = 1_024;
+
+/// Time in which the last replies leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// State of an agent that takes requests.
+#[derive(Debug)]
+pub struct Serving {
+    guard: Sender<GuardEvent>,
+    worker: Sender<WorkerEvent>,
+}
+
+/// State of an agent that ends what it has taken.
+#[derive(Debug)]
+pub struct Draining;
+
+/// A running agent in state `S`.
+#[derive(Debug)]
+pub struct RunningAgent<S> {
+    state: S,
+    address: SocketAddr,
+    incarnation: IncarnationId,
+    http: HttpServer,
+    drained: Receiver<()>,
+}
+
+impl<S> RunningAgent<S> {
+    /// Address at which calls are taken.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address of the local HTTP listener.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http.address()
+    }
+
+    /// Run of this agent.
+    pub fn incarnation(&self) -> IncarnationId {
+        self.incarnation
+    }
+}
+
+impl RunningAgent<Serving> {
+    /// Starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or a thread cannot be started.
+    pub fn start(settings: AgentSettings) -> anyhow::Result<Self> {
+        let incarnation = draw_incarnation();
+        let frame = FrameIdentity {
+            cell: settings.cell,
+            incarnation,
+        };
+        let metrics = MetricSink::open("guavavane.agent", settings.metrics)
+            .context("cannot open the metric socket")?;
+        let server = CallServer::start(settings.listen, frame, CALL_BACKLOG)?;
+        let address = settings.advertise.unwrap_or(server.address());
+        let client = CallClient::new(frame);
+        let (guard, guard_events) = flume::bounded(EVENT_BACKLOG);
+        let (worker, worker_events) = flume::bounded(EVENT_BACKLOG);
+        let (drain_sender, drained) = flume::bounded(1);
+        let http = listener::start(&settings, guard.clone(), worker.clone())?;
+        tracing::info!(
+            event = "agent_started",
+            incarnation = incarnation.0,
+            listen = %server.address(),
+            advertise = %address,
+            http = %http.address(),
+            worker = %settings.worker,
+        );
+        let identity = AgentIdentity {
+            address,
+            incarnation,
+        };
+        let worker_loop = WorkerLoop::start(
+            &settings,
+            identity.clone(),
+            client.clone(),
+            worker_events,
+            worker.clone(),
+            guard.clone(),
+        )?;
+        spawn("worker", move || worker_loop.run())?;
+        let guard_loop = GuardLoop::new(
+            settings,
+            identity,
+            server,
+            client,
+            guard_events,
+            guard.clone(),
+            worker.clone(),
+            drain_sender,
+            metrics,
+        );
+        spawn("guard", move || guard_loop.run())?;
+        Ok(Self {
+            state: Serving { guard, worker },
+            address,
+            incarnation,
+            http,
+            drained,
+        })
+    }
+
+    /// Refuses what is new and ends what is in flight.
+    pub fn drain(self) -> RunningAgent<Draining> {
+        // The loops end only when they have drained.
+        let _ = self.state.guard.send(GuardEvent::Drain);
+        let _ = self.state.worker.send(WorkerEvent::Drain);
+        RunningAgent {
+            state: Draining,
+            address: self.address,
+            incarnation: self.incarnation,
+            http: self.http,
+            drained: self.drained,
+        }
+    }
+}
+
+impl RunningAgent<Draining> {
+    /// Waits until nothing is in flight and the last replies have left.
+    pub fn wait(self) {
+        // The guard's thread sends once, or is gone.
+        let _ = self.drained.recv();
+        thread::sleep(FLUSH_TIME);
+    }
+}
+
+/// Runs the agent until it is asked to end.
+///
+/// # Errors
+///
+/// Fails if the agent cannot start.
+pub fn run_agent(settings: AgentSettings) -> anyhow::Result<()> {
+    let shutdown = ShutdownSignal::install().context("cannot install signal handlers")?;
+    let agent = RunningAgent::start(settings)?;
+    shutdown.wait();
+    tracing::info!(event = "agent_draining");
+    agent.drain().wait();
+    tracing::info!(event = "agent_stopped");
+    Ok(())
+}
+
+/// Starts a named thread.
+fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> anyhow::Result<()> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(body)
+        .with_context(|| format!("cannot start thread {name}"))?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/guavavane_agent/src/settings.rs
@@ -0,0 +1,261 @@
+//! Settings of the agent: flags and environment variables, raw and checked.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use indexmap::IndexSet;
+
+use crate::guard::GuardLimits;
+use crate::worker::WorkerTiming;
+use guavavane_daemon::prelude::check_setting;
+use guavavane_daemon::prelude::parse_setting;
+use guavavane_daemon::prelude::SettingError;
+use guavavane_model::prelude::CellId;
+use guavavane_protocol::prelude::FRAME_MAX_BYTES;
+
+const ADDRESS_ALLOWED: &str = "an IP address and a port, such as 10.0.0.7:7300";
+const MILLIS_ALLOWED: &str = "a whole number of milliseconds from 10 to 600000";
+
+/// Room in a frame for what surrounds an answer's headers and body, in bytes.
+const FRAME_ROOM_BYTES: usize = 64 * 1024;
+
+/// Agent: guards the endpoints of its worker and runs the worker's tasks.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(agent_options))]
+pub struct RawAgentSettings {
+    /// Address on which calls of entries are taken
+    #[bpaf(env("GUAVAVANE_AGENT_LISTEN"), argument("ADDRESS"))]
+    pub listen: String,
+    /// Address that entries call, if it is another one
+    #[bpaf(env("GUAVAVANE_AGENT_ADVERTISE"), argument("ADDRESS"), optional)]
+    pub advertise: Option<String>,
+    /// Address of the local HTTP listener for endpoints, health and status
+    #[bpaf(env("GUAVAVANE_AGENT_HTTP"), argument("ADDRESS"))]
+    pub http: String,
+    /// Address of the platform's worker
+    #[bpaf(env("GUAVAVANE_AGENT_WORKER"), argument("ADDRESS"))]
+    pub worker: String,
+    /// Addresses of the control replicas, separated by commas
+    #[bpaf(env("GUAVAVANE_AGENT_CONTROL"), argument("ADDRESSES"))]
+    pub control: String,
+    /// Cell that this process belongs to
+    #[bpaf(
+        env("GUAVAVANE_AGENT_CELL"),
+        argument("NUMBER"),
+        fallback("1".to_owned()),
+        display_fallback
+    )]
+    pub cell: String,
+    /// UDP address that takes metrics in the statsd format
+    #[bpaf(env("GUAVAVANE_AGENT_METRICS"), argument("ADDRESS"), optional)]
+    pub metrics: Option<String>,
+    /// Time to the next poll after one that failed, in ms
+    #[bpaf(
+        env("GUAVAVANE_AGENT_POLL_INTERVAL_MS"),
+        argument("MS"),
+        fallback("500".to_owned()),
+        display_fallback
+    )]
+    pub poll_interval_ms: String,
+    /// Longest wait for one control replica, in ms
+    #[bpaf(
+        env("GUAVAVANE_AGENT_POLL_TIMEOUT_MS"),
+        argument("MS"),
+        fallback("500".to_owned()),
+        display_fallback
+    )]
+    pub poll_timeout_ms: String,
+    /// Longest wait for the worker, in ms
+    #[bpaf(
+        env("GUAVAVANE_AGENT_WORKER_TIMEOUT_MS"),
+        argument("MS"),
+        fallback("1000".to_owned()),
+        display_fallback
+    )]
+    pub worker_timeout_ms: String,
+    /// Time between two announcements to an entry, in ms
+    #[bpaf(
+        env("GUAVAVANE_AGENT_ANNOUNCE_INTERVAL_MS"),
+        argument("MS"),
+        fallback("500".to_owned()),
+        display_fallback
+    )]
+    pub announce_interval_ms: String,
+    /// How long an announcement holds, in ms
+    #[bpaf(
+        env("GUAVAVANE_AGENT_ANNOUNCE_EXPIRY_MS"),
+        argument("MS"),
+        fallback("2000".to_owned()),
+        display_fallback
+    )]
+    pub announce_expiry_ms: String,
+    /// How long an endpoint may run a request beyond its deadline before it is cut, in ms
+    #[bpaf(
+        env("GUAVAVANE_AGENT_LINGER_MS"),
+        argument("MS"),
+        fallback("10000".to_owned()),
+        display_fallback
+    )]
+    pub linger_ms: String,
+    /// Longest answer of an endpoint, in bytes
+    #[bpaf(
+        env("GUAVAVANE_AGENT_ANSWER_MAX_BYTES"),
+        argument("BYTES"),
+        fallback("1048576".to_owned()),
+        display_fallback
+    )]
+    pub answer_max_bytes: String,
+    /// Answers that are kept for revocations
+    #[bpaf(
+        env("GUAVAVANE_AGENT_ANSWERS_MAX"),
+        argument("COUNT"),
+        fallback("1024".to_owned()),
+        display_fallback
+    )]
+    pub answers_max: String,
+    /// Requests that run at once, over all endpoints
+    #[bpaf(
+        env("GUAVAVANE_AGENT_RUNNING_MAX"),
+        argument("COUNT"),
+        fallback("32".to_owned()),
+        display_fallback
+    )]
+    pub running_max: String,
+}
+
+/// Checked settings of the agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// Address on which calls are taken.
+    pub listen: SocketAddr,
+    /// Address that entries call, if it is another one.
+    pub advertise: Option<SocketAddr>,
+    /// Address of the local HTTP listener.
+    pub http: SocketAddr,
+    /// Address of the platform's worker.
+    pub worker: SocketAddr,
+    /// Addresses of the control replicas; at least one.
+    pub control: IndexSet<SocketAddr>,
+    /// Cell of this process.
+    pub cell: CellId,
+    /// Where metrics go.
+    pub metrics: Option<SocketAddr>,
+    /// Longest wait for one control replica.
+    pub poll_timeout: Duration,
+    /// Longest wait for the worker.
+    pub worker_timeout: Duration,
+    /// Time between two announcements to an entry.
+    pub announce_interval: Duration,
+    /// How long an announcement holds.
+    pub announce_expiry: Duration,
+    /// How long an endpoint may run a request beyond its deadline.
+    pub linger: Duration,
+    /// Bounds of the request guard.
+    pub limits: GuardLimits,
+    /// Intervals of the worker side.
+    pub timing: WorkerTiming,
+}
+
+impl TryFrom<RawAgentSettings> for AgentSettings {
+    type Error = SettingError;
+
+    fn try_from(raw: RawAgentSettings) -> Result<Self, SettingError> {
+        let announce_interval = parse_millis("announce-interval-ms", &raw.announce_interval_ms)?;
+        let announce_expiry = parse_millis("announce-expiry-ms", &raw.announce_expiry_ms)?;
+        if announce_expiry < announce_interval * 2 {
+            return Err(SettingError::new(
+                "announce-expiry-ms",
+                raw.announce_expiry_ms,
+                "at least twice --announce-interval-ms",
+            ));
+        }
+        Ok(Self {
+            listen: parse_address("listen", &raw.listen)?,
+            advertise: parse_optional("advertise", raw.advertise.as_deref(), is_reachable)?,
+            http: parse_address("http", &raw.http)?,
+            worker: parse_address("worker", &raw.worker)?,
+            control: parse_replicas(&raw.control)?,
+            cell: CellId(parse_setting(
+                "cell",
+                &raw.cell,
+                "a number from 0 to 65535",
+            )?),
+            metrics: parse_optional("metrics", raw.metrics.as_deref(), |_| true)?,
+            poll_timeout: parse_millis("poll-timeout-ms", &raw.poll_timeout_ms)?,
+            worker_timeout: parse_millis("worker-timeout-ms", &raw.worker_timeout_ms)?,
+            announce_interval,
+            announce_expiry,
+            linger: parse_millis("linger-ms", &raw.linger_ms)?,
+            limits: parse_limits(&raw)?,
+            timing: WorkerTiming {
+                poll_interval: parse_millis("poll-interval-ms", &raw.poll_interval_ms)?,
+                ..WorkerTiming::default()
+            },
+        })
+    }
+}
+
+fn parse_limits(raw: &RawAgentSettings) -> Result<GuardLimits, SettingError> {
+    let longest = FRAME_MAX_BYTES - FRAME_ROOM_BYTES;
+    let answer_max_bytes = check_setting(
+        "answer-max-bytes",
+        &raw.answer_max_bytes,
+        "a number of bytes from 1024 to 4128768",
+        |bytes| (1_024..=longest).contains(bytes),
+    )?;
+    let answers_max = check_setting(
+        "answers-max",
+        &raw.answers_max,
+        "a number from 1 to 16384",
+        |count| (1..=16_384).contains(count),
+    )?;
+    let running_max = check_setting(
+        "running-max",
+        &raw.running_max,
+        "a number from 1 to 256",
+        |count| (1..=256).contains(count),
+    )?;
+    Ok(GuardLimits {
+        answer_max_bytes,
+        answers_max,
+        running_max,
+        ..GuardLimits::default()
+    })
+}
+
+fn parse_address(flag: &'static str, text: &str) -> Result<SocketAddr, SettingError> {
+    parse_setting(flag, text, ADDRESS_ALLOWED)
+}
+
+fn parse_optional(
+    flag: &'static str,
+    text: Option<&str>,
+    check: impl FnOnce(&SocketAddr) -> bool,
+) -> Result<Option<SocketAddr>, SettingError> {
+    text.map(|text| check_setting(flag, text, ADDRESS_ALLOWED, check))
+        .transpose()
+}
+
+/// Whether others can call the address.
+fn is_reachable(address: &SocketAddr) -> bool {
+    let unspecified = match address.ip() {
+        IpAddr::V4(ip) => ip.is_unspecified(),
+        IpAddr::V6(ip) => ip.is_unspecified(),
+    };
+    !unspecified && address.port() != 0
+}
+
+fn parse_millis(flag: &'static str, text: &str) -> Result<Duration, SettingError> {
+    check_setting(flag, text, MILLIS_ALLOWED, |millis: &u64| {
+        (10..=600_000).contains(millis)
+    })
+    .map(Duration::from_millis)
+}
+
+fn parse_replicas(text: &str) -> Result<IndexSet<SocketAddr>, SettingError> {
+    text.split(',')
+        .map(|part| parse_setting("control", part.trim(), ADDRESS_ALLOWED))
+        .collect()
+}
--- a/crates/guavavane_platform/src/client.rs
+++ b/crates/guavavane_platform/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use attohttpc::ProxySettings;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use thiserror::Error;
@@ -81,6 +82,7 @@
 
     fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
         let response = attohttpc::get(self.url(path))
+            .proxy_settings(ProxySettings::builder().build())
             .timeout(self.timeout)
             .send()?;
         read_answer(response)
@@ -92,6 +94,7 @@
         body: &B,
     ) -> Result<T, ClientError> {
         let response = attohttpc::post(self.url(path))
+            .proxy_settings(ProxySettings::builder().build())
             .timeout(self.timeout)
             .json(body)?
             .send()?;
--- a/crates/guavavane_platform/src/endpoint.rs
+++ b/crates/guavavane_platform/src/endpoint.rs
@@ -11,6 +11,9 @@
 /// Header that names the attempt of a request; the endpoint's answer repeats its value.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// Header that tells the endpoint how long the caller still waits, in ms.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+
 /// Whether the endpoint takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/guavavane_platform/src/lib.rs
+++ b/crates/guavavane_platform/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The worker runs tasks under leases that it enforces on its own clock: a lease that ran out
 //! stops the task and cannot be revived. Orders are idempotent by task and attempt, and a
-//! worker refuses a fencing number below the highest that it has seen for a task. Endpoints
+//! worker refuses a fencing number below the highest that it has seen for a task, and an order
+//! that carries times of another boot than its own. Endpoints
 //! announce themselves to the agent on their machine. Requests reach an endpoint as plain HTTP
 //! with [`endpoint::REQUEST_ID_HEADER`], which the answer repeats.
 //!
@@ -31,6 +32,7 @@
     pub use crate::client::WorkerClient;
     pub use crate::endpoint::EndpointNotice;
     pub use crate::endpoint::NoticeState;
+    pub use crate::endpoint::DEADLINE_HEADER;
     pub use crate::endpoint::REQUEST_ID_HEADER;
     pub use crate::worker::AttemptKey;
     pub use crate::worker::AttemptList;
--- a/crates/guavavane_platform/src/worker.rs
+++ b/crates/guavavane_platform/src/worker.rs
@@ -60,6 +60,8 @@
 /// Starts an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
+    /// Boot whose clock the times below count on; refused if it is another one.
+    pub boot: BootId,
     /// The attempt.
     pub key: AttemptKey,
     /// Refused if below the highest number seen for the task.
@@ -79,6 +81,8 @@
 /// Moves the end of a lease that has not run out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewOrder {
+    /// Boot whose clock the time below counts on; refused if it is another one.
+    pub boot: BootId,
     /// The attempts to renew.
     pub keys: Vec<AttemptKey>,
     /// End of their leases on the worker's clock, in ms since its boot; never moved back.
--- /dev/null
+++ b/src/bin/guavavane-agent.rs
@@ -0,0 +1,14 @@
+//! The agent daemon.
+
+use std::process::ExitCode;
+
+use guavavane::agent::prelude::agent_options;
+use guavavane::agent::prelude::run_agent;
+use guavavane::agent::prelude::AgentSettings;
+use guavavane::daemon::prelude::run_daemon;
+
+fn main() -> ExitCode {
+    run_daemon(agent_options(), |settings: AgentSettings| {
+        run_agent(settings)
+    })
+}
