Hold starts of a new agent run back for one permit

A start that an earlier run of the agent sent can still be taken by the worker within its permit, and the new run's ledger does not know of it. Permits are cut to 2 s and a new run starts nothing for as long. The worker forgets an attempt only after its permit has ended, so that a delayed start cannot run it again. A start that no longer fits a shrunken worker is held back. A refusal without room in the record opens a window for its entry while there is one left.

--- a/crates/guavavane_agent/src/guard/record.rs
+++ b/crates/guavavane_agent/src/guard/record.rs
@@ -117,10 +117,12 @@
 
     /// Refuses an attempt for good for which there is no room.
     ///
-    /// An entry that is not known is not remembered beyond the bound: its window would be the
-    /// first thing to grow without one. It is known to be refused as long as the bound holds.
+    /// Windows are never removed: once there is none left for an entry, all its attempts are
+    /// refused without a trace of their own.
     pub(crate) fn close(&mut self, attempt: &RequestAttempt) {
-        if let Some(window) = self.windows.get_mut(&attempt.request.entry) {
+        let entry = attempt.request.entry;
+        if self.windows.contains_key(&entry) || self.windows.len() < self.entries_max {
+            let window = self.windows.entry(entry).or_default();
             window.close(attempt.request.sequence);
         }
     }
--- a/crates/guavavane_agent/src/worker/command.rs
+++ b/crates/guavavane_agent/src/worker/command.rs
@@ -20,8 +20,10 @@
 impl WorkerControl {
     /// Sends each attempt the command that it needs next.
     pub(super) fn drive_tasks(&mut self, now: BootTime) {
+        let has_room = self.ledger.is_within();
         for (attempt, entry) in &mut self.tasks {
-            if entry.in_flight || now < entry.retry_at {
+            let starting = matches!(entry.stage, TaskStage::Starting(_));
+            if entry.in_flight || now < entry.retry_at || (starting && !has_room) {
                 continue;
             }
             if let Some(command) = next_command(now, *attempt, entry) {
--- a/crates/guavavane_agent/src/worker/ledger.rs
+++ b/crates/guavavane_agent/src/worker/ledger.rs
@@ -37,6 +37,11 @@
         self.committed
     }
 
+    /// Whether what is held fits; false after a worker has shrunk.
+    pub fn is_within(&self) -> bool {
+        self.committed.fits_within(&self.capacity)
+    }
+
     /// Sets what the worker has; what is held stays held even if it no longer fits.
     pub fn set_capacity(&mut self, capacity: ResourceVector) {
         self.capacity = capacity;
--- a/crates/guavavane_agent/src/worker/mod.rs
+++ b/crates/guavavane_agent/src/worker/mod.rs
@@ -57,6 +57,9 @@
     pub drain_max: Duration,
     /// How long a released attempt is remembered, longer than any permit.
     pub released_keep: Duration,
+    /// Longest permit; longer ones are cut to it. A new run of the agent starts nothing for
+    /// this long, since a start that its predecessor sent may still be taken.
+    pub permit_max: Duration,
 }
 
 impl Default for WorkerTiming {
@@ -67,6 +70,7 @@
             retry_interval: Duration::from_millis(200),
             drain_max: Duration::from_secs(5),
             released_keep: Duration::from_secs(30),
+            permit_max: Duration::from_millis(2_000),
         }
     }
 }
@@ -214,6 +218,8 @@
     stage: PollStage,
     next_poll: BootTime,
     last_poll: BootTime,
+    /// Earliest start of this run of the agent.
+    starts_from: BootTime,
     sequence: u64,
     entries_digest: u64,
     clock: Option<WorkerClock>,
@@ -235,6 +241,7 @@
     pub fn new(now: BootTime, identity: AgentIdentity, timing: WorkerTiming) -> Self {
         Self {
             identity,
+            starts_from: now + timing.permit_max,
             timing,
             stage: PollStage::Idle,
             next_poll: now,
--- a/crates/guavavane_agent/src/worker/order.rs
+++ b/crates/guavavane_agent/src/worker/order.rs
@@ -121,7 +121,7 @@
                     program,
                     demand,
                     resume_ms,
-                    permit: sent + Duration::from_millis(u64::from(permit_ms)),
+                    permit: sent + self.permit_time(permit_ms),
                     lease,
                 },
             ),
@@ -135,10 +135,16 @@
         }
     }
 
+    fn permit_time(&self, permit_ms: u32) -> Duration {
+        Duration::from_millis(u64::from(permit_ms)).min(self.timing.permit_max)
+    }
+
     fn order_start(&mut self, now: BootTime, request: StartRequest) {
         let attempt = request.attempt;
         let seen = self.tasks.contains_key(&attempt) || self.released.contains_key(&attempt);
-        if seen || self.draining || self.runs_other_attempt(attempt) {
+        let held = self.draining || now < self.starts_from;
+        if seen || held || self.runs_other_attempt(attempt) {
+            // Control repeats the order as long as it holds.
             return;
         }
         let stage = TaskStage::Ended(AttemptPhase::NotStarted);
@@ -151,6 +157,7 @@
                     self.outcomes.push(outcome);
                 }
                 entry.checkpoint_ms = request.resume_ms;
+                entry.permit = request.permit;
                 entry.stage = TaskStage::Starting(PendingStart {
                     order,
                     permit: request.permit,
@@ -260,15 +267,16 @@
     }
 
     fn order_forget(&mut self, now: BootTime, attempt: TaskAttempt) {
-        let ended = self.tasks.get(&attempt).is_some_and(TaskEntry::is_ended);
-        if !ended {
+        let Some(entry) = self.tasks.get(&attempt) else {
+            return;
+        };
+        if !entry.is_ended() || now < entry.permit {
             return;
         }
         self.tasks.swap_remove(&attempt);
         self.leases.remove(&attempt);
+        // The worker forgets once a listing is later than any start that may be on its way.
         self.released
             .insert(attempt, now + self.timing.released_keep);
-        let command = WorkerCommand::Forget(attempt_key(attempt));
-        self.outcomes.push(WorkerOutcome::Command(command));
     }
 }
--- a/crates/guavavane_agent/src/worker/task.rs
+++ b/crates/guavavane_agent/src/worker/task.rs
@@ -44,6 +44,8 @@
     pub(super) checkpoint_ms: u64,
     /// When the agent last learned of a change; older listings say nothing new.
     pub(super) changed: BootTime,
+    /// End of the permit that it was ordered with, on the agent's clock.
+    pub(super) permit: BootTime,
     /// Whether a command is on its way to the worker.
     pub(super) in_flight: bool,
     /// Earliest next command.
@@ -62,6 +64,7 @@
             stage,
             checkpoint_ms: 0,
             changed: now,
+            permit: now,
             in_flight: false,
             retry_at: now,
             throttle: None,
