Name the environment in announcements, programs and claims

Cause: after a promotion two environments run a service of the same name in one cell; without the environment, trial endpoints would get production requests. Ruled out: the environment inside the document's text, which would make promotion rewrite the bytes that were tried. Measured: model tests pass.

--- a/crates/guavavane_model/src/document/mod.rs
+++ b/crates/guavavane_model/src/document/mod.rs
@@ -1,14 +1,14 @@
 //! The document of an environment: its data centres, teams, services and batch work.
 //!
 //! The text is TOML. [`EnvironmentDocument::parse`] checks it whole and reports all faults at
-//! once, each with its line and field. A value of [`EnvironmentDocument`] has only references
+//! once, each with its line and field. The text does not name its environment, so that the same
+//! bytes can be promoted from one environment to the next. A value of [`EnvironmentDocument`] has only references
 //! that resolve and amounts within their limits.
 //!
 //! ```
 //! use guavavane_model::document::EnvironmentDocument;
 //!
 //! let text = r#"
-//! environment = "trial"
 //! data_centre = [{ name = "jyl-aarhus", region = "dk-jylland" }]
 //! team = [{ name = "rota" }]
 //!
--- a/crates/guavavane_model/src/document/spec.rs
+++ b/crates/guavavane_model/src/document/spec.rs
@@ -7,7 +7,6 @@
 
 use crate::name::BatchName;
 use crate::name::DataCentreName;
-use crate::name::EnvironmentName;
 use crate::name::RegionName;
 use crate::name::ServiceName;
 use crate::name::TeamName;
@@ -19,8 +18,6 @@
 /// A checked document.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct EnvironmentDocument {
-    /// The environment that it describes.
-    pub environment: EnvironmentName,
     /// Data centres that it may use.
     pub data_centres: IndexMap<DataCentreName, DataCentreSpec>,
     /// Teams with their shares.
--- a/crates/guavavane_platform/src/endpoint.rs
+++ b/crates/guavavane_platform/src/endpoint.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use guavavane_model::prelude::EndpointName;
+use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::ServiceName;
 
 /// Header that names the attempt of a request; the endpoint's answer repeats its value.
@@ -27,6 +28,8 @@
 pub struct EndpointNotice {
     /// Name of the endpoint, unique in the cell.
     pub endpoint: EndpointName,
+    /// Environment of the service.
+    pub environment: EnvironmentName,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Address at which it takes requests.
--- a/crates/guavavane_platform/src/worker.rs
+++ b/crates/guavavane_platform/src/worker.rs
@@ -6,6 +6,7 @@
 use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootId;
 use guavavane_model::prelude::DataCentreName;
+use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::RackName;
 use guavavane_model::prelude::ResourceVector;
@@ -43,6 +44,8 @@
 pub enum StartProgram {
     /// An endpoint of a service.
     Service {
+        /// Environment of the service.
+        environment: EnvironmentName,
         /// The service.
         service: ServiceName,
         /// Requests that the endpoint runs at once.
--- a/crates/guavavane_protocol/src/agent.rs
+++ b/crates/guavavane_protocol/src/agent.rs
@@ -9,6 +9,7 @@
 use crate::call::RemoteCall;
 use guavavane_model::prelude::DataCentreName;
 use guavavane_model::prelude::EndpointName;
+use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::IncarnationId;
 use guavavane_model::prelude::RackName;
 use guavavane_model::prelude::ServiceName;
@@ -28,6 +29,8 @@
 pub struct EndpointStatus {
     /// Its name, unique in the cell.
     pub name: EndpointName,
+    /// Environment of the service.
+    pub environment: EnvironmentName,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Whether it takes new work.
--- a/crates/guavavane_protocol/src/claim.rs
+++ b/crates/guavavane_protocol/src/claim.rs
@@ -15,11 +15,14 @@
 use crate::entry::HttpAnswer;
 use crate::entry::RequestAttempt;
 use crate::replica::ControlRefusal;
+use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::ServiceName;
 
-/// What a claim is for: one key of one service.
+/// What a claim is for: one key of one service of one environment.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ClaimKey {
+    /// Environment of the service.
+    pub environment: EnvironmentName,
     /// Service that the request is for.
     pub service: ServiceName,
     /// The caller's `Idempotency-Key`.
--- a/crates/guavavane_protocol/src/poll.rs
+++ b/crates/guavavane_protocol/src/poll.rs
@@ -41,6 +41,8 @@
 pub enum TaskProgram {
     /// Runs an endpoint of a service.
     Service {
+        /// Environment of the service.
+        environment: EnvironmentName,
         /// The service.
         service: ServiceName,
         /// Requests that the endpoint runs at once.
