Add the replicated log: consensus core, storage and replica thread

The control state needs a log that survives crashes, lost disks and partitions without an outside store. Storage is a segmented log of checksummed frames, one frame and one sync a batch. A replica thread joins both behind flume channels.

Ruled out: recovering a replica in place after a failed sync, because what the failed sync left behind is unknown until the folder is read again.

Five tests on threads with real disks pass (election, restart, replacement of a lost disk followed by a second loss, lock, missing identity, transfer and a cut-off leader).

--- /dev/null
+++ b/crates/guavavane_quorum/src/core/log.rs
@@ -0,0 +1,102 @@
+//! The part of the log that is kept in memory.
+
+use std::collections::VecDeque;
+
+use crate::entry::LogEntry;
+use crate::entry::LogIndex;
+use crate::entry::Term;
+
+/// Entries after a base entry, which itself was dropped.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EntryLog {
+    base_index: LogIndex,
+    base_term: Term,
+    entries: VecDeque<LogEntry>,
+    bytes: u64,
+}
+
+impl EntryLog {
+    pub(crate) fn new(base_index: LogIndex, base_term: Term, entries: Vec<LogEntry>) -> Self {
+        let bytes = entries.iter().map(|e| e.size_bytes() as u64).sum();
+        Self {
+            base_index,
+            base_term,
+            entries: entries.into(),
+            bytes,
+        }
+    }
+
+    pub(crate) fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        LogIndex(self.base_index.0 + self.entries.len() as u64)
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Term of the entry at `index`, or `None` if it was dropped or does not exist.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|e| e.term)
+    }
+
+    pub(crate) fn get(&self, index: LogIndex) -> Option<&LogEntry> {
+        let offset = index.0.checked_sub(self.base_index.0 + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    pub(crate) fn push(&mut self, entry: LogEntry) {
+        debug_assert_eq!(entry.index, self.last_index().next());
+        self.bytes += entry.size_bytes() as u64;
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries at and after `from`.
+    pub(crate) fn truncate(&mut self, from: LogIndex) {
+        while self.last_index() >= from {
+            let Some(entry) = self.entries.pop_back() else {
+                return;
+            };
+            self.bytes -= entry.size_bytes() as u64;
+        }
+    }
+
+    /// Drops the entries up to and including `through`.
+    pub(crate) fn drop_through(&mut self, through: LogIndex) {
+        while self.base_index < through {
+            let Some(entry) = self.entries.pop_front() else {
+                return;
+            };
+            self.bytes -= entry.size_bytes() as u64;
+            self.base_index = entry.index;
+            self.base_term = entry.term;
+        }
+    }
+
+    /// Entries from `from`, up to `count` entries and about `bytes` bytes, at least one.
+    pub(crate) fn slice(&self, from: LogIndex, count: u64, bytes: usize) -> Vec<LogEntry> {
+        let mut total = 0;
+        let mut slice = Vec::new();
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            total += entry.size_bytes();
+            let full = slice.len() as u64 >= count || (total > bytes && !slice.is_empty());
+            if full {
+                break;
+            }
+            slice.push(entry.clone());
+            index = index.next();
+        }
+        slice
+    }
+}
--- /dev/null
+++ b/crates/guavavane_quorum/src/core/snapshot.rs
@@ -0,0 +1,224 @@
+//! Snapshots: dropping the log behind them, and sending them in chunks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::log::EntryLog;
+use super::peer::PeerFlow;
+use super::ConsensusCore;
+use super::CoreOutcome;
+use crate::entry::LogIndex;
+use crate::entry::SnapshotImage;
+use crate::member::MemberSet;
+use crate::member::ReplicaId;
+use crate::message::MessageBody;
+use crate::message::SnapshotChunk;
+use crate::message::SnapshotId;
+use crate::message::SnapshotResponse;
+use guavavane_model::time::BootTime;
+
+/// Time after which an unanswered chunk is sent again.
+const CHUNK_RESEND_MS: u64 = 1_000;
+
+/// A snapshot that arrives in chunks.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    id: SnapshotId,
+    members: MemberSet,
+    bytes: Vec<u8>,
+}
+
+impl ConsensusCore {
+    /// Notes a durable snapshot and drops the entries that it covers, but for the last ones.
+    pub(super) fn compact(&mut self, image: SnapshotImage) {
+        if image.index <= self.snapshot_index() {
+            return;
+        }
+        let kept = self.settings.trailing_entries;
+        let through = LogIndex(image.index.0.saturating_sub(kept));
+        self.log.drop_through(through);
+        self.drop_member_sets(through);
+        self.snapshot = Some(image);
+    }
+
+    /// Forgets the member sets that ended at or before `index`.
+    fn drop_member_sets(&mut self, index: LogIndex) {
+        while self.member_sets.get(1).is_some_and(|(i, _)| *i <= index) {
+            self.member_sets.pop_front();
+        }
+    }
+
+    pub(super) fn begin_snapshot(&mut self, now: BootTime, id: ReplicaId) {
+        let index = self.snapshot_index();
+        if let Some(peer) = self.peer_mut(id) {
+            peer.flow = PeerFlow::Snapshot {
+                index,
+                offset: 0,
+                sent_at: None,
+            };
+        }
+        self.send_chunk(now, id);
+    }
+
+    /// Sends the chunk that a member needs next, unless it is under way.
+    pub(super) fn send_chunk(&mut self, now: BootTime, id: ReplicaId) {
+        let Some(image) = self.snapshot.clone() else {
+            return;
+        };
+        let chunk_bytes = self.settings.snapshot_chunk_bytes;
+        let Some(peer) = self.peer_mut(id) else {
+            return;
+        };
+        let PeerFlow::Snapshot {
+            index,
+            offset,
+            sent_at,
+        } = &mut peer.flow
+        else {
+            return;
+        };
+        if *index != image.index {
+            *index = image.index;
+            *offset = 0;
+            *sent_at = None;
+        }
+        let resend = std::time::Duration::from_millis(CHUNK_RESEND_MS);
+        if sent_at.is_some_and(|at| now < at + resend) {
+            return;
+        }
+        *sent_at = Some(now);
+        let offset = *offset;
+        let start = usize::try_from(offset)
+            .unwrap_or(usize::MAX)
+            .min(image.bytes.len());
+        let end = start.saturating_add(chunk_bytes).min(image.bytes.len());
+        let bytes: Arc<[u8]> = Arc::from(&image.bytes[start..end]);
+        let chunk = SnapshotChunk {
+            id: snapshot_id(&image),
+            members: image.members,
+            offset,
+            checksum: crc32fast::hash(&bytes),
+            bytes,
+            sent_at: now,
+        };
+        self.send_to(id, MessageBody::SnapshotChunk(chunk), false);
+    }
+
+    /// Takes a chunk and answers with the offset that is needed next.
+    pub(super) fn take_chunk(
+        &mut self,
+        from: ReplicaId,
+        address: SocketAddr,
+        chunk: SnapshotChunk,
+    ) {
+        let id = chunk.id;
+        let sent_at = chunk.sent_at;
+        if id.total_bytes > self.settings.snapshot_bytes_max {
+            return;
+        }
+        let installed = id.index <= self.commit || self.collect_chunk(chunk);
+        let received = self.incoming.as_ref().filter(|i| i.id == id);
+        let body = MessageBody::SnapshotResponse(SnapshotResponse {
+            id,
+            next_offset: received.map_or(0, |i| i.bytes.len() as u64),
+            installed,
+            sent_at,
+        });
+        self.send(from, address, self.hard_state.term, body, true);
+    }
+
+    /// Adds a chunk; returns whether it completed the snapshot.
+    fn collect_chunk(&mut self, chunk: SnapshotChunk) -> bool {
+        let same = self.incoming.as_ref().is_some_and(|i| i.id == chunk.id);
+        if !same {
+            self.incoming = Some(IncomingSnapshot {
+                id: chunk.id,
+                members: chunk.members,
+                bytes: Vec::new(),
+            });
+        }
+        let Some(incoming) = &mut self.incoming else {
+            return false;
+        };
+        let expected = chunk.offset == incoming.bytes.len() as u64;
+        let fits = chunk.offset + chunk.bytes.len() as u64 <= chunk.id.total_bytes;
+        if expected && fits && crc32fast::hash(&chunk.bytes) == chunk.checksum {
+            incoming.bytes.extend_from_slice(&chunk.bytes);
+        }
+        if (incoming.bytes.len() as u64) < chunk.id.total_bytes {
+            return false;
+        }
+        self.finish_incoming()
+    }
+
+    fn finish_incoming(&mut self) -> bool {
+        let Some(incoming) = self.incoming.take() else {
+            return false;
+        };
+        if crc32fast::hash(&incoming.bytes) != incoming.id.checksum {
+            return false;
+        }
+        self.install(SnapshotImage {
+            index: incoming.id.index,
+            term: incoming.id.term,
+            members: incoming.members,
+            bytes: incoming.bytes.into(),
+        });
+        true
+    }
+
+    fn install(&mut self, image: SnapshotImage) {
+        let keep_log = self.log.term_at(image.index) == Some(image.term);
+        if keep_log {
+            self.log.drop_through(image.index);
+            self.drop_member_sets(image.index);
+        } else {
+            self.log = EntryLog::new(image.index, image.term, Vec::new());
+            self.member_sets.clear();
+            let members = image.members.clone();
+            self.member_sets.push_back((image.index, members));
+        }
+        self.commit = image.index;
+        self.persisted = self.persisted.max(image.index).min(self.log.last_index());
+        self.snapshot = Some(image.clone());
+        self.outcomes
+            .push(CoreOutcome::InstallSnapshot { image, keep_log });
+    }
+
+    pub(super) fn note_chunk(
+        &mut self,
+        now: BootTime,
+        from: ReplicaId,
+        response: SnapshotResponse,
+    ) {
+        self.note_now(now);
+        let current = self.snapshot.as_ref().map(snapshot_id);
+        let Some(peer) = self.peer_mut(from) else {
+            return;
+        };
+        peer.note_answer(now, response.sent_at);
+        if response.installed {
+            peer.note_match(response.id.index);
+        }
+        if let PeerFlow::Snapshot {
+            offset, sent_at, ..
+        } = &mut peer.flow
+        {
+            if current == Some(response.id) && *sent_at <= Some(response.sent_at) {
+                *offset = response.next_offset;
+                *sent_at = None;
+            }
+        }
+        self.advance_commit(now);
+        self.confirm_reads();
+    }
+}
+
+fn snapshot_id(image: &SnapshotImage) -> SnapshotId {
+    SnapshotId {
+        index: image.index,
+        term: image.term,
+        total_bytes: image.bytes.len() as u64,
+        checksum: crc32fast::hash(&image.bytes),
+    }
+}
--- a/crates/guavavane_quorum/src/lib.rs
+++ b/crates/guavavane_quorum/src/lib.rs
@@ -1,4 +1,49 @@
 //! Replicated log with durable storage, snapshots and membership.
+//!
+//! [`core`] decides (Raft, free of I/O), [`storage`] keeps log and snapshots on one data
+//! folder, and [`plugin`] runs both on a thread of their own. The transport is outside: a
+//! replica takes [`message::PeerMessage`]s from one `flume` channel and gives
+//! [`message::OutgoingMessage`]s to another, and both may lose, double, delay or reorder them.
+
+pub mod core;
+pub mod entry;
+pub mod handle;
+pub mod machine;
+pub mod member;
+pub mod message;
+pub mod plugin;
+mod runner;
+pub mod settings;
+pub mod storage;
+pub mod view;
 
 /// Commonly used items of this crate.
-pub mod prelude {}
+pub mod prelude {
+    pub use crate::core::ReplicaRole;
+    pub use crate::entry::LogIndex;
+    pub use crate::entry::Term;
+    pub use crate::handle::ChangeError;
+    pub use crate::handle::ProposeError;
+    pub use crate::handle::QuorumHandle;
+    pub use crate::handle::ReadError;
+    pub use crate::machine::RestoreError;
+    pub use crate::machine::StateMachine;
+    pub use crate::member::MemberRole;
+    pub use crate::member::MemberSet;
+    pub use crate::member::ReplicaId;
+    pub use crate::member::ReplicaMember;
+    pub use crate::message::OutgoingMessage;
+    pub use crate::message::PeerMessage;
+    pub use crate::plugin::QuorumPlugin;
+    pub use crate::plugin::StartError;
+    pub use crate::settings::CheckedSettings;
+    pub use crate::settings::QuorumSettings;
+    pub use crate::settings::SettingsError;
+    pub use crate::storage::init_cluster;
+    pub use crate::storage::init_learner;
+    pub use crate::storage::FolderIdentity;
+    pub use crate::storage::InitError;
+    pub use crate::storage::LocalFolder;
+    pub use crate::storage::StorageError;
+    pub use crate::view::LeadershipView;
+}
--- /dev/null
+++ b/crates/guavavane_quorum/src/storage/disk.rs
@@ -0,0 +1,150 @@
+//! The file operations that storage needs, so that tests can put a faulty disk beneath it.
+
+use std::fs;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io;
+use std::io::Seek;
+use std::io::SeekFrom;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use rustix::fs::flock;
+use rustix::fs::FlockOperation;
+
+/// Name of the lock file.
+const LOCK_FILE: &str = "lock";
+
+/// A file open for appending.
+pub trait DiskFile: Send + 'static {
+    /// Appends all bytes.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes all appended bytes durable.
+    fn sync(&mut self) -> io::Result<()>;
+}
+
+/// One flat folder of files.
+pub trait DiskFolder: Send + 'static {
+    /// An open file.
+    type File: DiskFile;
+
+    /// Names the folder in errors.
+    fn label(&self) -> String;
+
+    /// Names of the files.
+    fn list(&self) -> io::Result<Vec<String>>;
+
+    /// Reads a whole file.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// Creates an empty file, or empties an existing one.
+    fn create(&self, name: &str) -> io::Result<Self::File>;
+
+    /// Cuts a file to `length` bytes and opens it for appending.
+    fn reopen(&self, name: &str, length: u64) -> io::Result<Self::File>;
+
+    /// Renames a file, replacing one of that name.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file.
+    fn remove(&self, name: &str) -> io::Result<()>;
+
+    /// Makes creations, renames and removals durable.
+    fn sync_folder(&self) -> io::Result<()>;
+}
+
+/// A folder of the local file system, locked against a second process.
+#[derive(Debug)]
+pub struct LocalFolder {
+    path: PathBuf,
+    folder: File,
+    _lock: File,
+}
+
+impl LocalFolder {
+    /// Opens and locks a folder, creating it if it is missing.
+    ///
+    /// Fails with [`io::ErrorKind::WouldBlock`] if another process holds the lock.
+    pub fn open(path: &Path) -> io::Result<Self> {
+        fs::create_dir_all(path)?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(path.join(LOCK_FILE))?;
+        flock(&lock, FlockOperation::NonBlockingLockExclusive)?;
+        Ok(Self {
+            path: path.to_owned(),
+            folder: File::open(path)?,
+            _lock: lock,
+        })
+    }
+}
+
+impl DiskFolder for LocalFolder {
+    type File = LocalFile;
+
+    fn label(&self) -> String {
+        self.path.display().to_string()
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let name = entry?.file_name().to_string_lossy().into_owned();
+            if name != LOCK_FILE {
+                names.push(name);
+            }
+        }
+        names.sort_unstable();
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn create(&self, name: &str) -> io::Result<LocalFile> {
+        let file = File::create(self.path.join(name))?;
+        Ok(LocalFile { file })
+    }
+
+    fn reopen(&self, name: &str, length: u64) -> io::Result<LocalFile> {
+        let path = self.path.join(name);
+        let mut file = OpenOptions::new().write(true).open(path)?;
+        file.set_len(length)?;
+        file.sync_all()?;
+        file.seek(SeekFrom::Start(length))?;
+        Ok(LocalFile { file })
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        self.folder.sync_all()
+    }
+}
+
+/// A file of a [`LocalFolder`].
+#[derive(Debug)]
+pub struct LocalFile {
+    file: File,
+}
+
+impl DiskFile for LocalFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.file.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.file.sync_data()
+    }
+}
--- /dev/null
+++ b/crates/guavavane_quorum/src/storage/identity.rs
@@ -0,0 +1,171 @@
+//! Identity of a data folder, written once.
+//!
+//! A replica that lost its disk finds no identity and so can never vote under the one it had.
+//! The identity is written last: a folder whose initialisation was cut short has none.
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use super::disk::DiskFile;
+use super::disk::DiskFolder;
+use super::frame::decode_body;
+use super::frame::encode_frame;
+use super::frame::read_frame;
+use super::frame::FrameRead;
+use super::segment::segment_name;
+use super::segment::segment_number;
+use super::segment::OpenSegment;
+use super::segment::SegmentHeader;
+use super::segment::FORMAT_VERSION;
+use super::snapshot_file::is_snapshot;
+use super::StorageError;
+use crate::entry::HardState;
+use crate::entry::LogIndex;
+use crate::entry::Term;
+use crate::member::MemberSet;
+use crate::member::ReplicaId;
+use guavavane_model::identity::CellId;
+
+/// Name of the identity file.
+const IDENTITY_NAME: &str = "identity";
+/// Name under which the identity is written before it is complete.
+const PARTIAL_NAME: &str = "identity.partial";
+
+/// Who the replica of a folder is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FolderIdentity {
+    version: u16,
+    /// Cell of the group.
+    pub cell: CellId,
+    /// Identity of the replica.
+    pub replica: ReplicaId,
+}
+
+/// Why a folder could not be initialised.
+#[derive(Debug, Error)]
+pub enum InitError {
+    /// The folder already has an identity.
+    #[error("the folder already belongs to replica {replica}")]
+    AlreadyInitialised {
+        /// Its replica.
+        replica: ReplicaId,
+    },
+    /// The replica is not among the first voters.
+    #[error("replica {replica} is not a voter of the first members")]
+    NotVoter {
+        /// The replica.
+        replica: ReplicaId,
+    },
+    /// The folder holds the log of a replica whose identity is gone.
+    #[error("{name} belongs to a replica whose identity is gone; use an empty folder")]
+    Leftover {
+        /// A file of that replica.
+        name: String,
+    },
+    /// Storage failed.
+    #[error(transparent)]
+    Storage(#[from] StorageError),
+}
+
+/// Initialises the folder of a first voter; all first voters are given the same members.
+pub fn init_cluster<D: DiskFolder>(
+    folder: &D,
+    cell: CellId,
+    replica: ReplicaId,
+    members: MemberSet,
+) -> Result<(), InitError> {
+    if !members.is_voter(replica) {
+        return Err(InitError::NotVoter { replica });
+    }
+    init(folder, cell, replica, members)
+}
+
+/// Initialises the folder of a replica that joins a group as a learner.
+pub fn init_learner<D: DiskFolder>(
+    folder: &D,
+    cell: CellId,
+    replica: ReplicaId,
+) -> Result<(), InitError> {
+    init(folder, cell, replica, MemberSet::default())
+}
+
+fn init<D: DiskFolder>(
+    folder: &D,
+    cell: CellId,
+    replica: ReplicaId,
+    first_members: MemberSet,
+) -> Result<(), InitError> {
+    match read_identity(folder) {
+        Err(StorageError::NoIdentity { .. }) => {}
+        Err(error) => return Err(error.into()),
+        Ok(identity) => {
+            let replica = identity.replica;
+            return Err(InitError::AlreadyInitialised { replica });
+        }
+    }
+    clear(folder)?;
+    let header = SegmentHeader {
+        version: FORMAT_VERSION,
+        replica,
+        hard_state: HardState::default(),
+        base_index: LogIndex(0),
+        base_term: Term(0),
+        first_members,
+    };
+    OpenSegment::create(folder, 1, &header)?;
+    let identity = FolderIdentity {
+        version: FORMAT_VERSION,
+        cell,
+        replica,
+    };
+    write_identity(folder, identity)?;
+    Ok(())
+}
+
+/// Removes what an initialisation that was cut short has left; it never left more than this.
+fn clear<D: DiskFolder>(folder: &D) -> Result<(), InitError> {
+    let names = folder.list().map_err(StorageError::io(folder.label()))?;
+    let first = segment_name(1);
+    let ours = |n: &&String| segment_number(n).is_some() || is_snapshot(n);
+    if let Some(name) = names.iter().filter(ours).find(|n| **n != first) {
+        return Err(InitError::Leftover { name: name.clone() });
+    }
+    for name in names.iter().filter(|n| **n == first) {
+        folder.remove(name).map_err(StorageError::io(name))?;
+    }
+    Ok(())
+}
+
+fn write_identity<D: DiskFolder>(folder: &D, identity: FolderIdentity) -> Result<(), StorageError> {
+    let frame = encode_frame(&identity, 0, 0);
+    let write = || {
+        let mut file = folder.create(PARTIAL_NAME)?;
+        file.append(&frame)?;
+        file.sync()?;
+        folder.rename(PARTIAL_NAME, IDENTITY_NAME)?;
+        folder.sync_folder()
+    };
+    write().map_err(StorageError::io(IDENTITY_NAME))
+}
+
+/// Reads the identity of a folder.
+pub fn read_identity<D: DiskFolder>(folder: &D) -> Result<FolderIdentity, StorageError> {
+    let names = folder.list().map_err(StorageError::io(folder.label()))?;
+    if !names.iter().any(|n| n == IDENTITY_NAME) {
+        return Err(StorageError::NoIdentity {
+            folder: folder.label(),
+        });
+    }
+    let read = folder.read(IDENTITY_NAME);
+    let bytes = read.map_err(StorageError::io(IDENTITY_NAME))?;
+    let identity = match read_frame(&bytes, 0, 0) {
+        FrameRead::Whole { body, next } if next == bytes.len() => decode_body(body),
+        _ => None,
+    };
+    identity.ok_or(StorageError::Corrupt {
+        file: IDENTITY_NAME.to_owned(),
+        offset: 0,
+        reason: "the identity fails its checksum",
+    })
+}
--- /dev/null
+++ b/crates/guavavane_quorum/src/storage/store.rs
@@ -0,0 +1,207 @@
+//! The log and its snapshots on one folder.
+
+use std::collections::VecDeque;
+
+use super::disk::DiskFolder;
+use super::identity::read_identity;
+use super::identity::FolderIdentity;
+use super::replay::replay;
+use super::replay::ClosedSegment;
+use super::segment::segment_name;
+use super::segment::OpenSegment;
+use super::segment::SegmentHeader;
+use super::segment::StoredRecord;
+use super::segment::FORMAT_VERSION;
+use super::snapshot_file;
+use super::StorageError;
+use crate::core::StoredState;
+use crate::entry::HardState;
+use crate::entry::LogEntry;
+use crate::entry::LogIndex;
+use crate::entry::SnapshotImage;
+use crate::entry::Term;
+use crate::member::MemberSet;
+
+/// Stores hard state, entries and snapshots; writes are durable once [`LogStore::sync`] returns.
+#[derive(Debug)]
+pub struct LogStore<D: DiskFolder> {
+    folder: D,
+    identity: FolderIdentity,
+    segment_bytes: u64,
+    segment: OpenSegment<D::File>,
+    closed: VecDeque<ClosedSegment>,
+    /// Highest index in the open segment.
+    segment_last: LogIndex,
+    hard_state: HardState,
+    last_index: LogIndex,
+    last_term: Term,
+    first_members: MemberSet,
+    batch: Vec<StoredRecord>,
+    failed: bool,
+}
+
+impl<D: DiskFolder> LogStore<D> {
+    /// Reads a folder that was initialised, cutting a torn tail.
+    pub fn open(folder: D, segment_bytes: u64) -> Result<(Self, StoredState), StorageError> {
+        let identity = read_identity(&folder)?;
+        let snapshot = snapshot_file::load(&folder)?;
+        let snapshot_index = snapshot.as_ref().map_or(LogIndex(0), |s| s.index);
+        let mut log = replay(&folder, identity.replica, snapshot_index)?;
+        let open = log.segments.pop().expect("a replay has a segment");
+        let name = segment_name(open.number);
+        let reopened = folder.reopen(&name, log.tail_bytes);
+        let file = reopened.map_err(StorageError::io(&name))?;
+        let snapshot_term = snapshot.as_ref().map_or(Term(0), |s| s.term);
+        let mut store = Self {
+            folder,
+            identity,
+            segment_bytes,
+            segment: OpenSegment {
+                file,
+                number: open.number,
+                bytes: log.tail_bytes,
+            },
+            closed: log.segments.into(),
+            segment_last: open.last_index,
+            hard_state: log.hard_state,
+            last_index: log.last_index,
+            last_term: log.entries.last().map_or(snapshot_term, |e| e.term),
+            first_members: log.first_members.clone(),
+            batch: Vec::new(),
+            failed: false,
+        };
+        let agrees = log.term_at_snapshot == Some(snapshot_term);
+        if snapshot.is_some() && !agrees {
+            // A crash came between an installed snapshot and the restart of the log.
+            log.entries.clear();
+            store.restart(snapshot_index, snapshot_term);
+            store.sync()?;
+        }
+        let state = StoredState {
+            hard_state: log.hard_state,
+            first_members: log.first_members,
+            snapshot,
+            entries: log.entries,
+        };
+        Ok((store, state))
+    }
+
+    /// Identity of the folder.
+    pub fn identity(&self) -> FolderIdentity {
+        self.identity
+    }
+
+    /// Adds the term and vote to the batch.
+    pub fn save_hard_state(&mut self, state: HardState) {
+        self.hard_state = state;
+        self.batch.push(StoredRecord::HardState(state));
+    }
+
+    /// Adds entries to the batch; they replace those from the first one's index on.
+    pub fn append(&mut self, entries: Vec<LogEntry>) {
+        for entry in entries {
+            self.last_index = entry.index;
+            self.last_term = entry.term;
+            self.batch.push(StoredRecord::Entry(entry));
+        }
+    }
+
+    /// Stores a received snapshot; without `keep_log` the log starts anew after it.
+    pub fn install_snapshot(
+        &mut self,
+        image: &SnapshotImage,
+        keep_log: bool,
+    ) -> Result<(), StorageError> {
+        self.sync()?;
+        self.save_snapshot(image)?;
+        if !keep_log {
+            self.restart(image.index, image.term);
+            self.sync()?;
+        }
+        Ok(())
+    }
+
+    /// Stores a snapshot and removes the segments that it covers.
+    pub fn save_snapshot(&mut self, image: &SnapshotImage) -> Result<(), StorageError> {
+        self.guard(|store| {
+            snapshot_file::save(&store.folder, image)?;
+            store.remove_segments(image.index)
+        })
+    }
+
+    /// Writes the batch as one frame and makes it durable.
+    pub fn sync(&mut self) -> Result<(), StorageError> {
+        if self.batch.is_empty() && !self.failed {
+            return Ok(());
+        }
+        self.guard(Self::write_batch)
+    }
+
+    fn restart(&mut self, index: LogIndex, term: Term) {
+        self.last_index = index;
+        self.last_term = term;
+        self.batch.push(StoredRecord::Restart { index, term });
+    }
+
+    fn guard(
+        &mut self,
+        work: impl FnOnce(&mut Self) -> Result<(), StorageError>,
+    ) -> Result<(), StorageError> {
+        if self.failed {
+            return Err(StorageError::Failed);
+        }
+        let result = work(self);
+        self.failed = result.is_err();
+        result
+    }
+
+    fn write_batch(&mut self) -> Result<(), StorageError> {
+        let batch = std::mem::take(&mut self.batch);
+        self.segment.append(&batch)?;
+        self.segment.sync()?;
+        for record in &batch {
+            let index = match record {
+                StoredRecord::HardState(_) => continue,
+                StoredRecord::Entry(entry) => entry.index,
+                StoredRecord::Restart { index, .. } => *index,
+            };
+            self.segment_last = self.segment_last.max(index);
+        }
+        if self.segment.bytes >= self.segment_bytes {
+            self.begin_segment()?;
+        }
+        Ok(())
+    }
+
+    fn begin_segment(&mut self) -> Result<(), StorageError> {
+        let header = SegmentHeader {
+            version: FORMAT_VERSION,
+            replica: self.identity.replica,
+            hard_state: self.hard_state,
+            base_index: self.last_index,
+            base_term: self.last_term,
+            first_members: self.first_members.clone(),
+        };
+        let number = self.segment.number + 1;
+        let segment = OpenSegment::create(&self.folder, number, &header)?;
+        self.closed.push_back(ClosedSegment {
+            number: self.segment.number,
+            last_index: self.segment_last,
+        });
+        self.segment = segment;
+        self.segment_last = LogIndex(0);
+        Ok(())
+    }
+
+    fn remove_segments(&mut self, through: LogIndex) -> Result<(), StorageError> {
+        while let Some(segment) = self.closed.front().copied() {
+            if segment.last_index > through {
+                break;
+            }
+            let name = segment_name(segment.number);
+            self.folder.remove(&name).map_err(StorageError::io(&name))?;
+            self.closed.pop_front();
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/guavavane_quorum/tests/replication.rs
@@ -0,0 +1,182 @@
+//! Replicas on threads with real disks: electing, replicating, restarting, replacing.
+
+mod support;
+
+use std::time::Duration;
+
+use crate::support::address;
+use crate::support::init_voters;
+use crate::support::wait_for;
+use crate::support::wait_for_leader;
+use crate::support::AddValue;
+use crate::support::ListMachine;
+use crate::support::LocalNetwork;
+use crate::support::ScratchFolder;
+use crate::support::TestHandle;
+use guavavane_model::identity::CellId;
+use guavavane_quorum::prelude::*;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+fn settings(number: u16) -> QuorumSettings {
+    QuorumSettings {
+        heartbeat_ms: 20,
+        election_timeout_min_ms: 300,
+        election_timeout_max_ms: 600,
+        lease_ms: 200,
+        removal_timeout_ms: 1_500,
+        snapshot_entries: 100,
+        trailing_entries: 10,
+        snapshot_chunk_bytes: 64,
+        ..QuorumSettings::new(address(number))
+    }
+}
+
+fn propose_all(handle: &TestHandle, values: std::ops::Range<u64>) {
+    for value in values {
+        handle.propose(AddValue::new(value), TIMEOUT).unwrap();
+    }
+}
+
+fn values(machine: &ListMachine) -> Vec<u64> {
+    machine.values.clone()
+}
+
+#[test]
+fn three_replicas_elect_replicate_and_restart() {
+    let folders: Vec<ScratchFolder> = (0..3).map(|_| ScratchFolder::new()).collect();
+    let paths: Vec<_> = folders.iter().map(|f| f.0.clone()).collect();
+    init_voters(&paths);
+    let network = LocalNetwork::default();
+    let start = |n: u16| network.start(settings(n), paths[usize::from(n)].clone());
+    let mut handles: Vec<TestHandle> = (0..3).map(start).collect();
+    let refs: Vec<&TestHandle> = handles.iter().collect();
+    let leader = wait_for_leader(&refs);
+    propose_all(&handles[leader], 0..250);
+    let read = handles[leader].read(TIMEOUT, values).unwrap();
+    assert_eq!(read, (0..250).collect::<Vec<u64>>());
+    for handle in &handles {
+        wait_for("equal state", || {
+            (handle.local(values) == read).then_some(())
+        });
+    }
+    for handle in handles.drain(..) {
+        handle.stop();
+    }
+    let handles: Vec<TestHandle> = (0..3).map(start).collect();
+    let refs: Vec<&TestHandle> = handles.iter().collect();
+    let leader = wait_for_leader(&refs);
+    assert_eq!(handles[leader].read(TIMEOUT, values).unwrap(), read);
+    for handle in &handles {
+        handle.stop();
+    }
+}
+
+#[test]
+fn a_lost_disk_is_replaced_and_a_second_loss_keeps_data() {
+    let folders: Vec<ScratchFolder> = (0..5).map(|_| ScratchFolder::new()).collect();
+    let paths: Vec<_> = folders.iter().map(|f| f.0.clone()).collect();
+    let members = init_voters(&paths[..3]);
+    let network = LocalNetwork::default();
+    let start = |n: u16| network.start(settings(n), paths[usize::from(n)].clone());
+    let mut handles: Vec<TestHandle> = (0..3).map(start).collect();
+    let refs: Vec<&TestHandle> = handles.iter().collect();
+    let leader = wait_for_leader(&refs);
+    propose_all(&handles[leader], 0..300);
+    // The third replica's VM is lost; a new one starts on an empty folder.
+    let lost = (leader + 1) % 3;
+    handles[lost].stop();
+    let fresh = ReplicaId::random();
+    let folder = LocalFolder::open(&paths[3]).unwrap();
+    init_learner(&folder, CellId(0), fresh).unwrap();
+    drop(folder);
+    handles.push(start(3));
+    let added = handles[leader].add_learner(fresh, address(3), TIMEOUT);
+    assert_eq!(added, Ok(()));
+    wait_for("the replacement", || {
+        let view = handles[leader].leadership();
+        let gone = view.members.get(members[lost].id).is_none();
+        (gone && view.members.is_voter(fresh)).then_some(())
+    });
+    propose_all(&handles[leader], 300..400);
+    // Right after the repair the leader is lost too.
+    handles[leader].stop();
+    let second = 3 - leader - lost;
+    let left = [&handles[second], &handles[3]];
+    let next = wait_for_leader(&left);
+    propose_all(left[next], 400..410);
+    let read = left[next].read(TIMEOUT, values).unwrap();
+    assert_eq!(read, (0..410).collect::<Vec<u64>>());
+    left.iter().for_each(|h| h.stop());
+}
+
+#[test]
+fn a_folder_without_identity_is_refused() {
+    let folder = ScratchFolder::new();
+    let plugin = QuorumPlugin {
+        settings: settings(0).try_into().unwrap(),
+        data_folder: folder.0.clone(),
+        machine: ListMachine::default(),
+    };
+    let (_sender, inbox) = flume::bounded(1);
+    let (outbox, _outgoing) = flume::bounded(1);
+    let refused = plugin.start(inbox, outbox).err().unwrap();
+    let expected = matches!(
+        refused,
+        StartError::Storage(StorageError::NoIdentity { .. })
+    );
+    assert!(expected, "{refused}");
+}
+
+#[test]
+fn a_folder_is_locked_against_a_second_process() {
+    let folder = ScratchFolder::new();
+    init_voters(&[folder.0.clone()]);
+    let network = LocalNetwork::default();
+    let handle = network.start(settings(0), folder.0.clone());
+    let again = LocalFolder::open(&folder.0);
+    let kind = again.map(|_| ()).unwrap_err().kind();
+    assert_eq!(kind, std::io::ErrorKind::WouldBlock);
+    handle.stop();
+    LocalFolder::open(&folder.0).unwrap();
+}
+
+#[test]
+fn a_cut_off_leader_loses_its_lease_and_a_transfer_moves_the_leadership() {
+    let folders: Vec<ScratchFolder> = (0..3).map(|_| ScratchFolder::new()).collect();
+    let paths: Vec<_> = folders.iter().map(|f| f.0.clone()).collect();
+    init_voters(&paths);
+    let network = LocalNetwork::default();
+    let start = |n: u16| network.start(settings(n), paths[usize::from(n)].clone());
+    let handles: Vec<TestHandle> = (0..3).map(start).collect();
+    let refs: Vec<&TestHandle> = handles.iter().collect();
+    let first = wait_for_leader(&refs);
+    handles[first].transfer_leadership();
+    let second = wait_for("another leader", || {
+        let leader = wait_for_leader(&refs);
+        (leader != first).then_some(leader)
+    });
+    propose_all(&handles[second], 0..10);
+    network.cut(address(second as u16));
+    let others: Vec<&TestHandle> = (0..3)
+        .filter(|n| *n != second)
+        .map(|n| &handles[n])
+        .collect();
+    let third = wait_for_leader(&others);
+    wait_for("the lease to end", || {
+        handles[second]
+            .leadership()
+            .lease_valid_until
+            .is_none()
+            .then_some(())
+    });
+    propose_all(others[third], 10..20);
+    let stale = handles[second].propose(AddValue::new(99), Duration::from_millis(300));
+    assert!(stale.is_err());
+    network.mend(address(second as u16));
+    let expected: Vec<u64> = (0..20).collect();
+    wait_for("the cut-off replica to catch up", || {
+        (handles[second].local(values) == expected).then_some(())
+    });
+    handles.iter().for_each(|h| h.stop());
+}
--- /dev/null
+++ b/crates/guavavane_quorum/tests/support/mod.rs
@@ -0,0 +1,180 @@
+//! Replicas on threads with real disks, wired by in-process channels.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
+
+use guavavane_model::identity::CellId;
+use guavavane_quorum::prelude::*;
+
+/// Longest wait for something that must come about.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+
+static FOLDERS: AtomicU64 = AtomicU64::new(0);
+
+/// A folder that is removed with its value.
+pub(crate) struct ScratchFolder(pub(crate) PathBuf);
+
+impl ScratchFolder {
+    pub(crate) fn new() -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("guavavane-quorum-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for ScratchFolder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Appends numbers.
+#[derive(Default)]
+pub(crate) struct ListMachine {
+    pub(crate) values: Vec<u64>,
+    pub(crate) filler_bytes: u64,
+}
+
+#[derive(Clone, Serialize, Deserialize)]
+pub(crate) struct AddValue {
+    pub(crate) value: u64,
+    pub(crate) filler: Vec<u8>,
+}
+
+impl AddValue {
+    pub(crate) fn new(value: u64) -> Self {
+        let filler = Vec::new();
+        Self { value, filler }
+    }
+}
+
+impl StateMachine for ListMachine {
+    type Command = AddValue;
+    type Outcome = usize;
+
+    fn apply(&mut self, _index: LogIndex, command: AddValue) -> usize {
+        self.values.push(command.value);
+        self.filler_bytes += command.filler.len() as u64;
+        self.values.len()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let values = self.values.iter().flat_map(|v| v.to_le_bytes());
+        values.collect()
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<(), RestoreError> {
+        let words = bytes.chunks_exact(8);
+        self.values = words
+            .map(|w| u64::from_le_bytes(w.try_into().unwrap()))
+            .collect();
+        Ok(())
+    }
+}
+
+pub(crate) type TestHandle = QuorumHandle<ListMachine>;
+
+type Inboxes = Arc<Mutex<IndexMap<SocketAddr, flume::Sender<PeerMessage>>>>;
+
+/// Delivers messages between replicas of one process.
+#[derive(Clone, Default)]
+pub(crate) struct LocalNetwork {
+    inboxes: Inboxes,
+    cut: Arc<Mutex<IndexSet<SocketAddr>>>,
+}
+
+impl LocalNetwork {
+    /// Starts a replica on an initialised folder.
+    pub(crate) fn start(&self, settings: QuorumSettings, folder: PathBuf) -> TestHandle {
+        let (sender, inbox) = flume::bounded(10_000);
+        let (outbox, outgoing) = flume::bounded::<OutgoingMessage>(10_000);
+        let address = settings.address;
+        self.inboxes.lock().unwrap().insert(address, sender);
+        let network = self.clone();
+        thread::spawn(move || {
+            for message in outgoing {
+                network.deliver(address, message);
+            }
+        });
+        let plugin = QuorumPlugin {
+            settings: settings.try_into().unwrap(),
+            data_folder: folder,
+            machine: ListMachine::default(),
+        };
+        plugin.start(inbox, outbox).unwrap()
+    }
+
+    fn deliver(&self, from: SocketAddr, message: OutgoingMessage) {
+        let cut = self.cut.lock().unwrap();
+        if cut.contains(&from) || cut.contains(&message.address) {
+            return;
+        }
+        if let Some(inbox) = self.inboxes.lock().unwrap().get(&message.address) {
+            let _ = inbox.try_send(message.message);
+        }
+    }
+
+    pub(crate) fn cut(&self, address: SocketAddr) {
+        self.cut.lock().unwrap().insert(address);
+    }
+
+    pub(crate) fn mend(&self, address: SocketAddr) {
+        self.cut.lock().unwrap().shift_remove(&address);
+    }
+}
+
+pub(crate) fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + number))
+}
+
+/// Initialises the folders of `count` first voters and returns their members.
+pub(crate) fn init_voters(folders: &[PathBuf]) -> Vec<ReplicaMember> {
+    let members: Vec<ReplicaMember> = (0..folders.len())
+        .map(|n| ReplicaMember {
+            id: ReplicaId::random(),
+            address: address(n as u16),
+            role: MemberRole::Voter,
+        })
+        .collect();
+    let set: MemberSet = members.iter().copied().collect();
+    for (folder, member) in folders.iter().zip(&members) {
+        let folder = LocalFolder::open(folder).unwrap();
+        init_cluster(&folder, CellId(0), member.id, set.clone()).unwrap();
+    }
+    members
+}
+
+/// Waits until `check` returns a value.
+pub(crate) fn wait_for<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = check() {
+            return value;
+        }
+        assert!(start.elapsed() < WAIT_MAX, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Position of the replica that leads and can commit.
+pub(crate) fn wait_for_leader(handles: &[&TestHandle]) -> usize {
+    wait_for("a leader", || {
+        let leads = |h: &&TestHandle| h.leadership().lease_valid_until.is_some();
+        handles.iter().position(leads)
+    })
+}
