Route requests through an entry: router core, pipeline and daemon

The entry polls control for documents and data centres, takes announcements, chooses an endpoint, dispatches, claims idempotency keys and drains on SIGTERM. The transport gains CallClient::call_then, which hands a result to a closure, so that one routing thread can have many calls open without a thread for each.

Properties of the router core are not written yet.

--- /dev/null
+++ b/crates/guavavane_entry/src/front.rs
@@ -0,0 +1,324 @@
+//! The front: HTTP for callers.
+//!
+//! The first segment of the path names the service, or the header [`SERVICE_HEADER`] does. An
+//! `Idempotency-Key` is claimed for requests that are not idempotent.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::Sender;
+use rouille::Request;
+use rouille::Response;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::directory::PolicyOutcome;
+use crate::directory::ServiceDirectory;
+use crate::directory::ServicePolicy;
+use crate::drain::DrainGate;
+use crate::drain::EntryPhase;
+use crate::drain::GateRefusal;
+use crate::reply::guard_response;
+use crate::reply::is_connection_header;
+use crate::reply::refused_response;
+use crate::reply::result_response;
+use crate::stage::StageInput;
+use guavavane_daemon::http::read_body;
+use guavavane_daemon::http::BodyOutcome;
+use guavavane_model::prelude::BootClock;
+use guavavane_model::prelude::EnvironmentName;
+use guavavane_model::prelude::IncarnationId;
+use guavavane_model::prelude::RequestId;
+use guavavane_model::prelude::ServiceName;
+use guavavane_protocol::prelude::HeaderField;
+use guavavane_protocol::prelude::UnknownReason;
+use guavavane_routing::prelude::CallerRequest;
+use guavavane_routing::prelude::ClaimIntent;
+use guavavane_routing::prelude::RequestResult;
+use guavavane_routing::prelude::ServiceKey;
+
+/// Header that names the service, instead of the path.
+pub const SERVICE_HEADER: &str = "x-guavavane-service";
+
+/// Header that names the environment; needed only if several have the service.
+pub const ENVIRONMENT_HEADER: &str = "x-guavavane-environment";
+
+/// Header with a caller's own timeout in milliseconds; only a shorter one than the service's
+/// counts.
+pub const TIMEOUT_HEADER: &str = "x-guavavane-timeout-ms";
+
+/// Path of the health check on the callers' listener.
+pub const HEALTH_PATH: &str = "/.guavavane/health";
+
+/// Longest `Idempotency-Key`, in bytes.
+const KEY_MAX_BYTES: usize = 255;
+
+/// Time after the deadline at which the front stops waiting for the stage.
+const RESULT_GRACE: Duration = Duration::from_millis(1_000);
+
+/// Bounds of a single request.
+#[derive(Clone, Debug)]
+pub struct FrontLimits {
+    /// Environment of requests that name none.
+    pub environment: Option<EnvironmentName>,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Largest sum of header names and values, in bytes.
+    pub header_bytes: usize,
+    /// Timeout of services without a document.
+    pub default_timeout: Duration,
+}
+
+/// Turns HTTP requests into results.
+#[derive(Debug)]
+pub struct CallerFront {
+    incarnation: IncarnationId,
+    sequence: AtomicU64,
+    directory: ServiceDirectory,
+    gate: DrainGate,
+    stage: Sender<StageInput>,
+    limits: FrontLimits,
+}
+
+/// A request that is refused before it is routed.
+#[derive(Debug)]
+struct FrontRefusal {
+    status: u16,
+    reason: &'static str,
+}
+
+fn refusal(status: u16, reason: &'static str) -> FrontRefusal {
+    FrontRefusal { status, reason }
+}
+
+impl CallerFront {
+    /// A front that feeds `stage`.
+    pub fn new(
+        incarnation: IncarnationId,
+        directory: ServiceDirectory,
+        gate: DrainGate,
+        stage: Sender<StageInput>,
+        limits: FrontLimits,
+    ) -> Self {
+        Self {
+            incarnation,
+            sequence: AtomicU64::new(0),
+            directory,
+            gate,
+            stage,
+            limits,
+        }
+    }
+
+    /// Answers one HTTP request.
+    pub fn handle(&self, request: &Request) -> Response {
+        if request.raw_url() == HEALTH_PATH {
+            return health_response(self.gate.phase());
+        }
+        let guard = match self.gate.enter() {
+            Ok(guard) => guard,
+            Err(GateRefusal::Closed) => {
+                return refused_response(503, "draining")
+                    .with_additional_header("connection", "close");
+            }
+            Err(GateRefusal::Full) => return refused_response(429, "overloaded"),
+        };
+        let response = match self.read_request(request) {
+            Ok(request) => self.route(request),
+            Err(refusal) => refused_response(refusal.status, refusal.reason),
+        };
+        guard_response(response, guard)
+    }
+
+    fn route(&self, request: CallerRequest) -> Response {
+        let id = request.id;
+        let wait = request.deadline.saturating_since(BootClock.now()) + RESULT_GRACE;
+        let (sender, receiver) = flume::bounded(1);
+        let input = StageInput::Request(Box::new(request), sender);
+        if self.stage.send(input).is_err() {
+            return refused_response(503, "stopping");
+        }
+        let result = receiver
+            .recv_timeout(wait)
+            .unwrap_or(RequestResult::Unknown(UnknownReason::AgentTimeout));
+        result_response(result).with_unique_header("x-guavavane-request", id.to_string())
+    }
+
+    fn read_request(&self, request: &Request) -> Result<CallerRequest, FrontRefusal> {
+        if self.gate.phase() == EntryPhase::Starting {
+            return Err(refusal(503, "starting"));
+        }
+        self.check_headers(request)?;
+        let (service, path) = self.read_service(request)?;
+        let method = request.method().to_owned();
+        let bare_path = path.split('?').next().unwrap_or_default();
+        let environment = self.read_environment(request)?;
+        let policy = self.find_policy(environment.as_ref(), &service)?;
+        let environment = policy
+            .as_ref()
+            .map(|policy| policy.environment.clone())
+            .or(environment)
+            .ok_or(refusal(400, "environment-needed"))?;
+        // Without any view nothing is taken as idempotent; the documents may say otherwise.
+        let idempotent = policy
+            .as_ref()
+            .is_some_and(|policy| policy.spec.is_idempotent(&method, bare_path));
+        let service_timeout = policy
+            .as_ref()
+            .map_or(self.limits.default_timeout, |policy| policy.timeout());
+        let timeout =
+            caller_timeout(request)?.map_or(service_timeout, |own| own.min(service_timeout));
+        let body = self.read_body(request)?;
+        let claim = match read_key(request)? {
+            Some(key) if !idempotent => Some(ClaimIntent {
+                digest: request_digest(&method, &path, &body),
+                key,
+            }),
+            _ => None,
+        };
+        Ok(CallerRequest {
+            id: self.next_id(),
+            service: ServiceKey {
+                environment,
+                service,
+            },
+            headers: passed_headers(request),
+            deadline: BootClock.now() + timeout,
+            idempotent,
+            hedge: policy.is_some_and(|policy| policy.spec.hedge),
+            method,
+            path,
+            body,
+            claim,
+        })
+    }
+
+    fn next_id(&self) -> RequestId {
+        RequestId {
+            entry: self.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+        }
+    }
+
+    fn check_headers(&self, request: &Request) -> Result<(), FrontRefusal> {
+        let bytes: usize = request
+            .headers()
+            .map(|(name, value)| name.len() + value.len())
+            .sum();
+        if bytes + request.raw_url().len() > self.limits.header_bytes {
+            return Err(refusal(431, "headers-too-large"));
+        }
+        Ok(())
+    }
+
+    fn read_service(&self, request: &Request) -> Result<(ServiceName, String), FrontRefusal> {
+        let url = request.raw_url();
+        let no_service = |_| refusal(404, "no-such-service");
+        if let Some(name) = request.header(SERVICE_HEADER) {
+            let service = ServiceName::try_from(name).map_err(no_service)?;
+            return Ok((service, url.to_owned()));
+        }
+        let rest = url.strip_prefix('/').unwrap_or(url);
+        let end = rest.find(['/', '?']).unwrap_or(rest.len());
+        let (name, path) = rest.split_at(end);
+        let service = ServiceName::try_from(name).map_err(no_service)?;
+        let path = if path.starts_with('/') {
+            path.to_owned()
+        } else {
+            format!("/{path}")
+        };
+        Ok((service, path))
+    }
+
+    fn read_environment(&self, request: &Request) -> Result<Option<EnvironmentName>, FrontRefusal> {
+        let Some(name) = request.header(ENVIRONMENT_HEADER) else {
+            return Ok(self.limits.environment.clone());
+        };
+        let environment = EnvironmentName::try_from(name);
+        environment
+            .map(Some)
+            .map_err(|_| refusal(404, "no-such-environment"))
+    }
+
+    /// The policy of a service; none while nothing was heard of control.
+    fn find_policy(
+        &self,
+        environment: Option<&EnvironmentName>,
+        service: &ServiceName,
+    ) -> Result<Option<Arc<ServicePolicy>>, FrontRefusal> {
+        match self.directory.find(environment, service) {
+            PolicyOutcome::Found(policy) => Ok(Some(policy)),
+            PolicyOutcome::NoView => Ok(None),
+            PolicyOutcome::Unknown => Err(refusal(404, "no-such-service")),
+            PolicyOutcome::Ambiguous => Err(refusal(400, "environment-needed")),
+        }
+    }
+
+    fn read_body(&self, request: &Request) -> Result<Vec<u8>, FrontRefusal> {
+        let declared = request
+            .header("content-length")
+            .and_then(|text| text.parse::<usize>().ok());
+        if declared.is_some_and(|bytes| bytes > self.limits.body_bytes) {
+            return Err(refusal(413, "body-too-large"));
+        }
+        match read_body(request, self.limits.body_bytes) {
+            BodyOutcome::Whole(body) if declared.is_some_and(|bytes| bytes != body.len()) => {
+                Err(refusal(400, "body-broken"))
+            }
+            BodyOutcome::Whole(body) => Ok(body),
+            BodyOutcome::Oversized => Err(refusal(413, "body-too-large")),
+            BodyOutcome::Broken => Err(refusal(400, "body-broken")),
+        }
+    }
+}
+
+/// The answer of a health check.
+pub fn health_response(phase: EntryPhase) -> Response {
+    let (status, text) = match phase {
+        EntryPhase::Starting => (503, "starting\n"),
+        EntryPhase::Ready => (200, "ready\n"),
+        EntryPhase::Draining | EntryPhase::Closed => (503, "draining\n"),
+    };
+    Response::text(text).with_status_code(status)
+}
+
+fn caller_timeout(request: &Request) -> Result<Option<Duration>, FrontRefusal> {
+    let Some(text) = request.header(TIMEOUT_HEADER) else {
+        return Ok(None);
+    };
+    match text.parse::<u32>() {
+        Ok(millis) if millis > 0 => Ok(Some(Duration::from_millis(u64::from(millis)))),
+        _ => Err(refusal(400, "bad-timeout")),
+    }
+}
+
+fn read_key(request: &Request) -> Result<Option<Arc<str>>, FrontRefusal> {
+    match request.header("idempotency-key") {
+        None => Ok(None),
+        Some(key) if key.is_empty() || key.len() > KEY_MAX_BYTES => Err(refusal(400, "bad-key")),
+        Some(key) => Ok(Some(Arc::from(key))),
+    }
+}
+
+fn passed_headers(request: &Request) -> Vec<HeaderField> {
+    request
+        .headers()
+        .filter(|(name, _)| !is_connection_header(name))
+        .map(|(name, value)| HeaderField {
+            name: name.to_ascii_lowercase(),
+            value: value.to_owned(),
+        })
+        .filter(|header| !header.name.starts_with("x-guavavane-"))
+        .collect()
+}
+
+/// Digest of method, path and body; their lengths keep them apart.
+fn request_digest(method: &str, path: &str, body: &[u8]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/guavavane_entry/src/options.rs
@@ -0,0 +1,82 @@
+//! Flags and environment variables of the entry, as text.
+
+use bpaf::Bpaf;
+
+/// Routes requests of callers to endpoints, and commands of operators to control.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, generate(entry_options), version)]
+pub struct RawSettings {
+    /// Cell that the entry belongs to
+    #[bpaf(env("GUAVAVANE_CELL"), argument("NUMBER"), fallback("1".to_owned()))]
+    pub cell: String,
+    /// Data centre of the entry
+    #[bpaf(env("GUAVAVANE_DATA_CENTRE"), argument("NAME"))]
+    pub data_centre: String,
+    /// Environment of requests that name none; needed only if several have the service
+    #[bpaf(env("GUAVAVANE_ENVIRONMENT"), argument("NAME"))]
+    pub environment: Option<String>,
+    /// Address at which callers are served
+    #[bpaf(env("GUAVAVANE_CALLER_LISTEN"), argument("IP:PORT"))]
+    pub caller_listen: String,
+    /// Address at which operators are served
+    #[bpaf(env("GUAVAVANE_OPERATOR_LISTEN"), argument("IP:PORT"))]
+    pub operator_listen: String,
+    /// Address at which announcements of agents are taken
+    #[bpaf(env("GUAVAVANE_CALL_LISTEN"), argument("IP:PORT"))]
+    pub call_listen: String,
+    /// Address that agents reach --call-listen at; the bound one if not given
+    #[bpaf(env("GUAVAVANE_CALL_ADVERTISE"), argument("IP:PORT"))]
+    pub call_advertise: Option<String>,
+    /// Addresses of the control replicas, separated by commas
+    #[bpaf(env("GUAVAVANE_CONTROL"), argument("IP:PORT,..."))]
+    pub control: String,
+    /// UDP address that metrics are sent to
+    #[bpaf(env("GUAVAVANE_METRICS"), argument("IP:PORT"))]
+    pub metrics: Option<String>,
+    /// Largest body of a request, in bytes
+    #[bpaf(env("GUAVAVANE_BODY_BYTES"), argument("BYTES"), fallback("1048576".to_owned()))]
+    pub body_bytes: String,
+    /// Largest sum of path, header names and values of a request, in bytes
+    #[bpaf(env("GUAVAVANE_HEADER_BYTES"), argument("BYTES"), fallback("16384".to_owned()))]
+    pub header_bytes: String,
+    /// Threads that serve callers; more than the connections that arrive at once
+    #[bpaf(env("GUAVAVANE_CALLER_THREADS"), argument("COUNT"), fallback("2048".to_owned()))]
+    pub caller_threads: String,
+    /// Requests in flight at once
+    #[bpaf(env("GUAVAVANE_REQUESTS"), argument("COUNT"), fallback("1024".to_owned()))]
+    pub requests: String,
+    /// Requests of one service that wait for an endpoint
+    #[bpaf(env("GUAVAVANE_QUEUE"), argument("COUNT"), fallback("512".to_owned()))]
+    pub queue: String,
+    /// Endpoints known at once
+    #[bpaf(env("GUAVAVANE_ENDPOINTS"), argument("COUNT"), fallback("16384".to_owned()))]
+    pub endpoints: String,
+    /// Idempotency keys in work at once
+    #[bpaf(env("GUAVAVANE_CLAIMS"), argument("COUNT"), fallback("1024".to_owned()))]
+    pub claims: String,
+    /// Threads that carry claims to control
+    #[bpaf(env("GUAVAVANE_CLAIM_THREADS"), argument("COUNT"), fallback("32".to_owned()))]
+    pub claim_threads: String,
+    /// Announcements that wait to be taken
+    #[bpaf(env("GUAVAVANE_ANNOUNCEMENTS"), argument("COUNT"), fallback("4096".to_owned()))]
+    pub announcements: String,
+    /// Time for which work is still taken after SIGTERM, in milliseconds
+    #[bpaf(env("GUAVAVANE_DRAIN_WAIT_MS"), argument("MS"), fallback("5000".to_owned()))]
+    pub drain_wait_ms: String,
+    /// Longest wait for requests in flight after that, in milliseconds
+    #[bpaf(env("GUAVAVANE_DRAIN_LIMIT_MS"), argument("MS"), fallback("60000".to_owned()))]
+    pub drain_limit_ms: String,
+    /// Longest pause between two polls of control, in milliseconds
+    #[bpaf(env("GUAVAVANE_POLL_MS"), argument("MS"), fallback("500".to_owned()))]
+    pub poll_ms: String,
+    /// Longest wait for one control replica, in milliseconds
+    #[bpaf(env("GUAVAVANE_CONTROL_LIMIT_MS"), argument("MS"), fallback("500".to_owned()))]
+    pub control_limit_ms: String,
+    /// Time without control after which a new entry serves by announcements alone, in
+    /// milliseconds
+    #[bpaf(env("GUAVAVANE_VIEW_WAIT_MS"), argument("MS"), fallback("10000".to_owned()))]
+    pub view_wait_ms: String,
+    /// Timeout of requests while no document is known, in milliseconds
+    #[bpaf(env("GUAVAVANE_REQUEST_TIMEOUT_MS"), argument("MS"), fallback("5000".to_owned()))]
+    pub request_timeout_ms: String,
+}
--- /dev/null
+++ b/crates/guavavane_entry/src/reply.rs
@@ -0,0 +1,149 @@
+//! HTTP answers for results.
+//!
+//! Each answer carries [`OUTCOME_HEADER`]: `answered`, `not-run` or `unknown`. A result that is
+//! not an answer carries [`REASON_HEADER`] too.
+
+use std::borrow::Cow;
+use std::io::Cursor;
+use std::io::Read;
+
+use rouille::Response;
+use rouille::ResponseBody;
+
+use crate::drain::FlightGuard;
+use guavavane_protocol::prelude::HttpAnswer;
+use guavavane_protocol::prelude::UnknownReason;
+use guavavane_routing::prelude::NotRunReason;
+use guavavane_routing::prelude::RequestResult;
+
+/// Header that tells what became of a request.
+pub const OUTCOME_HEADER: &str = "x-guavavane-outcome";
+
+/// Header that tells why a request has no answer of an endpoint.
+pub const REASON_HEADER: &str = "x-guavavane-reason";
+
+/// Headers that belong to one connection and are not passed on.
+const CONNECTION_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+
+/// Whether a header belongs to one connection.
+pub fn is_connection_header(name: &str) -> bool {
+    CONNECTION_HEADERS
+        .iter()
+        .any(|known| known.eq_ignore_ascii_case(name))
+}
+
+/// The HTTP answer for a result.
+pub fn result_response(result: RequestResult) -> Response {
+    match result {
+        RequestResult::Answered(answer) => answered_response(answer),
+        RequestResult::NotRun(reason) => {
+            refused_response(not_run_status(reason), &reason.to_string())
+        }
+        RequestResult::Unknown(reason) => {
+            outcome_response(unknown_status(reason), "unknown", unknown_text(reason))
+        }
+    }
+}
+
+/// The HTTP answer for a request that was not run.
+pub fn refused_response(status: u16, reason: &str) -> Response {
+    outcome_response(status, "not-run", reason)
+}
+
+fn outcome_response(status: u16, outcome: &'static str, reason: &str) -> Response {
+    Response::text(format!("{outcome}: {reason}\n"))
+        .with_status_code(status)
+        .with_unique_header(OUTCOME_HEADER, outcome)
+        .with_unique_header(REASON_HEADER, reason.to_owned())
+}
+
+fn answered_response(answer: HttpAnswer) -> Response {
+    let mut headers: Vec<(Cow<'static, str>, Cow<'static, str>)> = answer
+        .headers
+        .into_iter()
+        .filter(|header| !is_connection_header(&header.name))
+        .filter(|header| !header.name.starts_with("x-guavavane-"))
+        .map(|header| (header.name.into(), header.value.into()))
+        .collect();
+    headers.push((OUTCOME_HEADER.into(), "answered".into()));
+    Response {
+        status_code: answer.status,
+        headers,
+        data: ResponseBody::from_data(answer.body),
+        upgrade: None,
+    }
+}
+
+fn not_run_status(reason: NotRunReason) -> u16 {
+    match reason {
+        NotRunReason::Overloaded => 429,
+        NotRunReason::KeyMismatch => 422,
+        NotRunReason::NoEndpoint
+        | NotRunReason::DeadlinePassed
+        | NotRunReason::Refused
+        | NotRunReason::ClaimsFull
+        | NotRunReason::ControlUnavailable => 503,
+    }
+}
+
+fn unknown_status(reason: UnknownReason) -> u16 {
+    match reason {
+        UnknownReason::ConnectionLost
+        | UnknownReason::BadAnswer
+        | UnknownReason::AgentRestarted => 502,
+        UnknownReason::EndpointTimeout
+        | UnknownReason::StillRunning
+        | UnknownReason::AgentTimeout => 504,
+    }
+}
+
+fn unknown_text(reason: UnknownReason) -> &'static str {
+    match reason {
+        UnknownReason::EndpointTimeout => "endpoint-timeout",
+        UnknownReason::ConnectionLost => "connection-lost",
+        UnknownReason::BadAnswer => "bad-answer",
+        UnknownReason::StillRunning => "still-running",
+        UnknownReason::AgentRestarted => "agent-restarted",
+        UnknownReason::AgentTimeout => "agent-timeout",
+    }
+}
+
+/// A body that keeps its request in flight until it is written.
+struct GuardedBody {
+    bytes: Cursor<Vec<u8>>,
+    _guard: FlightGuard,
+}
+
+impl Read for GuardedBody {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        self.bytes.read(buffer)
+    }
+}
+
+/// Keeps a request in flight until its answer is written.
+pub fn guard_response(response: Response, guard: FlightGuard) -> Response {
+    let (mut reader, _) = response.data.into_reader_and_size();
+    let mut bytes = Vec::new();
+    reader
+        .read_to_end(&mut bytes)
+        .expect("the body is in memory");
+    let size = bytes.len();
+    let body = GuardedBody {
+        bytes: Cursor::new(bytes),
+        _guard: guard,
+    };
+    Response {
+        data: ResponseBody::from_reader_and_size(body, size),
+        ..response
+    }
+}
--- /dev/null
+++ b/crates/guavavane_entry/src/stage.rs
@@ -0,0 +1,280 @@
+//! The routing stage: one thread that owns the router.
+//!
+//! Its inputs come through one channel. The channel has no bound of its own: requests are
+//! bounded by the gate of the front, replies by the attempts in flight, and announcements are
+//! refused while it is long.
+
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use flume::Sender;
+use indexmap::IndexMap;
+
+use crate::claim::ClaimCall;
+use guavavane_daemon::prelude::MetricSink;
+use guavavane_model::prelude::BootClock;
+use guavavane_model::prelude::RequestId;
+use guavavane_protocol::prelude::DispatchRequest;
+use guavavane_protocol::prelude::DispatchTarget;
+use guavavane_protocol::prelude::RequestAttempt;
+use guavavane_protocol::prelude::RevokeRequest;
+use guavavane_routing::prelude::AttemptResult;
+use guavavane_routing::prelude::CallerRequest;
+use guavavane_routing::prelude::RequestResult;
+use guavavane_routing::prelude::RequestRouter;
+use guavavane_routing::prelude::RouterInput;
+use guavavane_routing::prelude::RouterOutcome;
+use guavavane_routing::prelude::RoutingDecision;
+use guavavane_routing::prelude::ServiceKey;
+use guavavane_transport::prelude::CallClient;
+use guavavane_transport::prelude::CallError;
+
+/// Longest time between two ticks.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What the stage is fed with.
+#[derive(Debug)]
+pub enum StageInput {
+    /// A request and where its result goes.
+    Request(Box<CallerRequest>, Sender<RequestResult>),
+    /// Something for the router.
+    Router(RouterInput),
+    /// Asks for a description of the stage.
+    Describe(Sender<StageReport>),
+    /// Ends the stage.
+    Stop,
+}
+
+/// State of the stage, for operators.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct StageReport {
+    /// Requests in flight.
+    pub requests: usize,
+    /// Requests that wait for an endpoint.
+    pub queued: usize,
+    /// Attempts without a reply.
+    pub attempts: usize,
+    /// Claims that are being settled or released.
+    pub claim_jobs: usize,
+    /// Endpoints known.
+    pub endpoints: Vec<EndpointReport>,
+}
+
+/// State of an endpoint as the entry sees it.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct EndpointReport {
+    /// Its name.
+    pub endpoint: String,
+    /// Its service.
+    pub service: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Whether it may be given work.
+    pub live: bool,
+    /// Whether it is ejected.
+    pub ejected: bool,
+    /// Own attempts without a reply.
+    pub outstanding: usize,
+}
+
+/// The thread that routes.
+#[derive(Debug)]
+pub struct RoutingStage {
+    router: RequestRouter,
+    inputs: Receiver<StageInput>,
+    feedback: Sender<StageInput>,
+    calls: CallClient,
+    claims: Sender<ClaimCall>,
+    metrics: MetricSink,
+    waiting: IndexMap<RequestId, Sender<RequestResult>>,
+}
+
+impl RoutingStage {
+    /// A stage with its channels; `feedback` leads to `inputs`.
+    pub fn new(
+        router: RequestRouter,
+        inputs: Receiver<StageInput>,
+        feedback: Sender<StageInput>,
+        calls: CallClient,
+        claims: Sender<ClaimCall>,
+        metrics: MetricSink,
+    ) -> Self {
+        Self {
+            router,
+            inputs,
+            feedback,
+            calls,
+            claims,
+            metrics,
+            waiting: IndexMap::new(),
+        }
+    }
+
+    /// Starts the thread.
+    pub fn start(self) -> std::io::Result<JoinHandle<()>> {
+        let builder = thread::Builder::new().name("routing".to_owned());
+        builder.spawn(move || self.run())
+    }
+
+    fn run(mut self) {
+        loop {
+            match self.inputs.recv_timeout(self.idle_time()) {
+                Ok(StageInput::Request(request, result)) => {
+                    self.waiting.insert(request.id, result);
+                    self.step(RouterInput::Request(request));
+                }
+                Ok(StageInput::Router(input)) => self.step(input),
+                Ok(StageInput::Describe(report)) => {
+                    // Whoever asked may have gone.
+                    let _ = report.send(self.describe());
+                }
+                Ok(StageInput::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Timeout) => self.tick(),
+            }
+        }
+    }
+
+    fn idle_time(&self) -> Duration {
+        let now = BootClock.now();
+        self.router.next_timer().map_or(TICK_INTERVAL, |at| {
+            TICK_INTERVAL.min(at.saturating_since(now))
+        })
+    }
+
+    fn tick(&mut self) {
+        let counts = self.router.counts();
+        self.metrics.gauge("requests", counts.requests as u64);
+        self.metrics.gauge("queued", counts.queued as u64);
+        self.step(RouterInput::Tick);
+    }
+
+    fn step(&mut self, input: RouterInput) {
+        for outcome in self.router.step(BootClock.now(), input) {
+            match outcome {
+                RouterOutcome::Dispatch { call, limit } => self.dispatch(&call, limit),
+                RouterOutcome::Claim { tag, call, limit } => {
+                    self.send_claim(ClaimCall { tag, call, limit });
+                }
+                RouterOutcome::Revoke {
+                    request,
+                    target,
+                    call,
+                    limit,
+                } => self.revoke(request, &target, &call, limit),
+                RouterOutcome::Finish { request, result } => self.finish(request, result),
+                RouterOutcome::Decision {
+                    attempt,
+                    service,
+                    decision,
+                } => log_decision(attempt, &service, &decision),
+            }
+        }
+    }
+
+    fn dispatch(&self, call: &DispatchRequest, limit: Duration) {
+        let feedback = self.feedback.clone();
+        let attempt = call.attempt;
+        let finished = move |result| {
+            let result = match result {
+                Ok(reply) => AttemptResult::Reply(reply),
+                Err(error) => attempt_error(&error),
+            };
+            // The stage has ended if this fails.
+            let _ = feedback.send(StageInput::Router(RouterInput::Reply(attempt, result)));
+        };
+        self.calls
+            .call_then(call.target.agent, call, limit, finished);
+    }
+
+    fn revoke(
+        &self,
+        request: RequestId,
+        target: &DispatchTarget,
+        call: &RevokeRequest,
+        limit: Duration,
+    ) {
+        let feedback = self.feedback.clone();
+        let finished = move |result: Result<_, CallError>| {
+            let input = RouterInput::Revoke(request, result.ok());
+            // The stage has ended if this fails.
+            let _ = feedback.send(StageInput::Router(input));
+        };
+        self.calls.call_then(target.agent, call, limit, finished);
+    }
+
+    fn send_claim(&self, call: ClaimCall) {
+        if let Err(refused) = self.claims.try_send(call) {
+            let tag = refused.into_inner().tag;
+            let input = RouterInput::Claim(tag, None);
+            // The stage holds a receiver of this channel itself.
+            let _ = self.feedback.send(StageInput::Router(input));
+        }
+    }
+
+    fn finish(&mut self, request: RequestId, result: RequestResult) {
+        if let Some(sender) = self.waiting.swap_remove(&request) {
+            // The caller may have gone.
+            let _ = sender.send(result);
+        }
+    }
+
+    fn describe(&self) -> StageReport {
+        let now = BootClock.now();
+        let counts = self.router.counts();
+        let endpoints = self
+            .router
+            .table()
+            .endpoints()
+            .map(|record| EndpointReport {
+                endpoint: record.target.endpoint.to_string(),
+                service: record.service.to_string(),
+                data_centre: record.data_centre.to_string(),
+                live: record.is_live(now),
+                ejected: record.health.is_ejected(now),
+                outstanding: record.open.len(),
+            });
+        StageReport {
+            requests: counts.requests,
+            queued: counts.queued,
+            attempts: counts.attempts,
+            claim_jobs: counts.claim_jobs,
+            endpoints: endpoints.collect(),
+        }
+    }
+}
+
+fn attempt_error(error: &CallError) -> AttemptResult {
+    if error.is_unseen() {
+        AttemptResult::Unseen
+    } else {
+        AttemptResult::Lost
+    }
+}
+
+fn log_decision(attempt: RequestAttempt, service: &ServiceKey, decision: &RoutingDecision) {
+    let alternatives: Vec<String> = decision
+        .alternatives
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    tracing::info!(
+        event = "routed",
+        request = %attempt.request,
+        attempt = attempt.attempt,
+        service = %service,
+        endpoint = %decision.chosen.endpoint,
+        score = format_args!("{:.0}", decision.chosen.score),
+        reason = %decision.reason,
+        alternatives = alternatives.join(","),
+    );
+}
+
+/// Asks a stage for its state.
+pub fn describe_stage(inputs: &Sender<StageInput>, limit: Duration) -> Option<StageReport> {
+    let (sender, receiver) = flume::bounded(1);
+    inputs.send(StageInput::Describe(sender)).ok()?;
+    receiver.recv_timeout(limit).ok()
+}
--- a/crates/guavavane_routing/src/lib.rs
+++ b/crates/guavavane_routing/src/lib.rs
@@ -1,4 +1,44 @@
 //! Routing decisions: endpoint choice, retry budgets, hedging, ejection and shedding.
+//!
+//! [`router::RequestRouter`] is the core of an entry. Its `step` takes one input (a request, a
+//! reply, an announcement, the passing of time) and returns what is to be done. It does no
+//! I/O: time is passed in and its randomness is seeded, so that a sequence of inputs always
+//! leads to the same outcomes.
+//!
+//! A request is sent again only if each earlier attempt is proven not to have run, or if the
+//! request is idempotent. [`life::RequestLife`] holds that rule in its types.
+
+pub mod admission;
+pub mod budget;
+pub mod choice;
+pub mod claim;
+pub mod ejection;
+pub mod endpoint;
+pub mod latency;
+pub mod life;
+pub mod request;
+pub mod router;
+pub mod service;
+pub mod settings;
+pub mod table;
+pub mod timer;
 
 /// Commonly used items of this crate.
-pub mod prelude {}
+pub mod prelude {
+    pub use crate::choice::ChoiceReason;
+    pub use crate::choice::EndpointChooser;
+    pub use crate::choice::RoutingDecision;
+    pub use crate::choice::ScoredEndpoint;
+    pub use crate::claim::ClaimTag;
+    pub use crate::request::AttemptResult;
+    pub use crate::request::CallerRequest;
+    pub use crate::request::ClaimIntent;
+    pub use crate::request::NotRunReason;
+    pub use crate::request::RequestResult;
+    pub use crate::router::RequestRouter;
+    pub use crate::router::RouterInput;
+    pub use crate::router::RouterOutcome;
+    pub use crate::service::ServiceKey;
+    pub use crate::settings::RoutingSettings;
+    pub use crate::table::EndpointTable;
+}
--- /dev/null
+++ b/crates/guavavane_routing/src/router/claims.rs
@@ -0,0 +1,254 @@
+//! Claims of idempotency keys: acquire, settle and release.
+
+use std::sync::Arc;
+
+use crate::claim::ClaimJob;
+use crate::claim::ClaimTag;
+use crate::life::Claiming;
+use crate::life::HeldStep;
+use crate::life::RequestLife;
+use crate::request::AttemptEnd;
+use crate::request::CallerRequest;
+use crate::request::NotRunReason;
+use crate::request::RequestResult;
+use crate::router::LiveRequest;
+use crate::router::RequestRouter;
+use crate::router::RouterOutcome;
+use crate::timer::TimerEvent;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::RequestId;
+use guavavane_protocol::prelude::ClaimChange;
+use guavavane_protocol::prelude::ClaimHolder;
+use guavavane_protocol::prelude::ClaimKey;
+use guavavane_protocol::prelude::ClaimOutcome;
+use guavavane_protocol::prelude::ClaimReply;
+use guavavane_protocol::prelude::ClaimRequest;
+use guavavane_protocol::prelude::HttpAnswer;
+use guavavane_protocol::prelude::RequestAttempt;
+
+impl RequestRouter {
+    /// Asks control for the claim of a request.
+    pub(super) fn send_claim(&mut self, now: BootTime, life: RequestLife<Claiming>) {
+        let request = Arc::clone(&life.record.request);
+        let call = claim_call(&request, life.change());
+        let remaining = request.deadline.saturating_since(now);
+        self.requests
+            .insert(request.id, LiveRequest::Claiming(life));
+        self.outcomes.push(RouterOutcome::Claim {
+            tag: ClaimTag::Request(request.id),
+            call: Box::new(call),
+            limit: remaining.min(self.settings.claim_limit),
+        });
+    }
+
+    /// Takes the end of a claim.
+    pub(super) fn end_claim(&mut self, now: BootTime, id: RequestId, reply: Option<ClaimReply>) {
+        let Some(LiveRequest::Claiming(life)) = self.requests.get(&id) else {
+            self.release_abandoned(now, id, reply);
+            return;
+        };
+        let life = life.clone();
+        let request = Arc::clone(&life.record.request);
+        self.requests.swap_remove(&id);
+        let holder = life.holder().clone();
+        match reply {
+            Some(ClaimReply::Outcome(ClaimOutcome::Granted)) => {
+                if self.is_too_late(now, &request) {
+                    self.release_claim(now, &request, holder.attempt);
+                    self.refuse_claim(now, life, NotRunReason::DeadlinePassed);
+                    return;
+                }
+                let life = life.granted();
+                self.requests.insert(id, LiveRequest::Running(life));
+                self.dispatch(now, &request, holder);
+            }
+            Some(ClaimReply::Outcome(ClaimOutcome::Held(other))) => {
+                self.close_unsent(now, holder.attempt);
+                self.end_held(now, life, other);
+            }
+            Some(ClaimReply::Outcome(ClaimOutcome::Answered(answer))) => {
+                self.close_unsent(now, holder.attempt);
+                self.finish(&request, RequestResult::Answered(answer));
+            }
+            Some(ClaimReply::Outcome(ClaimOutcome::DigestMismatch)) => {
+                self.refuse_claim(now, life, NotRunReason::KeyMismatch);
+            }
+            Some(ClaimReply::Outcome(ClaimOutcome::Full)) => {
+                self.refuse_claim(now, life, NotRunReason::ClaimsFull);
+            }
+            Some(ClaimReply::Refused(_)) | None => {
+                // The claim may be committed all the same: free it for the next resend.
+                self.release_claim(now, &request, holder.attempt);
+                self.refuse_claim(now, life, NotRunReason::ControlUnavailable);
+            }
+        }
+    }
+
+    fn refuse_claim(&mut self, now: BootTime, life: RequestLife<Claiming>, reason: NotRunReason) {
+        let request = Arc::clone(&life.record.request);
+        self.close_unsent(now, life.holder().attempt);
+        let released = life.record.released();
+        self.finish(&request, life.finish(reason));
+        if let Some(not_run) = released {
+            self.release_claim(now, &request, not_run);
+        }
+    }
+
+    fn end_held(&mut self, now: BootTime, life: RequestLife<Claiming>, other: ClaimHolder) {
+        let request = Arc::clone(&life.record.request);
+        match life.held(other, self.settings.claim_rounds_max) {
+            HeldStep::Own(life) => self.resend(now, life, false),
+            HeldStep::Blocked(life) => {
+                self.requests.insert(request.id, LiveRequest::Blocked(life));
+                let at = now + self.settings.claim_wait;
+                self.timers.add(at, TimerEvent::ClaimWait(request.id));
+            }
+            HeldStep::Resolving(life) => self.send_revoke(now, life),
+            HeldStep::Finished(result) => self.finish(&request, result),
+        }
+    }
+
+    /// Asks for a claim again after the wait for its holder.
+    pub(super) fn recheck_claim(&mut self, now: BootTime, id: RequestId) {
+        let Some(LiveRequest::Blocked(life)) = self.requests.get(&id) else {
+            return;
+        };
+        let life = life.clone().recheck();
+        self.send_claim(now, life);
+    }
+
+    /// Frees the room of an attempt that was never sent.
+    fn close_unsent(&mut self, now: BootTime, attempt: RequestAttempt) {
+        let Some(open) = self.attempts.swap_remove(&attempt) else {
+            return;
+        };
+        if let Some(record) = self.table.find_mut(&open.holder.target) {
+            record.end(open.started_at);
+        }
+        self.pump(now, &open.request.service);
+    }
+
+    /// Remembers a claim whose request has ended, to release it once its call has ended.
+    pub(super) fn abandon_claim(&mut self, life: &RequestLife<Claiming>) {
+        let request = &life.record.request;
+        let change = ClaimChange::Release {
+            not_run: life.holder().attempt,
+        };
+        self.abandoned
+            .insert(request.id, claim_call(request, change));
+    }
+
+    fn release_abandoned(&mut self, now: BootTime, id: RequestId, reply: Option<ClaimReply>) {
+        let Some(call) = self.abandoned.swap_remove(&id) else {
+            return;
+        };
+        if let ClaimChange::Release { not_run } = call.change {
+            self.close_unsent(now, not_run);
+        }
+        let other = matches!(
+            reply,
+            Some(ClaimReply::Outcome(
+                ClaimOutcome::Held(_)
+                    | ClaimOutcome::Answered(_)
+                    | ClaimOutcome::DigestMismatch
+                    | ClaimOutcome::Full
+            ))
+        );
+        if !other {
+            self.add_job(now, call);
+        }
+    }
+
+    /// Frees the key of an attempt that did not run.
+    pub(super) fn release_claim(
+        &mut self,
+        now: BootTime,
+        request: &CallerRequest,
+        not_run: RequestAttempt,
+    ) {
+        let call = claim_call(request, ClaimChange::Release { not_run });
+        self.add_job(now, call);
+    }
+
+    /// Keeps the answer of an attempt under its key, if the request has one.
+    pub(super) fn settle_claim(
+        &mut self,
+        now: BootTime,
+        request: &CallerRequest,
+        attempt: RequestAttempt,
+        answer: HttpAnswer,
+    ) {
+        if request.claim.is_some() {
+            let call = claim_call(request, ClaimChange::Settle { attempt, answer });
+            self.add_job(now, call);
+        }
+    }
+
+    /// Takes the end of an attempt whose request has its result already.
+    pub(super) fn settle_late(
+        &mut self,
+        now: BootTime,
+        request: &CallerRequest,
+        attempt: RequestAttempt,
+        end: AttemptEnd,
+    ) {
+        if request.claim.is_none() {
+            return;
+        }
+        match end {
+            AttemptEnd::Answered(answer) => self.settle_claim(now, request, attempt, answer),
+            AttemptEnd::NotRun(_) => self.release_claim(now, request, attempt),
+            AttemptEnd::Unknown(_) | AttemptEnd::Lost => {}
+        }
+    }
+
+    fn add_job(&mut self, now: BootTime, call: ClaimRequest) {
+        let job = self.next_job;
+        self.next_job += 1;
+        let give_up_at = now + self.settings.settle_limit;
+        self.jobs.insert(job, ClaimJob { call, give_up_at });
+        self.send_job(now, job);
+    }
+
+    /// Sends a claim job, or gives it up.
+    pub(super) fn send_job(&mut self, now: BootTime, job: u64) {
+        let Some(record) = self.jobs.get(&job) else {
+            return;
+        };
+        if now >= record.give_up_at {
+            self.jobs.swap_remove(&job);
+            return;
+        }
+        self.outcomes.push(RouterOutcome::Claim {
+            tag: ClaimTag::Job(job),
+            call: Box::new(record.call.clone()),
+            limit: self.settings.claim_limit,
+        });
+    }
+
+    /// Takes the end of a claim job.
+    pub(super) fn end_job(&mut self, now: BootTime, job: u64, reply: Option<ClaimReply>) {
+        if let Some(ClaimReply::Outcome(_)) = reply {
+            self.jobs.swap_remove(&job);
+            return;
+        }
+        let at = now + self.settings.settle_pause;
+        self.timers.add(at, TimerEvent::ClaimJob(job));
+    }
+}
+
+fn claim_call(request: &CallerRequest, change: ClaimChange) -> ClaimRequest {
+    let intent = request
+        .claim
+        .as_ref()
+        .expect("only keyed requests change claims");
+    ClaimRequest {
+        key: ClaimKey {
+            environment: request.service.environment.clone(),
+            service: request.service.service.clone(),
+            key: Arc::clone(&intent.key),
+        },
+        digest: intent.digest,
+        change,
+    }
+}
--- /dev/null
+++ b/crates/guavavane_routing/src/router/health.rs
@@ -0,0 +1,115 @@
+//! What the end of an attempt says of its endpoint.
+
+use std::time::Duration;
+
+use crate::endpoint::EndpointRecord;
+use crate::request::AttemptEnd;
+use crate::router::OpenAttempt;
+use crate::router::RequestRouter;
+use crate::service::ServiceKey;
+use guavavane_model::prelude::BootTime;
+use guavavane_protocol::prelude::DispatchTarget;
+use guavavane_protocol::prelude::EndpointState;
+use guavavane_protocol::prelude::RefusalReason;
+
+/// First HTTP status that counts as a failure of the endpoint.
+const STATUS_FAILURE_MIN: u16 = 500;
+
+impl RequestRouter {
+    /// Frees the room of an attempt and counts its end for or against its endpoint.
+    pub(super) fn judge_endpoint(&mut self, now: BootTime, open: &OpenAttempt, end: &AttemptEnd) {
+        let elapsed = now.saturating_since(open.started_at);
+        let target = &open.holder.target;
+        let slow_start = self.settings.slow_start;
+        let pause_until = now + self.settings.refusal_pause;
+        if let Some(record) = self.table.find_mut(target) {
+            record.end(open.started_at);
+        }
+        match end {
+            AttemptEnd::Answered(answer) => {
+                self.observe(now, open, elapsed);
+                if answer.status >= STATUS_FAILURE_MIN {
+                    self.fail_endpoint(now, open);
+                } else if let Some(record) = self.table.find_mut(target) {
+                    record.health.succeed(now, slow_start);
+                }
+            }
+            AttemptEnd::NotRun(proof) => {
+                self.update(target, |record| record.paused_until = pause_until);
+                match proof.reason() {
+                    Some(reason) => self.refuse_endpoint(now, open, reason),
+                    None => self.fail_endpoint(now, open),
+                }
+            }
+            AttemptEnd::Unknown(_) | AttemptEnd::Lost => {
+                self.observe(now, open, elapsed);
+                self.fail_endpoint(now, open);
+            }
+        }
+    }
+
+    fn observe(&mut self, now: BootTime, open: &OpenAttempt, elapsed: Duration) {
+        let decay = self.settings.latency_decay;
+        if let Some(record) = self.table.find_mut(&open.holder.target) {
+            record.latency.observe(now, elapsed, decay);
+        }
+        let queue = self.queues.entry(open.request.service.clone()).or_default();
+        queue.profile.observe(elapsed);
+    }
+
+    fn refuse_endpoint(&mut self, now: BootTime, open: &OpenAttempt, reason: RefusalReason) {
+        match reason {
+            RefusalReason::Leaving => self.update(&open.holder.target, |record| {
+                record.state = EndpointState::Leaving;
+            }),
+            RefusalReason::WrongIncarnation | RefusalReason::UnknownEndpoint => {
+                self.update(&open.holder.target, |record| record.expires_at = now);
+            }
+            RefusalReason::Busy | RefusalReason::RecordFull | RefusalReason::DeadlinePassed => {
+                self.update(&open.holder.target, |record| record.others = record.slots);
+            }
+            RefusalReason::ConnectionRefused => self.fail_endpoint(now, open),
+            RefusalReason::Revoked => {}
+        }
+    }
+
+    fn update(&mut self, target: &DispatchTarget, change: impl FnOnce(&mut EndpointRecord)) {
+        if let Some(record) = self.table.find_mut(target) {
+            change(record);
+        }
+    }
+
+    fn fail_endpoint(&mut self, now: BootTime, open: &OpenAttempt) {
+        let settings = &self.settings;
+        let Some(record) = self.table.find_mut(&open.holder.target) else {
+            return;
+        };
+        if record.health.is_ejected(now) || !record.health.fail(settings) {
+            return;
+        }
+        if self.may_eject(now, &open.request.service) {
+            if let Some(record) = self.table.find_mut(&open.holder.target) {
+                record.health.eject(now, &self.settings);
+            }
+        }
+    }
+
+    /// Whether one more endpoint of the service may be ejected.
+    fn may_eject(&self, now: BootTime, service: &ServiceKey) -> bool {
+        let Some(pool) = self.table.pool(service) else {
+            return false;
+        };
+        let live = pool
+            .local
+            .iter()
+            .chain(&pool.remote)
+            .map(|index| self.table.record(*index))
+            .filter(|record| record.is_live(now));
+        let (mut all, mut ejected) = (0_usize, 0_usize);
+        for record in live {
+            all += 1;
+            ejected += usize::from(record.health.is_ejected(now));
+        }
+        (ejected + 1) * 100 <= all * self.settings.ejection_percent_max as usize
+    }
+}
--- /dev/null
+++ b/crates/guavavane_routing/src/router/replies.rs
@@ -0,0 +1,135 @@
+//! Ends of attempts and revocations.
+
+use std::sync::Arc;
+
+use crate::life::RequestLife;
+use crate::life::Resolving;
+use crate::life::ResolvingStep;
+use crate::life::RunningStep;
+use crate::life::Waiting;
+use crate::request::AttemptEnd;
+use crate::request::AttemptResult;
+use crate::request::CallerRequest;
+use crate::request::NotRunReason;
+use crate::request::RequestResult;
+use crate::router::LiveRequest;
+use crate::router::RequestRouter;
+use crate::router::RouterOutcome;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::RequestId;
+use guavavane_protocol::prelude::HttpAnswer;
+use guavavane_protocol::prelude::RequestAttempt;
+use guavavane_protocol::prelude::RevokeReply;
+use guavavane_protocol::prelude::RevokeRequest;
+
+impl RequestRouter {
+    /// Takes the end of an attempt; one that is not open is ignored.
+    pub(super) fn end_attempt(
+        &mut self,
+        now: BootTime,
+        attempt: RequestAttempt,
+        result: AttemptResult,
+    ) {
+        let Some(open) = self.attempts.swap_remove(&attempt) else {
+            return;
+        };
+        let end = AttemptEnd::from(result);
+        self.judge_endpoint(now, &open, &end);
+        let service = open.request.service.clone();
+        self.end_running(now, &open.request, attempt, end);
+        self.pump(now, &service);
+    }
+
+    fn end_running(
+        &mut self,
+        now: BootTime,
+        request: &Arc<CallerRequest>,
+        attempt: RequestAttempt,
+        end: AttemptEnd,
+    ) {
+        let id = attempt.request;
+        let Some(LiveRequest::Running(life)) = self.requests.get(&id) else {
+            self.settle_late(now, request, attempt, end);
+            return;
+        };
+        let life = life.clone();
+        let unproven = matches!(end, AttemptEnd::Unknown(_) | AttemptEnd::Lost);
+        self.requests.swap_remove(&id);
+        match life.end(attempt, end) {
+            RunningStep::Answered(attempt, answer) => {
+                self.finish_answered(now, request, attempt, answer);
+            }
+            RunningStep::Running(life) => {
+                self.requests.insert(id, LiveRequest::Running(life));
+            }
+            RunningStep::Waiting(life) => self.resend(now, life, unproven),
+            RunningStep::Resolving(life) => self.send_revoke(now, life),
+            RunningStep::Unknown(reason) => {
+                self.finish(request, RequestResult::Unknown(reason));
+            }
+        }
+    }
+
+    /// Sends a request again, if its attempts, its deadline and the budget allow it.
+    pub(super) fn resend(&mut self, now: BootTime, life: RequestLife<Waiting>, unproven: bool) {
+        let spent = life.record.attempts >= self.settings.attempts_max;
+        // A refused attempt costs its endpoint nothing; one that may have run does.
+        if spent || (unproven && !self.retries.withdraw()) {
+            self.finish_waiting(now, life, NotRunReason::Refused);
+            return;
+        }
+        self.place(now, life, true);
+    }
+
+    fn finish_answered(
+        &mut self,
+        now: BootTime,
+        request: &Arc<CallerRequest>,
+        attempt: RequestAttempt,
+        answer: HttpAnswer,
+    ) {
+        self.finish(request, RequestResult::Answered(answer.clone()));
+        self.settle_claim(now, request, attempt, answer);
+    }
+
+    /// Asks the agent of an attempt to refuse it for good, or for its answer.
+    pub(super) fn send_revoke(&mut self, now: BootTime, life: RequestLife<Resolving>) {
+        let request = Arc::clone(&life.record.request);
+        let remaining = request.deadline.saturating_since(now);
+        let wait = remaining.saturating_sub(self.settings.hop_margin);
+        let holder = life.holder().clone();
+        self.requests
+            .insert(request.id, LiveRequest::Resolving(life));
+        self.outcomes.push(RouterOutcome::Revoke {
+            request: request.id,
+            call: RevokeRequest {
+                attempt: holder.attempt,
+                incarnation: holder.target.incarnation,
+                wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            },
+            target: holder.target,
+            limit: remaining,
+        });
+    }
+
+    /// Takes the end of a revocation.
+    pub(super) fn end_revoke(&mut self, now: BootTime, id: RequestId, reply: Option<RevokeReply>) {
+        let Some(LiveRequest::Resolving(life)) = self.requests.get(&id) else {
+            return;
+        };
+        let life = life.clone();
+        let request = Arc::clone(&life.record.request);
+        self.requests.swap_remove(&id);
+        let end = reply.map_or(AttemptEnd::Lost, AttemptEnd::from);
+        match life.end(end) {
+            ResolvingStep::Answered(attempt, answer) => {
+                self.finish_answered(now, &request, attempt, answer);
+            }
+            ResolvingStep::Waiting(life) => self.resend(now, life, false),
+            ResolvingStep::Claiming(life) => self.send_claim(now, life),
+            ResolvingStep::Unknown(reason) => {
+                self.finish(&request, RequestResult::Unknown(reason));
+            }
+        }
+    }
+}
--- a/crates/guavavane_transport/src/client.rs
+++ b/crates/guavavane_transport/src/client.rs
@@ -120,6 +120,28 @@
         receiver
     }
 
+    /// Calls the peer and hands the result to `finished`, which must not block.
+    pub fn call_then<C: RemoteCall>(
+        &self,
+        peer: SocketAddr,
+        call: &C,
+        limit: Duration,
+        finished: impl FnOnce(Result<C::Reply, CallError>) + Send + 'static,
+    ) {
+        let message = match codec::encode_message(call) {
+            Ok(message) => message,
+            Err(error) => {
+                finished(Err(CallError::NotSent(error.to_string())));
+                return;
+            }
+        };
+        let client = self.clone();
+        runtime().spawn(async move {
+            let result = client.exchange(peer, C::KIND, message, limit).await;
+            finished(result.and_then(|message| decode_reply::<C>(&message)));
+        });
+    }
+
     /// Closes the connection to a peer; the next call opens another.
     pub fn forget_peer(&self, peer: SocketAddr) {
         self.lock_peers().swap_remove(&peer);
