Add the stand-in worker, callers and judge

The daemons need a platform to run on and a witness that is not themselves. The worker keeps its contract (leases by absolute deadline, fences, permits, capacity), runs endpoints in its own process and appends what it saw to an evidence file; the judge counts from these alone.

--- /dev/null
+++ b/crates/guavavane_standin/src/callers/exchange.rs
@@ -0,0 +1,123 @@
+//! One send of a request and what came back.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use attohttpc::ErrorKind;
+
+use crate::answer::EchoAnswer;
+
+/// Header in which an entry says what became of a request.
+pub const OUTCOME_HEADER: &str = "x-guavavane-outcome";
+
+/// A request as a caller means it.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// The caller's id.
+    pub caller_id: String,
+    /// Whether it is a slip entry; otherwise it is a read.
+    pub slip: bool,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Path with the service's prefix.
+    pub path: String,
+    /// Body, empty for reads.
+    pub body: Vec<u8>,
+}
+
+impl CallerRequest {
+    /// HTTP method.
+    pub fn method(&self) -> &'static str {
+        if self.slip {
+            "POST"
+        } else {
+            "GET"
+        }
+    }
+}
+
+/// What one send led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendResult {
+    /// The whole answer to this request.
+    Answered,
+    /// Refused as not run.
+    NotRun,
+    /// Reported as unknown.
+    Unknown,
+    /// Nobody listens there.
+    NotConnected,
+    /// No answer in time.
+    TimedOut,
+    /// The connection broke before the answer was whole.
+    Broken,
+    /// A whole answer that is not the one to this request.
+    Mismatched,
+}
+
+/// Sends a request once.
+pub fn send_once(target: SocketAddr, request: &CallerRequest, timeout: Duration) -> SendResult {
+    let url = format!("http://{target}{}", request.path);
+    let mut builder = if request.slip {
+        attohttpc::post(url)
+    } else {
+        attohttpc::get(url)
+    };
+    builder = builder.timeout(timeout).follow_redirects(false);
+    if let Some(key) = &request.key {
+        builder = builder.header("Idempotency-Key", key);
+    }
+    let sent = if request.slip {
+        builder
+            .header("Content-Type", "application/json")
+            .bytes(request.body.clone())
+            .send()
+    } else {
+        builder.send()
+    };
+    match sent {
+        Ok(response) => read_answer(response, request),
+        Err(error) => classify_error(&error),
+    }
+}
+
+fn read_answer(response: attohttpc::Response, request: &CallerRequest) -> SendResult {
+    let header = |name: &str| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let outcome = header(OUTCOME_HEADER);
+    let declared = header("content-length").and_then(|text| text.parse::<usize>().ok());
+    let success = response.is_success();
+    let body = match response.bytes() {
+        Ok(body) => body,
+        Err(error) => return classify_error(&error),
+    };
+    if declared.is_some_and(|declared| declared != body.len()) {
+        return SendResult::Broken;
+    }
+    match outcome.as_deref() {
+        Some("not-run") => return SendResult::NotRun,
+        Some("unknown") => return SendResult::Unknown,
+        Some("answered") | None => {}
+        Some(_) => return SendResult::Mismatched,
+    }
+    let whole = EchoAnswer::belongs_to(&body, &request.caller_id, &request.body);
+    if whole && success {
+        SendResult::Answered
+    } else {
+        SendResult::Mismatched
+    }
+}
+
+fn classify_error(error: &attohttpc::Error) -> SendResult {
+    let ErrorKind::Io(error) = error.kind() else {
+        return SendResult::Broken;
+    };
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => SendResult::NotConnected,
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => SendResult::TimedOut,
+        _ => SendResult::Broken,
+    }
+}
--- /dev/null
+++ b/crates/guavavane_standin/tests/straight_load.rs
@@ -0,0 +1,226 @@
+//! Callers straight to an endpoint of a worker, with the judge over their evidence.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use flume::Receiver;
+use rouille::Response;
+
+use guavavane_model::prelude::AttemptNumber;
+use guavavane_model::prelude::BootClock;
+use guavavane_model::prelude::BootId;
+use guavavane_model::prelude::FenceNumber;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::TaskId;
+use guavavane_platform::prelude::AttemptKey;
+use guavavane_platform::prelude::AttemptState;
+use guavavane_platform::prelude::EndpointNotice;
+use guavavane_platform::prelude::NoticeState;
+use guavavane_platform::prelude::OrderAnswer;
+use guavavane_platform::prelude::RenewOrder;
+use guavavane_platform::prelude::StartOrder;
+use guavavane_platform::prelude::StartProgram;
+use guavavane_platform::prelude::WorkerClient;
+use guavavane_platform::prelude::WorkerFacts;
+use guavavane_standin::clock::wait_until;
+use guavavane_standin::clock::StopFlag;
+use guavavane_standin::evidence::read_folder;
+use guavavane_standin::prelude::judge_records;
+use guavavane_standin::prelude::run_load;
+use guavavane_standin::prelude::CallerOutcome;
+use guavavane_standin::prelude::CallerSettings;
+use guavavane_standin::prelude::JudgeReport;
+use guavavane_standin::prelude::JudgeRules;
+use guavavane_standin::prelude::LoadSummary;
+use guavavane_standin::prelude::WorkerServer;
+use guavavane_standin::prelude::WorkerSettings;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+const KEY: AttemptKey = AttemptKey {
+    task: TaskId(1),
+    attempt: AttemptNumber(1),
+};
+
+struct Bench {
+    folder: PathBuf,
+    server: WorkerServer,
+    notices: Receiver<EndpointNotice>,
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn fake_agent() -> (SocketAddr, Receiver<EndpointNotice>) {
+    let (sender, receiver) = flume::unbounded();
+    let server = rouille::Server::new(loopback(), move |request| {
+        let notice: EndpointNotice = rouille::input::json_input(request).unwrap();
+        // The receiver is gone once the test has ended.
+        let _ = sender.send(notice);
+        Response::empty_204()
+    })
+    .unwrap();
+    let address = server.server_addr();
+    std::thread::spawn(move || server.run());
+    (address, receiver)
+}
+
+fn bench(name: &str) -> Bench {
+    let folder = std::env::temp_dir().join(format!("standin-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (agent, notices) = fake_agent();
+    let facts = WorkerFacts {
+        worker: "w1".try_into().unwrap(),
+        data_centre: "bento".try_into().unwrap(),
+        rack: "r1".try_into().unwrap(),
+        boot: BootId(1),
+        capacity: ResourceVector::new(16_000, 60_000, 0),
+    };
+    let mut settings = WorkerSettings::new(loopback(), facts, folder.join("w1.evidence"));
+    settings.agent = Some(agent);
+    settings.endpoint.service_time = Duration::from_millis(5);
+    Bench {
+        folder,
+        server: WorkerServer::start(settings).unwrap(),
+        notices,
+    }
+}
+
+impl Bench {
+    fn client(&self) -> WorkerClient {
+        WorkerClient::new(self.server.address(), LIMIT)
+    }
+
+    fn start_endpoint(&self) -> SocketAddr {
+        let now = BootClock.now().as_millis();
+        let order = StartOrder {
+            key: KEY,
+            fence: FenceNumber(1),
+            program: StartProgram::Service {
+                service: "despacho".try_into().unwrap(),
+                slots: 8,
+                connections: 64,
+            },
+            demand: ResourceVector::new(4_000, 8_000, 0),
+            resume_ms: 0,
+            start_by_ms: now + 60_000,
+            lease_until_ms: now + 60_000,
+        };
+        assert_eq!(self.client().start(&order).unwrap(), OrderAnswer::Done);
+        self.notices.recv_timeout(LIMIT).unwrap().address
+    }
+
+    fn load(&self, target: SocketAddr, rate: f64, duration: Duration) -> LoadSummary {
+        let evidence = self.folder.join("callers.evidence");
+        let mut settings = CallerSettings::new(vec![target], "despacho", evidence);
+        settings.prefix = String::new();
+        settings.health_interval = None;
+        settings.rate = rate;
+        settings.duration = duration;
+        settings.sends = 1;
+        settings.timeout = Duration::from_millis(1_500);
+        run_load(&settings, &StopFlag::default()).unwrap()
+    }
+
+    fn set_mode(&self, mode: &str) {
+        let body = format!("{{\"mode\":\"{mode}\",\"share_millis\":1000}}");
+        let url = format!("http://{}/control", self.server.address());
+        let sent = attohttpc::post(url)
+            .header("Content-Type", "application/json")
+            .text(body)
+            .send();
+        assert!(sent.unwrap().is_success());
+    }
+
+    fn judge(&self) -> JudgeReport {
+        judge_records(&read_folder(&self.folder).unwrap(), &JudgeRules::default())
+    }
+}
+
+#[test]
+fn every_request_is_answered_once() {
+    let bench = bench("answered");
+    let target = bench.start_endpoint();
+    let summary = bench.load(target, 200.0, Duration::from_secs(1));
+    assert_eq!(summary.count(CallerOutcome::Answered), 200);
+    let report = bench.judge();
+    assert!(report.is_good(), "{:?}", report.faults);
+    assert_eq!(report.answered, 200);
+}
+
+#[test]
+fn wrong_answers_are_seen_and_a_second_answer_is_not_read() {
+    let cases = [
+        ("short-answer", 0),
+        ("crossed-id", 1),
+        ("double-answer", 20),
+        ("failing", 0),
+    ];
+    for (mode, whole) in cases {
+        let bench = bench(mode);
+        let target = bench.start_endpoint();
+        bench.set_mode(mode);
+        let summary = bench.load(target, 50.0, Duration::from_millis(400));
+        assert_eq!(summary.count(CallerOutcome::Answered), whole, "{mode}");
+        assert_eq!(bench.judge().cut, 20 - whole, "{mode}");
+    }
+}
+
+#[test]
+fn a_frozen_endpoint_runs_what_it_held_once_it_thaws() {
+    let bench = bench("freeze");
+    let target = bench.start_endpoint();
+    bench.set_mode("freeze");
+    let summary = bench.load(target, 20.0, Duration::from_millis(200));
+    assert_eq!(summary.count(CallerOutcome::TimedOut), 4);
+    let executed = || {
+        let records = read_folder(&bench.folder).unwrap();
+        let text = format!("{records:?}");
+        text.matches("Executed").count()
+    };
+    assert_eq!(executed(), 0);
+    bench.set_mode("none");
+    wait_until("execution after the thaw", LIMIT, || executed() == 4).unwrap();
+}
+
+#[test]
+fn a_leaving_endpoint_says_so_and_ends_what_is_in_flight() {
+    let bench = bench("leaving");
+    let target = bench.start_endpoint();
+    std::thread::scope(|scope| {
+        let load = scope.spawn(|| bench.load(target, 100.0, Duration::from_millis(500)));
+        std::thread::sleep(Duration::from_millis(900));
+        assert_eq!(bench.client().stop(&KEY).unwrap(), OrderAnswer::Done);
+        assert_eq!(load.join().unwrap().count(CallerOutcome::Answered), 50);
+    });
+    let leaving = |notice: EndpointNotice| notice.state == NoticeState::Leaving;
+    assert!(bench.notices.drain().any(leaving));
+    let list = bench.client().attempts().unwrap();
+    assert_eq!(list.attempts[0].state, AttemptState::Stopped);
+    assert!(bench.judge().is_good());
+}
+
+#[test]
+fn an_endpoint_answers_nothing_once_its_lease_is_over() {
+    let bench = bench("lease");
+    let target = bench.start_endpoint();
+    let order = RenewOrder {
+        keys: vec![KEY],
+        lease_until_ms: 0,
+    };
+    assert_eq!(bench.client().renew(&order).unwrap(), OrderAnswer::Done);
+    assert_eq!(bench.client().stop(&KEY).unwrap(), OrderAnswer::Done);
+    let summary = bench.load(target, 50.0, Duration::from_millis(100));
+    assert_eq!(summary.count(CallerOutcome::Answered), 0);
+    assert_eq!(bench.judge().lost, 0);
+}
--- /dev/null
+++ b/crates/guavavane_standin/tests/worker_machine.rs
@@ -0,0 +1,225 @@
+//! The worker's decisions over generated orders: commitment, leases, fences and permits.
+
+#![allow(clippy::unwrap_used)]
+
+use bolero::check;
+use bolero::TypeGenerator;
+use indexmap::IndexMap;
+
+use guavavane_model::prelude::AttemptNumber;
+use guavavane_model::prelude::BootId;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::FenceNumber;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::TaskId;
+use guavavane_platform::prelude::AttemptKey;
+use guavavane_platform::prelude::AttemptState;
+use guavavane_platform::prelude::OrderAnswer;
+use guavavane_platform::prelude::RenewOrder;
+use guavavane_platform::prelude::StartOrder;
+use guavavane_platform::prelude::StartProgram;
+use guavavane_platform::prelude::ThrottleOrder;
+use guavavane_platform::prelude::WorkerFacts;
+use guavavane_standin::prelude::WorkerMachine;
+use guavavane_standin::worker::machine::UsageSettings;
+use guavavane_standin::worker::profile::TaskProfile;
+
+const USAGE: UsageSettings = UsageSettings {
+    interval_ms: 100,
+    lag_ms: 300,
+};
+
+#[derive(Clone, Debug, TypeGenerator)]
+enum Step {
+    Pass {
+        ms: u8,
+    },
+    Start {
+        task: u8,
+        attempt: u8,
+        fence: u8,
+        cpu: u8,
+        lease: u8,
+        permit: u8,
+    },
+    Renew {
+        task: u8,
+        attempt: u8,
+        lease: u8,
+    },
+    Throttle {
+        task: u8,
+        attempt: u8,
+        share: u16,
+    },
+    Stop {
+        task: u8,
+        attempt: u8,
+    },
+    Forget {
+        task: u8,
+        attempt: u8,
+    },
+}
+
+fn machine(profile: TaskProfile) -> WorkerMachine {
+    let facts = WorkerFacts {
+        worker: "w1".try_into().unwrap(),
+        data_centre: "bento".try_into().unwrap(),
+        rack: "r1".try_into().unwrap(),
+        boot: BootId(1),
+        capacity: ResourceVector::new(100, 1_000, 0),
+    };
+    WorkerMachine::new(facts, profile, USAGE)
+}
+
+fn key(task: u8, attempt: u8) -> AttemptKey {
+    AttemptKey {
+        task: TaskId(u64::from(task % 4)),
+        attempt: AttemptNumber(u32::from(attempt % 4)),
+    }
+}
+
+fn start(key: AttemptKey, fence: u64, now_ms: u64, lease_ms: u64) -> StartOrder {
+    StartOrder {
+        key,
+        fence: FenceNumber(fence),
+        program: StartProgram::Batch { run_ms: 200 },
+        demand: ResourceVector::new(40, 10, 0),
+        resume_ms: 0,
+        start_by_ms: now_ms,
+        lease_until_ms: now_ms + lease_ms,
+    }
+}
+
+/// Runs one step and returns the answer to its order.
+fn run_step(machine: &mut WorkerMachine, now: &mut u64, step: &Step) -> OrderAnswer {
+    let at = BootTime::from_millis(*now);
+    match *step {
+        Step::Pass { ms } => {
+            *now += u64::from(ms);
+            OrderAnswer::Done
+        }
+        Step::Start {
+            task,
+            attempt,
+            fence,
+            cpu,
+            lease,
+            permit,
+        } => {
+            let permit = now.saturating_sub(50) + u64::from(permit);
+            let order = StartOrder {
+                demand: ResourceVector::new(u64::from(cpu), 10, 0),
+                start_by_ms: permit,
+                ..start(key(task, attempt), u64::from(fence), *now, u64::from(lease))
+            };
+            machine.start(at, order)
+        }
+        Step::Renew {
+            task,
+            attempt,
+            lease,
+        } => machine.renew(
+            at,
+            &RenewOrder {
+                keys: vec![key(task, attempt)],
+                lease_until_ms: *now + u64::from(lease),
+            },
+        ),
+        Step::Throttle {
+            task,
+            attempt,
+            share,
+        } => machine.throttle(
+            at,
+            &ThrottleOrder {
+                key: key(task, attempt),
+                share_millis: share,
+            },
+        ),
+        Step::Stop { task, attempt } => machine.stop(at, &key(task, attempt)),
+        Step::Forget { task, attempt } => machine.forget(at, &key(task, attempt)),
+    }
+}
+
+#[test]
+fn commitment_and_ends_hold_over_generated_orders() {
+    check!()
+        .with_iterations(2_000)
+        .with_type::<Vec<Step>>()
+        .for_each(|steps| {
+            let mut machine = machine(TaskProfile::default());
+            let mut now = 1_000;
+            let mut ended: IndexMap<AttemptKey, AttemptState> = IndexMap::new();
+            for step in steps {
+                let answer = run_step(&mut machine, &mut now, step);
+                if let (Step::Start { task, attempt, .. }, OrderAnswer::Done) = (step, answer) {
+                    assert!(machine.program(&key(*task, *attempt)).is_some());
+                }
+                let list = machine.attempts(BootTime::from_millis(now));
+                let mut sum = ResourceVector::ZERO;
+                for status in &list.attempts {
+                    if status.state == AttemptState::Running {
+                        sum = sum.checked_add(&status.demand).unwrap();
+                        assert!(!ended.contains_key(&status.key), "revived {status:?}");
+                    } else {
+                        let first = *ended.entry(status.key).or_insert(status.state);
+                        assert_eq!(first, status.state, "end changed");
+                    }
+                }
+                assert!(sum.fits_within(&machine.facts().capacity));
+            }
+        });
+}
+
+#[test]
+fn a_late_renewal_does_not_revive_a_lease() {
+    let mut machine = machine(TaskProfile::default());
+    let key = key(1, 1);
+    machine.start(BootTime::from_millis(0), start(key, 1, 0, 50));
+    let order = RenewOrder {
+        keys: vec![key],
+        lease_until_ms: 500,
+    };
+    let answer = machine.renew(BootTime::from_millis(50), &order);
+    assert!(matches!(answer, OrderAnswer::Refused { .. }));
+    let list = machine.attempts(BootTime::from_millis(51));
+    assert_eq!(list.attempts[0].state, AttemptState::Expired);
+}
+
+#[test]
+fn a_start_is_refused_past_its_permit_below_the_fence_or_after_a_stop() {
+    let mut machine = machine(TaskProfile::default());
+    let now = BootTime::from_millis(10);
+    let refused = |answer| matches!(answer, OrderAnswer::Refused { .. });
+    assert!(refused(machine.start(now, start(key(1, 1), 5, 9, 50))));
+    assert_eq!(
+        machine.start(now, start(key(1, 1), 5, 10, 50)),
+        OrderAnswer::Done
+    );
+    machine.stop(now, &key(1, 1));
+    assert!(refused(machine.start(now, start(key(1, 2), 4, 10, 50))));
+    machine.stop(now, &key(2, 1));
+    assert!(refused(machine.start(now, start(key(2, 1), 6, 10, 50))));
+}
+
+#[test]
+fn progress_follows_throttle_and_resumes_from_the_checkpoint() {
+    let mut machine = machine(TaskProfile::default());
+    let key = key(1, 1);
+    let order = StartOrder {
+        resume_ms: 100,
+        ..start(key, 1, 0, 10_000)
+    };
+    machine.start(BootTime::from_millis(0), order);
+    let order = ThrottleOrder {
+        key,
+        share_millis: 500,
+    };
+    machine.throttle(BootTime::from_millis(0), &order);
+    let answer = machine.checkpoint(BootTime::from_millis(100), &key);
+    assert_eq!(answer, OrderAnswer::Checkpointed { progress_ms: 150 });
+    let list = machine.attempts(BootTime::from_millis(200));
+    assert_eq!(list.attempts[0].state, AttemptState::Finished);
+}
