--- a/crates/guavavane_platform/src/endpoint.rs
+++ b/crates/guavavane_platform/src/endpoint.rs
@@ -6,11 +6,15 @@
 use serde::Serialize;
 
 use guavavane_model::prelude::EndpointName;
+use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::ServiceName;
 
 /// Header that names the attempt of a request; the endpoint's answer repeats its value.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// Header that tells the endpoint how long the caller still waits, in ms.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+
 /// Whether the endpoint takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -27,6 +31,8 @@
 pub struct EndpointNotice {
     /// Name of the endpoint, unique in the cell.
     pub endpoint: EndpointName,
+    /// Environment of the service.
+    pub environment: EnvironmentName,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Address at which it takes requests.
--- a/crates/guavavane_platform/src/worker.rs
+++ b/crates/guavavane_platform/src/worker.rs
@@ -6,6 +6,7 @@
 use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootId;
 use guavavane_model::prelude::DataCentreName;
+use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::RackName;
 use guavavane_model::prelude::ResourceVector;
@@ -43,6 +44,8 @@
 pub enum StartProgram {
     /// An endpoint of a service.
     Service {
+        /// Environment of the service.
+        environment: EnvironmentName,
         /// The service.
         service: ServiceName,
         /// Requests that the endpoint runs at once.
@@ -60,6 +63,8 @@
 /// Starts an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
+    /// Boot whose clock the times below count on; refused if it is another one.
+    pub boot: BootId,
     /// The attempt.
     pub key: AttemptKey,
     /// Refused if below the highest number seen for the task.
@@ -79,6 +84,8 @@
 /// Moves the end of a lease that has not run out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewOrder {
+    /// Boot whose clock the time below counts on; refused if it is another one.
+    pub boot: BootId,
     /// The attempts to renew.
     pub keys: Vec<AttemptKey>,
     /// End of their leases on the worker's clock, in ms since its boot; never moved back.
