Check the consensus core on generated sequences of faults

A few cores on disks in memory, with messages lost, doubled, delayed and reordered, crashes before and after a sync, lost disks, frozen replicas, drifting clocks, cuts, transfers and removals. Checked at each step: one leader a term, no vote forgotten, equal state after each index, no read that goes back, at most one lease; at the end: all acknowledged commands are there and the group has recovered by itself.

Bolero's random engine seeds itself from the operating system, so the seeds are gone through by its exhaustive engine instead and the verdict is the same in each run.

A replacement is now promoted before the silent voter is removed, and the second step follows as soon as the first is committed.

--- a/crates/guavavane_quorum/src/core/leader.rs
+++ b/crates/guavavane_quorum/src/core/leader.rs
@@ -276,8 +276,12 @@
         synced.sort_unstable_by(|a, b| b.cmp(a));
         let index = synced[self.members().quorum() - 1];
         if self.log.term_at(index) == Some(self.hard_state.term) {
+            let changing = self.change_pending();
             self.commit_through(index);
             self.note_now(now);
+            if changing && !self.change_pending() {
+                self.hurry_heartbeat(now);
+            }
         }
     }
 
@@ -319,6 +323,13 @@
         self.step_down(now, self.hard_state.term);
     }
 
+    /// Makes the next heartbeat due: for a read that waits, or the next step of a repair.
+    pub(super) fn hurry_heartbeat(&mut self, now: BootTime) {
+        if let RoleState::Leader(state) = &mut self.role {
+            state.next_heartbeat = now;
+        }
+    }
+
     pub(super) fn peer_mut(&mut self, id: ReplicaId) -> Option<&mut PeerProgress> {
         match &mut self.role {
             RoleState::Leader(state) => state.peers.get_mut(&id),
--- a/crates/guavavane_quorum/src/core/membership.rs
+++ b/crates/guavavane_quorum/src/core/membership.rs
@@ -1,11 +1,10 @@
 //! Changes of the members: one at a time, and repairs that the leader makes by itself.
 //!
-//! Repairs. A voter that has been silent for the removal timeout is removed if the voters that
-//! remain have a reachable quorum, and if either a caught-up learner stands ready to replace
-//! it or the remaining voters are still at least `voters_min`. A caught-up learner is promoted
-//! while there are fewer voters than wanted. The removal comes first: with three voters of
-//! which one is dead, promoting first would need all three live ones of four for a commit,
-//! while removing first needs the same two that are needed anyway.
+//! Repairs. A caught-up learner is promoted while there are fewer voters than wanted, or when
+//! a voter has been silent for the removal timeout. A silent voter is removed if the voters
+//! that remain have a reachable quorum and are still at least `voters_min`. So a replacement
+//! votes before the voter that it replaces is removed: should another voter lose its disk in
+//! between, a voter that was only cut off still counts when it returns.
 
 use super::ConsensusCore;
 use super::CoreOutcome;
@@ -42,10 +41,7 @@
     fn change_refusal(&self) -> Option<CoreRefusal> {
         match &self.role {
             RoleState::Leader(state) if !state.handing_over() => {
-                let pending = self
-                    .member_sets
-                    .back()
-                    .is_some_and(|(i, _)| *i > self.commit);
+                let pending = self.change_pending();
                 let unsettled = self.commit < state.first_index;
                 (pending || unsettled).then_some(CoreRefusal::ChangePending)
             }
@@ -53,6 +49,12 @@
         }
     }
 
+    /// Whether the members that are effective are not committed yet.
+    pub(super) fn change_pending(&self) -> bool {
+        let newest = self.member_sets.back();
+        newest.is_some_and(|(index, _)| *index > self.commit)
+    }
+
     fn changed_members(
         &self,
         now: BootTime,
@@ -145,16 +147,13 @@
         let learners = || members.iter().filter(|m| m.role == MemberRole::Learner);
         let ready = learners().find(|m| self.is_caught_up(now, m.id));
         let silent_voter = members.voters().find(|m| self.is_silent(now, m.id));
-        if let Some(voter) = silent_voter {
-            let enough = members.voter_count() > self.settings.voters_min;
-            if enough || ready.is_some() {
-                return Some(MemberChange::Remove(voter.id));
-            }
+        let voters = members.voter_count();
+        if let Some(voter) = silent_voter.filter(|_| voters > self.settings.voters_min) {
+            return Some(MemberChange::Remove(voter.id));
         }
-        if let Some(learner) = ready {
-            if members.voter_count() < self.settings.voters_wanted {
-                return Some(MemberChange::Promote(learner.id));
-            }
+        let wanted = voters < self.settings.voters_wanted || silent_voter.is_some();
+        if let Some(learner) = ready.filter(|_| wanted) {
+            return Some(MemberChange::Promote(learner.id));
         }
         let silent_learner = learners().find(|m| self.is_silent(now, m.id));
         silent_learner.map(|m| MemberChange::Remove(m.id))
--- a/crates/guavavane_quorum/src/message.rs
+++ b/crates/guavavane_quorum/src/message.rs
@@ -41,6 +41,12 @@
     pub fn receiver(&self) -> ReplicaId {
         self.to
     }
+
+    /// Term in which the sender gives its vote to the receiver, if that is what this says.
+    pub fn granted_term(&self) -> Option<Term> {
+        let granted = self.body == MessageBody::VoteResponse { granted: true };
+        granted.then_some(self.term)
+    }
 }
 
 /// A message with the address that it goes to.
--- /dev/null
+++ b/crates/guavavane_quorum/tests/consensus.rs
@@ -0,0 +1,129 @@
+//! Properties of the consensus core on generated sequences of faults.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod network;
+mod sequences;
+
+use bolero::generator::TypeGenerator;
+use bolero::produce;
+
+use guavavane_quorum::core::CoreInput;
+
+use crate::network::node::Node;
+use crate::network::CoreNetwork;
+use crate::network::Weather;
+use crate::sequences::for_each_value;
+
+const SLOTS: usize = 5;
+const REPAIRED: u8 = 110;
+const SEQUENCES: u64 = 400;
+
+/// One thing that happens to the group, after some time has passed.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+struct Event {
+    #[generator(0..90)]
+    rounds: u8,
+    #[generator(0..40)]
+    loss: u8,
+    #[generator(0..40)]
+    double: u8,
+    #[generator(0..70)]
+    delay: u8,
+    /// Below [`REPAIRED`]: cuts, freezes and crashes end before the time passes.
+    repair: u8,
+    /// Replica that it happens to; see [`aim`].
+    slot: u8,
+    action: Action,
+}
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Action {
+    Propose(#[generator(0..12)] u8),
+    ProposeMany(#[generator(0..40)] u8),
+    Read,
+    ReadTwice,
+    Crash,
+    CrashAtSync,
+    Restart,
+    RestartAll,
+    LoseDisk,
+    Freeze,
+    Thaw,
+    Cut,
+    MendAll,
+    Transfer,
+    Remove(u8),
+    CrashAll,
+}
+
+fn slot(number: u8) -> usize {
+    usize::from(number) % SLOTS
+}
+
+/// Aims at a leader rather than at any slot in most cases, since others only refuse.
+fn aim(network: &CoreNetwork, number: u8) -> usize {
+    let leader = network
+        .nodes
+        .iter()
+        .position(|n| n.members_if_leader().is_some());
+    match leader {
+        Some(leader) if number < 192 => leader,
+        _ => slot(number),
+    }
+}
+
+fn happen(network: &mut CoreNetwork, event: Event) {
+    let weather = Weather {
+        loss: event.loss,
+        double: event.double,
+        delay: event.delay,
+    };
+    if event.repair < REPAIRED {
+        network.repair();
+    }
+    network.run(u64::from(event.rounds), weather);
+    let aimed = aim(network, event.slot);
+    match event.action {
+        Action::Propose(count) => (0..count).for_each(|_| network.propose(aimed)),
+        Action::ProposeMany(count) => {
+            for _ in 0..count {
+                network.propose(aimed);
+                network.run(1, weather);
+            }
+        }
+        Action::Read => network.read(aimed),
+        Action::ReadTwice => {
+            network.read(aimed);
+            network.read(slot(event.slot));
+        }
+        Action::Crash => network.crash(aimed),
+        Action::CrashAtSync => network.nodes[aimed].doomed = true,
+        Action::Restart => network.restart(slot(event.slot)),
+        Action::RestartAll => (0..SLOTS).for_each(|slot| network.restart(slot)),
+        Action::LoseDisk => network.lose_disk(aimed),
+        Action::Freeze => network.nodes[aimed].freeze(),
+        Action::Thaw => network.nodes.iter_mut().for_each(Node::thaw),
+        Action::Cut => network.nodes[aimed].cut = true,
+        Action::MendAll => network.nodes.iter_mut().for_each(|n| n.cut = false),
+        Action::Transfer => network.step(aimed, vec![CoreInput::Transfer]),
+        Action::Remove(target) => network.remove(aimed, slot(target)),
+        Action::CrashAll => {
+            (0..SLOTS).for_each(|slot| network.crash(slot));
+            (0..SLOTS).for_each(|slot| network.restart(slot));
+        }
+    }
+}
+
+#[test]
+fn faults_break_no_promise_and_the_group_recovers() {
+    let events = produce::<Vec<Event>>().with().len(20..120usize);
+    for_each_value(SEQUENCES, events, |seed, events| {
+        let mut network = CoreNetwork::new(3, SLOTS, seed);
+        network.run(300, Weather::default());
+        for event in events {
+            happen(&mut network, event);
+        }
+        network.settle();
+    });
+}
--- /dev/null
+++ b/crates/guavavane_quorum/tests/network/node.rs
@@ -0,0 +1,374 @@
+//! One replica of the test network: a core, a store on a disk in memory, and a list of values.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+
+use guavavane_model::identity::CellId;
+use guavavane_model::time::BootTime;
+use guavavane_quorum::core::ConsensusCore;
+use guavavane_quorum::core::CoreInput;
+use guavavane_quorum::core::CoreOutcome;
+use guavavane_quorum::entry::EntryPayload;
+use guavavane_quorum::entry::LogEntry;
+use guavavane_quorum::entry::SnapshotImage;
+use guavavane_quorum::prelude::*;
+use guavavane_quorum::storage::LogStore;
+
+use crate::network::memory_disk::MemoryDisk;
+use crate::network::truth::Truth;
+
+const SNAPSHOT_ENTRIES: u64 = 12;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NodeState {
+    Up,
+    Frozen,
+    Down,
+}
+
+pub(crate) struct Node {
+    pub(crate) slot: usize,
+    pub(crate) id: Option<ReplicaId>,
+    pub(crate) state: NodeState,
+    pub(crate) cut: bool,
+    /// Crashes when it next has to sync.
+    pub(crate) doomed: bool,
+    pub(crate) inbox: Vec<PeerMessage>,
+    pub(crate) disk: MemoryDisk,
+    pub(crate) values: Vec<u64>,
+    /// Members that were effective when it last ran.
+    pub(crate) last_members: Option<MemberSet>,
+    running: Option<Running>,
+}
+
+struct Running {
+    core: ConsensusCore,
+    store: LogStore<MemoryDisk>,
+    applied: LogIndex,
+    /// Entries whose callers wait.
+    appended: Vec<LogIndex>,
+}
+
+pub(crate) fn address(slot: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], slot as u16))
+}
+
+pub(crate) fn member(slot: usize, id: u64) -> ReplicaMember {
+    ReplicaMember {
+        id: ReplicaId(id),
+        address: address(slot),
+        role: MemberRole::Voter,
+    }
+}
+
+pub(crate) fn settings(slot: usize) -> CheckedSettings {
+    let settings = QuorumSettings {
+        removal_timeout_ms: 5_000,
+        in_flight_entries: 8,
+        message_bytes_max: 300,
+        snapshot_chunk_bytes: 24,
+        trailing_entries: 3,
+        promotion_lag_entries: 4,
+        segment_bytes: 700,
+        ..QuorumSettings::new(address(slot))
+    };
+    settings.try_into().unwrap()
+}
+
+fn hash(values: &[u64]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    values.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn encode(values: &[u64]) -> Vec<u8> {
+    values.iter().flat_map(|v| v.to_le_bytes()).collect()
+}
+
+fn decode(bytes: &[u8]) -> Vec<u64> {
+    let words = bytes.chunks_exact(8);
+    words
+        .map(|w| u64::from_le_bytes(w.try_into().unwrap()))
+        .collect()
+}
+
+impl Node {
+    pub(crate) fn empty(slot: usize) -> Self {
+        Self {
+            slot,
+            id: None,
+            state: NodeState::Down,
+            cut: false,
+            doomed: false,
+            inbox: Vec::new(),
+            disk: MemoryDisk::default(),
+            values: Vec::new(),
+            last_members: None,
+            running: None,
+        }
+    }
+
+    pub(crate) fn init_voter(&mut self, id: u64, members: MemberSet) {
+        self.id = Some(ReplicaId(id));
+        init_cluster(&self.disk, CellId(0), ReplicaId(id), members).unwrap();
+    }
+
+    pub(crate) fn init_learner(&mut self, id: u64) {
+        self.id = Some(ReplicaId(id));
+        init_learner(&self.disk, CellId(0), ReplicaId(id)).unwrap();
+    }
+
+    /// This machine's clock: offset from the true time, and up to 2 % fast or slow.
+    fn clock(&self, now: BootTime) -> BootTime {
+        let slot = self.slot as u64;
+        let rate = 980 + slot * 10;
+        BootTime::from_micros(now.as_micros() / 1_000 * rate)
+            + Duration::from_secs(1_000 * (slot + 1))
+    }
+
+    pub(crate) fn start(&mut self, now: BootTime, seed: u64) {
+        let settings = settings(self.slot);
+        let (store, stored) = LogStore::open(self.disk.clone(), settings.segment_bytes).unwrap();
+        let snapshot = stored.snapshot.as_ref();
+        self.values = snapshot.map_or_else(Vec::new, |s| decode(&s.bytes));
+        let id = store.identity().replica;
+        let core = ConsensusCore::new(id, settings, stored, self.clock(now), seed);
+        let applied = core.commit();
+        self.running = Some(Running {
+            core,
+            store,
+            applied,
+            appended: Vec::new(),
+        });
+        self.state = NodeState::Up;
+    }
+
+    pub(crate) fn crash(&mut self, random: &mut ChaCha8Rng) {
+        if self.running.take().is_some() {
+            self.disk.crash(random);
+        }
+        self.state = NodeState::Down;
+        self.doomed = false;
+        self.inbox.clear();
+    }
+
+    pub(crate) fn freeze(&mut self) {
+        if self.state == NodeState::Up {
+            self.state = NodeState::Frozen;
+        }
+    }
+
+    pub(crate) fn thaw(&mut self) {
+        if self.state == NodeState::Frozen {
+            self.state = NodeState::Up;
+        }
+    }
+
+    pub(crate) fn members_if_leader(&self) -> Option<MemberSet> {
+        let running = self.running.as_ref()?;
+        let leads = running.core.role() == ReplicaRole::Leader && self.state == NodeState::Up;
+        leads.then(|| running.core.members().clone())
+    }
+
+    pub(crate) fn holds_lease(&self, now: BootTime) -> bool {
+        let until = self
+            .running
+            .as_ref()
+            .and_then(|r| r.core.lease_valid_until());
+        until.is_some_and(|until| self.clock(now) < until)
+    }
+
+    pub(crate) fn describe(&self) -> String {
+        let core = self.running.as_ref().map(|r| {
+            let core = &r.core;
+            let members: Vec<String> = core
+                .members()
+                .iter()
+                .map(|m| format!("{}:{:?}", m.id.0, m.role))
+                .collect();
+            let (role, term) = (core.role(), core.term());
+            format!(
+                "{role:?} term {term} commit {} of {} members {members:?}",
+                core.commit(),
+                core.last_index()
+            )
+        });
+        format!("{:?} {:?} cut {} {core:?}", self.id, self.state, self.cut)
+    }
+
+    /// One round as the replica's thread makes it; returns what it sends.
+    pub(crate) fn round(
+        &mut self,
+        now: BootTime,
+        inputs: Vec<CoreInput>,
+        truth: &mut Truth,
+        random: &mut ChaCha8Rng,
+    ) -> Vec<OutgoingMessage> {
+        let mut sent = Vec::new();
+        if self.state != NodeState::Up {
+            return sent;
+        }
+        let clock = self.clock(now);
+        let messages = std::mem::take(&mut self.inbox);
+        let mut all: Vec<CoreInput> = messages.into_iter().map(CoreInput::Message).collect();
+        all.extend(inputs);
+        all.extend([CoreInput::Tick, CoreInput::Flush]);
+        for batch in [all, vec![CoreInput::Persisted]] {
+            let Some(running) = &mut self.running else {
+                return sent;
+            };
+            let outcomes: Vec<_> = batch
+                .into_iter()
+                .flat_map(|i| running.core.step(clock, i))
+                .collect();
+            self.carry_out(outcomes, &mut sent, truth, random);
+        }
+        self.snapshot_if_due(clock);
+        self.observe(&sent, truth);
+        sent
+    }
+
+    fn carry_out(
+        &mut self,
+        outcomes: Vec<CoreOutcome>,
+        sent: &mut Vec<OutgoingMessage>,
+        truth: &mut Truth,
+        random: &mut ChaCha8Rng,
+    ) {
+        let mut deferred = Vec::new();
+        for outcome in outcomes {
+            let Some(running) = &mut self.running else {
+                return;
+            };
+            match outcome {
+                CoreOutcome::SaveHardState(state) => running.store.save_hard_state(state),
+                CoreOutcome::AppendEntries(entries) => running.store.append(entries),
+                CoreOutcome::Send {
+                    message,
+                    after_sync: false,
+                } => sent.push(message),
+                CoreOutcome::InstallSnapshot { image, keep_log } => {
+                    let earlier = std::mem::take(&mut deferred);
+                    self.finish(earlier, sent, truth, random);
+                    self.install(image, keep_log, truth);
+                }
+                CoreOutcome::Accepted { index, .. } => running.appended.push(index),
+                later => deferred.push(later),
+            }
+        }
+        self.finish(deferred, sent, truth, random);
+    }
+
+    fn finish(
+        &mut self,
+        deferred: Vec<CoreOutcome>,
+        sent: &mut Vec<OutgoingMessage>,
+        truth: &mut Truth,
+        random: &mut ChaCha8Rng,
+    ) {
+        if self.doomed {
+            self.disk.fill_up(20);
+        }
+        let Some(running) = &mut self.running else {
+            return;
+        };
+        if running.store.sync().is_err() {
+            return self.crash(random);
+        }
+        for outcome in deferred {
+            match outcome {
+                CoreOutcome::Send { message, .. } => sent.push(message),
+                CoreOutcome::Apply(entries) => self.apply(entries, truth),
+                CoreOutcome::ReadReady { ticket, index } => truth.answer_read(ticket, index),
+                CoreOutcome::LostLeadership => {
+                    if let Some(running) = &mut self.running {
+                        running.appended.clear();
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<LogEntry>, truth: &mut Truth) {
+        let Some(running) = &mut self.running else {
+            return;
+        };
+        for entry in entries {
+            assert_eq!(
+                entry.index,
+                running.applied.next(),
+                "entries applied in order"
+            );
+            running.applied = entry.index;
+            let waited = running.appended.contains(&entry.index);
+            match &entry.payload {
+                EntryPayload::Command(bytes) => {
+                    let value = decode(bytes)[0];
+                    self.values.push(value);
+                    if waited {
+                        truth.acknowledge(entry.index, value);
+                    }
+                }
+                EntryPayload::Members(members) => truth.note_members(entry.index, members),
+                EntryPayload::Blank => {}
+            }
+            running.appended.retain(|i| *i != entry.index);
+            truth.note_state(entry.index, hash(&self.values));
+        }
+    }
+
+    fn install(&mut self, image: SnapshotImage, keep_log: bool, truth: &mut Truth) {
+        let Some(running) = &mut self.running else {
+            return;
+        };
+        if running.store.install_snapshot(&image, keep_log).is_err() {
+            self.doomed = true;
+            return;
+        }
+        running.applied = image.index;
+        self.values = decode(&image.bytes);
+        truth.note_state(image.index, hash(&self.values));
+    }
+
+    fn snapshot_if_due(&mut self, clock: BootTime) {
+        let Some(running) = &mut self.running else {
+            return;
+        };
+        if running.applied.0 < running.core.snapshot_index().0 + SNAPSHOT_ENTRIES {
+            return;
+        }
+        let image = SnapshotImage {
+            index: running.applied,
+            term: running.core.term_at(running.applied).unwrap(),
+            members: running.core.members_at(running.applied).clone(),
+            bytes: encode(&self.values).into(),
+        };
+        if running.store.save_snapshot(&image).is_ok() {
+            running.core.step(clock, CoreInput::SnapshotSaved(image));
+        } else {
+            self.doomed = true;
+        }
+    }
+
+    fn observe(&mut self, sent: &[OutgoingMessage], truth: &mut Truth) {
+        for message in sent {
+            if let Some(term) = message.message.granted_term() {
+                let voter = message.message.sender();
+                truth.note_vote(voter, term, message.to);
+            }
+        }
+        let Some(running) = &self.running else {
+            return;
+        };
+        self.last_members = Some(running.core.members().clone());
+        if running.core.role() == ReplicaRole::Leader {
+            truth.note_leader(running.core.term(), running.core.id());
+        }
+    }
+}
--- a/crates/guavavane_quorum/tests/replication.rs
+++ b/crates/guavavane_quorum/tests/replication.rs
@@ -1,18 +1,20 @@
 //! Replicas on threads with real disks: electing, replicating, restarting, replacing.
 
-mod support;
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod threads;
 
 use std::time::Duration;
 
-use crate::support::address;
-use crate::support::init_voters;
-use crate::support::wait_for;
-use crate::support::wait_for_leader;
-use crate::support::AddValue;
-use crate::support::ListMachine;
-use crate::support::LocalNetwork;
-use crate::support::ScratchFolder;
-use crate::support::TestHandle;
+use crate::threads::address;
+use crate::threads::init_voters;
+use crate::threads::wait_for;
+use crate::threads::wait_for_leader;
+use crate::threads::AddValue;
+use crate::threads::ListMachine;
+use crate::threads::LocalNetwork;
+use crate::threads::ScratchFolder;
+use crate::threads::TestHandle;
 use guavavane_model::identity::CellId;
 use guavavane_quorum::prelude::*;
 
