--- a/crates/guavavane_agent/src/daemon/worker_loop.rs
+++ b/crates/guavavane_agent/src/daemon/worker_loop.rs
@@ -9,6 +9,7 @@
 use super::poll_lane;
 use super::poll_lane::PollTask;
 use crate::guard::GuardInput;
+use crate::guard::ServiceKey;
 use crate::settings::AgentSettings;
 use crate::worker::AgentIdentity;
 use crate::worker::WorkerCommand;
@@ -17,7 +18,6 @@
 use crate::worker::WorkerOutcome;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::ResourceVector;
-use guavavane_model::prelude::ServiceName;
 use guavavane_platform::prelude::WorkerClient;
 use guavavane_transport::prelude::CallClient;
 
@@ -27,7 +27,7 @@
     /// An input of the core.
     Input(WorkerInput),
     /// The endpoints of a service have ended their requests.
-    ServiceDrained(ServiceName),
+    ServiceDrained(ServiceKey),
     /// The agent shuts down.
     Drain,
     /// Somebody asks for the state.
--- a/crates/guavavane_agent/src/guard/dispatch.rs
+++ b/crates/guavavane_agent/src/guard/dispatch.rs
@@ -77,7 +77,9 @@
         let endpoint = self
             .endpoints
             .get(&request.target.endpoint)
-            .filter(|endpoint| endpoint.expires > now && endpoint.service == request.service)
+            .filter(|endpoint| {
+                endpoint.expires > now && endpoint.service.service == request.service
+            })
             .ok_or(RefusalReason::UnknownEndpoint)?;
         if self.is_leaving(endpoint) {
             return Err(RefusalReason::Leaving);
--- a/crates/guavavane_agent/src/guard/drain.rs
+++ b/crates/guavavane_agent/src/guard/drain.rs
@@ -3,9 +3,9 @@
 use super::endpoint::EndpointSlots;
 use super::GuardOutcome;
 use super::RequestGuard;
+use super::ServiceKey;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::EndpointName;
-use guavavane_model::prelude::ServiceName;
 use guavavane_platform::prelude::NoticeState;
 use guavavane_protocol::prelude::EndpointState;
 
@@ -30,7 +30,7 @@
         }
     }
 
-    pub(super) fn drain_service(&mut self, now: BootTime, service: ServiceName) {
+    pub(super) fn drain_service(&mut self, now: BootTime, service: ServiceKey) {
         let names: Vec<EndpointName> = self
             .endpoints
             .iter()
@@ -44,7 +44,7 @@
         }
     }
 
-    pub(super) fn resume_service(&mut self, service: &ServiceName) {
+    pub(super) fn resume_service(&mut self, service: &ServiceKey) {
         if self.leaving.swap_remove(service).is_some() {
             self.outcomes.push(GuardOutcome::Announce);
         }
--- a/crates/guavavane_agent/src/guard/endpoint.rs
+++ b/crates/guavavane_agent/src/guard/endpoint.rs
@@ -7,8 +7,8 @@
 use indexmap::IndexMap;
 
 use super::CallTicket;
+use super::ServiceKey;
 use guavavane_model::prelude::BootTime;
-use guavavane_model::prelude::ServiceName;
 use guavavane_platform::prelude::EndpointNotice;
 use guavavane_platform::prelude::NoticeState;
 use guavavane_protocol::prelude::DispatchRequest;
@@ -39,7 +39,7 @@
 /// One endpoint behind the agent.
 #[derive(Debug)]
 pub(crate) struct EndpointSlots {
-    pub(crate) service: ServiceName,
+    pub(crate) service: ServiceKey,
     pub(crate) address: SocketAddr,
     pub(crate) slots: usize,
     pub(crate) connections: usize,
@@ -54,7 +54,7 @@
 impl EndpointSlots {
     pub(crate) fn new(now: BootTime, notice: &EndpointNotice) -> Self {
         let mut endpoint = Self {
-            service: notice.service.clone(),
+            service: noticed_service(notice),
             address: notice.address,
             slots: 0,
             connections: 0,
@@ -77,7 +77,7 @@
         }
         self.left = (notice.state == NoticeState::Leaving).then_some(now);
         self.state = notice.state;
-        self.service = notice.service.clone();
+        self.service = noticed_service(notice);
         self.address = notice.address;
         self.slots = usize::from(notice.slots);
         self.connections = usize::from(notice.connections);
@@ -126,3 +126,10 @@
         self.mean_service = (self.mean_service * (MEAN_WEIGHT - 1) + taken) / MEAN_WEIGHT;
     }
 }
+
+fn noticed_service(notice: &EndpointNotice) -> ServiceKey {
+    ServiceKey {
+        environment: notice.environment.clone(),
+        service: notice.service.clone(),
+    }
+}
--- a/crates/guavavane_agent/src/guard/mod.rs
+++ b/crates/guavavane_agent/src/guard/mod.rs
@@ -19,6 +19,8 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
 
 pub use self::answer::answer_bytes;
 use self::answer::AnswerStore;
@@ -28,6 +30,7 @@
 use self::revoke::RevokeWaiter;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::EndpointName;
+use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::IncarnationId;
 use guavavane_model::prelude::ServiceName;
 use guavavane_platform::prelude::EndpointNotice;
@@ -44,6 +47,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct CallTicket(pub u64);
 
+/// A service of an environment.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ServiceKey {
+    /// The environment.
+    pub environment: EnvironmentName,
+    /// The service.
+    pub service: ServiceName,
+}
+
 /// How the exchange with an endpoint ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HopResult {
@@ -86,9 +98,9 @@
         result: HopResult,
     },
     /// The endpoints of a service are to end their requests and take nothing new.
-    DrainService(ServiceName),
+    DrainService(ServiceKey),
     /// The endpoints of a service may take requests again.
-    ResumeService(ServiceName),
+    ResumeService(ServiceKey),
     /// The agent shuts down: what is in flight ends, nothing new is taken.
     Drain,
     /// Time has passed.
@@ -128,7 +140,7 @@
     /// The endpoints or their states changed: announce at once.
     Announce,
     /// The endpoints of a service that was to drain have ended their requests.
-    ServiceDrained(ServiceName),
+    ServiceDrained(ServiceKey),
 }
 
 /// Decision core of the request guard.
@@ -144,7 +156,7 @@
     running: usize,
     draining: bool,
     /// Services that are to drain, and whether that was reported as done.
-    leaving: IndexMap<ServiceName, bool>,
+    leaving: IndexMap<ServiceKey, bool>,
     outcomes: Vec<GuardOutcome>,
 }
 
@@ -196,7 +208,8 @@
             .filter(|(_, endpoint)| endpoint.expires > now)
             .map(|(name, endpoint)| EndpointStatus {
                 name: name.clone(),
-                service: endpoint.service.clone(),
+                environment: endpoint.service.environment.clone(),
+                service: endpoint.service.service.clone(),
                 state: self.announced_state(endpoint),
                 slots: u16::try_from(endpoint.slots).unwrap_or(u16::MAX),
                 outstanding: u16::try_from(endpoint.outstanding()).unwrap_or(u16::MAX),
--- a/crates/guavavane_agent/src/worker/command.rs
+++ b/crates/guavavane_agent/src/worker/command.rs
@@ -9,8 +9,8 @@
 use super::WorkerCommand;
 use super::WorkerControl;
 use super::WorkerOutcome;
+use crate::guard::ServiceKey;
 use guavavane_model::prelude::BootTime;
-use guavavane_model::prelude::ServiceName;
 use guavavane_platform::prelude::AttemptKey;
 use guavavane_platform::prelude::OrderAnswer;
 use guavavane_platform::prelude::ThrottleOrder;
@@ -34,7 +34,7 @@
     }
 
     /// Goes on with the evictions that waited for a service's requests.
-    pub(super) fn end_drain(&mut self, now: BootTime, drained: &ServiceName) {
+    pub(super) fn end_drain(&mut self, now: BootTime, drained: &ServiceKey) {
         for entry in self.tasks.values_mut() {
             let TaskStage::Evicting(EvictionStep::Draining(eviction)) = &entry.stage else {
                 continue;
--- a/crates/guavavane_agent/src/worker/mod.rs
+++ b/crates/guavavane_agent/src/worker/mod.rs
@@ -25,10 +25,10 @@
 use self::ledger::WorkerLedger;
 use self::task::TaskEntry;
 use self::task::TaskStage;
+use crate::guard::ServiceKey;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::IncarnationId;
-use guavavane_model::prelude::ServiceName;
 use guavavane_model::prelude::TaskId;
 use guavavane_platform::prelude::AttemptKey;
 use guavavane_platform::prelude::AttemptList;
@@ -175,7 +175,7 @@
         result: CommandResult,
     },
     /// The endpoints of a service have ended their requests.
-    ServiceDrained(ServiceName),
+    ServiceDrained(ServiceKey),
     /// The agent shuts down: it starts nothing more.
     Drain,
     /// Time has passed.
@@ -192,9 +192,9 @@
     /// Send a command to the worker.
     Command(WorkerCommand),
     /// Let the endpoints of a service end their requests.
-    DrainService(ServiceName),
+    DrainService(ServiceKey),
     /// Let the endpoints of a service take requests again.
-    ResumeService(ServiceName),
+    ResumeService(ServiceKey),
     /// The entries to announce to.
     Entries(EntryDirectory),
 }
--- a/crates/guavavane_agent/src/worker/order.rs
+++ b/crates/guavavane_agent/src/worker/order.rs
@@ -13,6 +13,7 @@
 use super::WorkerCommand;
 use super::WorkerControl;
 use super::WorkerOutcome;
+use crate::guard::ServiceKey;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::ResourceVector;
@@ -151,10 +152,9 @@
         let mut entry = TaskEntry::new(now, request.fence, stage);
         match self.admit_start(now, &request) {
             Ok(order) => {
-                if let TaskProgram::Service { service, .. } = &request.program {
-                    entry.service = Some(service.clone());
-                    let outcome = WorkerOutcome::ResumeService(service.clone());
-                    self.outcomes.push(outcome);
+                entry.service = program_service(&request.program);
+                if let Some(service) = entry.service.clone() {
+                    self.outcomes.push(WorkerOutcome::ResumeService(service));
                 }
                 entry.checkpoint_ms = request.resume_ms;
                 entry.permit = request.permit;
@@ -280,3 +280,18 @@
             .insert(attempt, now + self.timing.released_keep);
     }
 }
+
+/// The service whose endpoint a program runs.
+fn program_service(program: &TaskProgram) -> Option<ServiceKey> {
+    match program {
+        TaskProgram::Service {
+            environment,
+            service,
+            ..
+        } => Some(ServiceKey {
+            environment: environment.clone(),
+            service: service.clone(),
+        }),
+        TaskProgram::Batch { .. } => None,
+    }
+}
--- a/crates/guavavane_agent/src/worker/task.rs
+++ b/crates/guavavane_agent/src/worker/task.rs
@@ -1,9 +1,9 @@
 //! What the agent knows of one attempt on its worker.
 
 use super::eviction::EvictionStep;
+use crate::guard::ServiceKey;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::FenceNumber;
-use guavavane_model::prelude::ServiceName;
 use guavavane_platform::prelude::AttemptKey;
 use guavavane_platform::prelude::AttemptState;
 use guavavane_platform::prelude::StartOrder;
@@ -39,7 +39,7 @@
 pub(super) struct TaskEntry {
     pub(super) fence: FenceNumber,
     /// Service that the attempt runs an endpoint of, if the agent started it.
-    pub(super) service: Option<ServiceName>,
+    pub(super) service: Option<ServiceKey>,
     pub(super) stage: TaskStage,
     pub(super) checkpoint_ms: u64,
     /// When the agent last learned of a change; older listings say nothing new.
@@ -123,10 +123,12 @@
 pub(super) fn start_program(program: TaskProgram) -> StartProgram {
     match program {
         TaskProgram::Service {
+            environment,
             service,
             slots,
             connections,
         } => StartProgram::Service {
+            environment,
             service,
             slots,
             connections,
--- a/crates/guavavane_agent/tests/support/mod.rs
+++ b/crates/guavavane_agent/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use guavavane_agent::prelude::RawAgentSettings;
 use guavavane_model::prelude::CellId;
 use guavavane_model::prelude::EndpointName;
+use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::IncarnationId;
 use guavavane_model::prelude::RequestId;
 use guavavane_model::prelude::ServiceName;
@@ -82,6 +83,7 @@
 pub(crate) fn notice(address: SocketAddr, state: NoticeState) -> EndpointNotice {
     EndpointNotice {
         endpoint: name::<EndpointName>("despacho-1"),
+        environment: name::<EnvironmentName>("trial"),
         service: name::<ServiceName>("despacho"),
         address,
         slots: 8,
