--- a/crates/guavavane_standin/src/callers/balancer.rs
+++ b/crates/guavavane_standin/src/callers/balancer.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::http::http_get;
+
 /// Time-out of a health check.
 const HEALTH_TIMEOUT_MS: u64 = 1_000;
 
@@ -49,7 +51,7 @@
     /// Checks the health of all targets once.
     pub fn check_health(&self) {
         for target in &self.targets {
-            let answer = attohttpc::get(format!("http://{}/health", target.address))
+            let answer = http_get(format!("http://{}/health", target.address))
                 .timeout(Duration::from_millis(HEALTH_TIMEOUT_MS))
                 .send();
             let healthy = answer.is_ok_and(|response| response.is_success());
--- a/crates/guavavane_standin/src/callers/exchange.rs
+++ b/crates/guavavane_standin/src/callers/exchange.rs
@@ -7,6 +7,8 @@
 use attohttpc::ErrorKind;
 
 use crate::answer::EchoAnswer;
+use crate::http::http_get;
+use crate::http::http_post;
 
 /// Header in which an entry says what became of a request.
 pub const OUTCOME_HEADER: &str = "x-guavavane-outcome";
@@ -60,9 +62,9 @@
 pub fn send_once(target: SocketAddr, request: &CallerRequest, timeout: Duration) -> SendResult {
     let url = format!("http://{target}{}", request.path);
     let mut builder = if request.slip {
-        attohttpc::post(url)
+        http_post(url)
     } else {
-        attohttpc::get(url)
+        http_get(url)
     };
     builder = builder.timeout(timeout).follow_redirects(false);
     if let Some(key) = &request.key {
--- a/crates/guavavane_standin/src/evidence.rs
+++ b/crates/guavavane_standin/src/evidence.rs
@@ -39,6 +39,8 @@
 pub enum StartRefusal {
     /// A higher fencing number was seen for the task.
     Fence,
+    /// The order counts on another boot's clock.
+    Boot,
     /// The order arrived after its permit.
     Late,
     /// The lease had run out already.
--- a/crates/guavavane_standin/src/lib.rs
+++ b/crates/guavavane_standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod command;
 pub mod evidence;
+pub mod http;
 pub mod judge;
 pub mod worker;
 
--- a/crates/guavavane_standin/src/worker/endpoint.rs
+++ b/crates/guavavane_standin/src/worker/endpoint.rs
@@ -24,10 +24,12 @@
 use crate::answer::EchoAnswer;
 use crate::clock::StopFlag;
 use crate::evidence::EvidenceEvent;
+use crate::http::http_post;
 use crate::worker::core::WorkerCore;
 use crate::worker::misbehaviour::Misbehaviour;
 use crate::worker::slots::SlotGate;
 use guavavane_model::prelude::EndpointName;
+use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::ServiceName;
 use guavavane_platform::prelude::AttemptKey;
 use guavavane_platform::prelude::EndpointNotice;
@@ -55,6 +57,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointPlan {
     pub(crate) key: AttemptKey,
+    pub(crate) environment: EnvironmentName,
     pub(crate) service: ServiceName,
     pub(crate) slots: u16,
     pub(crate) connections: u16,
@@ -171,6 +174,7 @@
         let expiry = self.core.settings.endpoint.announce_expiry;
         let notice = EndpointNotice {
             endpoint: self.name.clone(),
+            environment: self.plan.environment.clone(),
             service: self.plan.service.clone(),
             address,
             slots: self.plan.slots,
@@ -178,7 +182,7 @@
             state,
             expiry_ms: u32::try_from(expiry.as_millis()).unwrap_or(u32::MAX),
         };
-        let sent = attohttpc::post(format!("http://{agent}/announce"))
+        let sent = http_post(format!("http://{agent}/announce"))
             .timeout(Duration::from_millis(ANNOUNCE_TIMEOUT_MS))
             .json(&notice)
             .and_then(|request| request.send());
--- a/crates/guavavane_standin/src/worker/machine.rs
+++ b/crates/guavavane_standin/src/worker/machine.rs
@@ -146,6 +146,9 @@
     /// Moves the ends of leases that have not run out.
     pub fn renew(&mut self, now: BootTime, order: &RenewOrder) -> OrderAnswer {
         self.advance(now);
+        if order.boot != self.facts.boot {
+            return refuse("the worker has another boot".to_owned());
+        }
         let mut ended = Vec::new();
         for key in &order.keys {
             let running = |task: &&mut TaskRecord| task.state == AttemptState::Running;
@@ -285,6 +288,9 @@
         if self.draining {
             return Some(StartRefusal::Draining);
         }
+        if order.boot != self.facts.boot {
+            return Some(StartRefusal::Boot);
+        }
         if self.revoked.contains(&order.key) {
             return Some(StartRefusal::Stopped);
         }
--- a/crates/guavavane_standin/src/worker/server.rs
+++ b/crates/guavavane_standin/src/worker/server.rs
@@ -187,6 +187,7 @@
                 key,
                 program:
                     StartProgram::Service {
+                        environment,
                         service,
                         slots,
                         connections,
@@ -194,6 +195,7 @@
                 ..
             } => self.start_endpoint(EndpointPlan {
                 key,
+                environment,
                 service,
                 slots,
                 connections,
--- a/crates/guavavane_standin/tests/straight_load.rs
+++ b/crates/guavavane_standin/tests/straight_load.rs
@@ -28,6 +28,7 @@
 use guavavane_standin::clock::wait_until;
 use guavavane_standin::clock::StopFlag;
 use guavavane_standin::evidence::read_folder;
+use guavavane_standin::http::http_post;
 use guavavane_standin::prelude::judge_records;
 use guavavane_standin::prelude::run_load;
 use guavavane_standin::prelude::CallerOutcome;
@@ -104,9 +105,11 @@
     fn start_endpoint(&self) -> SocketAddr {
         let now = BootClock.now().as_millis();
         let order = StartOrder {
+            boot: BootId(1),
             key: KEY,
             fence: FenceNumber(1),
             program: StartProgram::Service {
+                environment: "production".try_into().unwrap(),
                 service: "despacho".try_into().unwrap(),
                 slots: 8,
                 connections: 64,
@@ -135,7 +138,7 @@
     fn set_mode(&self, mode: &str) {
         let body = format!("{{\"mode\":\"{mode}\",\"share_millis\":1000}}");
         let url = format!("http://{}/control", self.server.address());
-        let sent = attohttpc::post(url)
+        let sent = http_post(url)
             .header("Content-Type", "application/json")
             .text(body)
             .send();
@@ -215,6 +218,7 @@
     let bench = bench("lease");
     let target = bench.start_endpoint();
     let order = RenewOrder {
+        boot: BootId(1),
         keys: vec![KEY],
         lease_until_ms: 0,
     };
--- a/crates/guavavane_standin/tests/worker_machine.rs
+++ b/crates/guavavane_standin/tests/worker_machine.rs
@@ -82,6 +82,7 @@
 
 fn start(key: AttemptKey, fence: u64, now_ms: u64, lease_ms: u64) -> StartOrder {
     StartOrder {
+        boot: BootId(1),
         key,
         fence: FenceNumber(fence),
         program: StartProgram::Batch { run_ms: 200 },
@@ -123,6 +124,7 @@
         } => machine.renew(
             at,
             &RenewOrder {
+                boot: BootId(1),
                 keys: vec![key(task, attempt)],
                 lease_until_ms: *now + u64::from(lease),
             },
@@ -179,6 +181,7 @@
     let key = key(1, 1);
     machine.start(BootTime::from_millis(0), start(key, 1, 0, 50));
     let order = RenewOrder {
+        boot: BootId(1),
         keys: vec![key],
         lease_until_ms: 500,
     };
