--- /dev/null
+++ b/crates/guavavane_placement/src/capacity_grid.rs
@@ -0,0 +1,254 @@
+//! Index of workers by free capacity, for each data centre.
+//!
+//! A worker stands in the cell of its free processors and memory, each rounded down to a level
+//! with four steps to an octave, in the layer of its free accelerators. Words of bits tell
+//! which cells hold workers, so that a search goes from cell to cell without a look at the
+//! workers between. A worker in a cell above that of the demand fits; one in an equal level
+//! must be checked.
+
+use std::ops::ControlFlow;
+
+use crate::index::DataCentreIndex;
+use crate::index::DenseIndex;
+use crate::index::WorkerIndex;
+use guavavane_model::prelude::ResourceVector;
+
+const LEVELS: usize = 64;
+const LAYERS: usize = 4;
+const CPU_UNIT_MILLIS: u64 = 50;
+const MEMORY_UNIT_MIB: u64 = 64;
+
+/// Which end of the free capacity a search starts from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SearchOrder {
+    /// Least free capacity first.
+    Tightest,
+    /// Most free capacity first.
+    Loosest,
+}
+
+/// Which cells a search visits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SearchZone {
+    /// Each cell that may fit.
+    Possible,
+    /// Only cells whose workers fit by their level.
+    Certain,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct GridCell {
+    layer: usize,
+    row: usize,
+    column: usize,
+}
+
+impl GridCell {
+    fn of(free: &ResourceVector) -> Self {
+        Self {
+            layer: layer_of(free.accelerators),
+            row: level_of(free.cpu_millis / CPU_UNIT_MILLIS),
+            column: level_of(free.memory_mib / MEMORY_UNIT_MIB),
+        }
+    }
+
+    fn slot(self) -> usize {
+        self.row * LEVELS + self.column
+    }
+}
+
+/// Four levels to an octave; values of 2^17 and more share the last level.
+fn level_of(value: u64) -> usize {
+    if value < 4 {
+        return value as usize;
+    }
+    let exponent = value.ilog2() as usize;
+    let step = (value >> (exponent - 2)) as usize & 3;
+    ((exponent - 1) * 4 + step).min(LEVELS - 1)
+}
+
+fn layer_of(accelerators: u64) -> usize {
+    match accelerators {
+        0 => 0,
+        1 => 1,
+        2 | 3 => 2,
+        _ => 3,
+    }
+}
+
+fn from_level(level: usize) -> u64 {
+    u64::MAX.checked_shl(level as u32).unwrap_or(0)
+}
+
+#[derive(Debug, Default)]
+struct GridLayer {
+    rows: u64,
+    columns: Vec<u64>,
+    cells: Vec<Vec<WorkerIndex>>,
+}
+
+impl GridLayer {
+    fn allocate(&mut self) {
+        if self.cells.is_empty() {
+            self.columns = vec![0; LEVELS];
+            self.cells.resize_with(LEVELS * LEVELS, Vec::new);
+        }
+    }
+
+    fn mark(&mut self, cell: GridCell) {
+        let occupied = !self.cells[cell.slot()].is_empty();
+        let column = 1 << cell.column;
+        if occupied {
+            self.columns[cell.row] |= column;
+        } else {
+            self.columns[cell.row] &= !column;
+        }
+        if self.columns[cell.row] == 0 {
+            self.rows &= !(1 << cell.row);
+        } else {
+            self.rows |= 1 << cell.row;
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct GridPosition {
+    centre: DataCentreIndex,
+    cell: GridCell,
+    offset: usize,
+}
+
+/// A search for workers with room.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GridSearch {
+    pub(crate) centre: DataCentreIndex,
+    pub(crate) demand: ResourceVector,
+    pub(crate) order: SearchOrder,
+    pub(crate) zone: SearchZone,
+    /// Rotates the workers within each cell.
+    pub(crate) rotation: usize,
+    /// Workers to pass over, whole cells at a time where possible.
+    pub(crate) skip: usize,
+}
+
+/// Workers by free capacity.
+#[derive(Debug, Default)]
+pub(crate) struct CapacityGrid {
+    centres: Vec<[GridLayer; LAYERS]>,
+    positions: Vec<Option<GridPosition>>,
+}
+
+impl CapacityGrid {
+    /// Puts a worker where its free capacity belongs.
+    pub(crate) fn insert(
+        &mut self,
+        worker: WorkerIndex,
+        centre: DataCentreIndex,
+        free: &ResourceVector,
+    ) {
+        let cell = GridCell::of(free);
+        if let Some(Some(position)) = self.positions.get(worker.position()) {
+            if position.centre == centre && position.cell == cell {
+                return;
+            }
+        }
+        self.remove(worker);
+        self.centres.resize_with(
+            self.centres.len().max(centre.position() + 1),
+            Default::default,
+        );
+        let layer = &mut self.centres[centre.position()][cell.layer];
+        layer.allocate();
+        let workers = &mut layer.cells[cell.slot()];
+        let offset = workers.len();
+        workers.push(worker);
+        layer.mark(cell);
+        let length = self.positions.len().max(worker.position() + 1);
+        self.positions.resize(length, None);
+        self.positions[worker.position()] = Some(GridPosition {
+            centre,
+            cell,
+            offset,
+        });
+    }
+
+    /// Takes a worker out, so that no search finds it.
+    pub(crate) fn remove(&mut self, worker: WorkerIndex) {
+        let position = self.positions.get_mut(worker.position());
+        let Some(position) = position.and_then(Option::take) else {
+            return;
+        };
+        let layer = &mut self.centres[position.centre.position()][position.cell.layer];
+        let workers = &mut layer.cells[position.cell.slot()];
+        workers.swap_remove(position.offset);
+        if let Some(moved) = workers.get(position.offset) {
+            let moved = self.positions[moved.position()].as_mut();
+            moved.expect("a worker in a cell has a position").offset = position.offset;
+        }
+        layer.mark(position.cell);
+    }
+
+    /// Visits workers until `accept` breaks.
+    pub(crate) fn visit<F>(&self, search: GridSearch, mut accept: F)
+    where
+        F: FnMut(WorkerIndex) -> ControlFlow<()>,
+    {
+        let Some(layers) = self.centres.get(search.centre.position()) else {
+            return;
+        };
+        let lowest = GridCell::of(&search.demand);
+        let certain = usize::from(search.zone == SearchZone::Certain);
+        let exact_layer = search.demand.accelerators <= 1;
+        let first_layer = lowest.layer + if exact_layer { 0 } else { certain };
+        let mut skip = search.skip;
+        for layer in layers.iter().skip(first_layer) {
+            let rows = layer.rows & from_level(lowest.row + certain);
+            for row in BitLevels::new(rows, search.order) {
+                let columns = layer.columns[row] & from_level(lowest.column + certain);
+                for column in BitLevels::new(columns, search.order) {
+                    let workers = &layer.cells[row * LEVELS + column];
+                    if skip >= workers.len() {
+                        skip -= workers.len();
+                        continue;
+                    }
+                    let count = workers.len() - skip;
+                    for step in 0..count {
+                        let offset = (search.rotation + skip + step) % workers.len();
+                        if accept(workers[offset]).is_break() {
+                            return;
+                        }
+                    }
+                    skip = 0;
+                }
+            }
+        }
+    }
+}
+
+/// Set bits of a word, from either end.
+struct BitLevels {
+    bits: u64,
+    order: SearchOrder,
+}
+
+impl BitLevels {
+    fn new(bits: u64, order: SearchOrder) -> Self {
+        Self { bits, order }
+    }
+}
+
+impl Iterator for BitLevels {
+    type Item = usize;
+
+    fn next(&mut self) -> Option<usize> {
+        if self.bits == 0 {
+            return None;
+        }
+        let level = match self.order {
+            SearchOrder::Tightest => self.bits.trailing_zeros(),
+            SearchOrder::Loosest => 63 - self.bits.leading_zeros(),
+        };
+        self.bits &= !(1 << level);
+        Some(level as usize)
+    }
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/data_centre.rs
@@ -0,0 +1,195 @@
+//! Data centres: whether tasks may be placed there, how fast, and what their workers have.
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::index::DataCentreIndex;
+use crate::index::DataCentreSet;
+use crate::index::DenseIndex;
+use crate::index::NameTable;
+use crate::index::WorkerIndex;
+use crate::settings::PlacementSettings;
+use crate::token_bucket::TokenBucket;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::DataCentreName;
+use guavavane_model::prelude::ResourceVector;
+
+/// Shortest burst of a rate, in tokens.
+const BURST_MIN: u64 = 1;
+
+/// Fraction of a second whose tokens may gather.
+const BURST_PER_SECOND: u64 = 4;
+
+/// Whether operators keep a data centre in service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CentreStatus {
+    /// In service.
+    In,
+    /// In service again; placements grow with time.
+    Ramping {
+        /// When it was brought back.
+        since: BootTime,
+    },
+    /// Out of service.
+    Out,
+}
+
+/// A data centre.
+#[derive(Debug)]
+pub(crate) struct CentreEntry {
+    pub(crate) status: CentreStatus,
+    pub(crate) workers: IndexSet<WorkerIndex>,
+    pub(crate) quarantined: u64,
+    /// Worker at which the next search for tasks to move starts.
+    pub(crate) drain_cursor: usize,
+    pub(crate) drain_bucket: TokenBucket,
+    ramp_bucket: TokenBucket,
+    /// Distinct capacities of the workers, with the number of each.
+    capacities: IndexMap<ResourceVector, u32>,
+}
+
+impl CentreEntry {
+    fn new() -> Self {
+        Self {
+            status: CentreStatus::In,
+            workers: IndexSet::new(),
+            quarantined: 0,
+            drain_cursor: 0,
+            drain_bucket: TokenBucket::new(BootTime::default()),
+            ramp_bucket: TokenBucket::new(BootTime::default()),
+            capacities: IndexMap::new(),
+        }
+    }
+
+    /// Whether a placement is allowed now.
+    pub(crate) fn accepts(&self) -> bool {
+        match self.status {
+            CentreStatus::In => true,
+            CentreStatus::Ramping { .. } => self.ramp_bucket.has_token(),
+            CentreStatus::Out => false,
+        }
+    }
+
+    pub(crate) fn is_out(&self) -> bool {
+        self.status == CentreStatus::Out
+    }
+
+    /// Counts a placement against the ramp.
+    pub(crate) fn count_placement(&mut self) {
+        if let CentreStatus::Ramping { .. } = self.status {
+            self.ramp_bucket.take();
+        }
+    }
+
+    /// Whether one more worker may be quarantined.
+    pub(crate) fn can_quarantine(&self, settings: &PlacementSettings) -> bool {
+        let workers = self.workers.len() as u64;
+        let share = workers * settings.quarantine_cap_permille / 1_000;
+        let limit = share.max(1).min(workers.saturating_sub(1));
+        self.quarantined < limit
+    }
+
+    pub(crate) fn add_capacity(&mut self, capacity: ResourceVector) {
+        *self.capacities.entry(capacity).or_default() += 1;
+    }
+
+    pub(crate) fn remove_capacity(&mut self, capacity: ResourceVector) {
+        let Some(count) = self.capacities.get_mut(&capacity) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.capacities.swap_remove(&capacity);
+        }
+    }
+
+    /// Distinct capacities of the workers.
+    pub(crate) fn capacities(&self) -> impl Iterator<Item = &ResourceVector> {
+        self.capacities.keys()
+    }
+
+    fn refill(&mut self, now: BootTime, settings: &PlacementSettings) {
+        match self.status {
+            CentreStatus::In => {}
+            CentreStatus::Ramping { since } => self.refill_ramp(now, since, settings),
+            CentreStatus::Out => {
+                let rate_milli = self.rate_milli(settings.drain_per_thousand);
+                self.drain_bucket.refill(now, rate_milli, burst(rate_milli));
+            }
+        }
+    }
+
+    fn refill_ramp(&mut self, now: BootTime, since: BootTime, settings: &PlacementSettings) {
+        let elapsed_ms = now.as_millis().saturating_sub(since.as_millis());
+        if elapsed_ms >= settings.ramp_ms {
+            self.status = CentreStatus::In;
+            return;
+        }
+        let start = settings.ramp_start_per_thousand;
+        let rise = settings.ramp_end_per_thousand.saturating_sub(start);
+        let rate = start + rise * elapsed_ms / settings.ramp_ms.max(1);
+        let rate_milli = self.rate_milli(rate);
+        self.ramp_bucket.refill(now, rate_milli, burst(rate_milli));
+    }
+
+    /// A rate for each thousand workers as thousandths of a token a second.
+    fn rate_milli(&self, per_thousand: u64) -> u64 {
+        (per_thousand * self.workers.len() as u64).max(1)
+    }
+}
+
+fn burst(rate_milli: u64) -> u64 {
+    (rate_milli / 1_000 / BURST_PER_SECOND).max(BURST_MIN)
+}
+
+/// All data centres.
+#[derive(Debug)]
+pub(crate) struct CentreTable {
+    names: NameTable<DataCentreName, DataCentreIndex>,
+    entries: Vec<CentreEntry>,
+}
+
+impl CentreTable {
+    pub(crate) fn new() -> Self {
+        Self {
+            names: NameTable::new(),
+            entries: Vec::new(),
+        }
+    }
+
+    /// The data centre of a name, or `None` if the cell has too many.
+    pub(crate) fn intern(&mut self, name: &DataCentreName) -> Option<DataCentreIndex> {
+        if self.entries.len() == DataCentreSet::LIMIT && !self.names.contains(name) {
+            return None;
+        }
+        let centre: DataCentreIndex = self.names.intern(name);
+        if centre.position() == self.entries.len() {
+            self.entries.push(CentreEntry::new());
+        }
+        Some(centre)
+    }
+
+    pub(crate) fn get(&self, centre: DataCentreIndex) -> &CentreEntry {
+        &self.entries[centre.position()]
+    }
+
+    pub(crate) fn get_mut(&mut self, centre: DataCentreIndex) -> &mut CentreEntry {
+        &mut self.entries[centre.position()]
+    }
+
+    /// Accrues the rates up to `now` and ends ramps that have run their time.
+    pub(crate) fn refill(&mut self, now: BootTime, settings: &PlacementSettings) {
+        for entry in &mut self.entries {
+            entry.refill(now, settings);
+        }
+    }
+
+    /// Data centres that are out of service.
+    pub(crate) fn out(&self) -> Vec<DataCentreIndex> {
+        let entries = self.entries.iter().enumerate();
+        entries
+            .filter(|(_, entry)| entry.is_out())
+            .map(|(position, _)| DataCentreIndex::from_position(position))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/failure_ledger.rs
@@ -0,0 +1,194 @@
+//! Charges failures to the worker or to the job.
+//!
+//! A worker where different jobs fail is at fault; a job that fails on different workers is at
+//! fault itself. A job at fault is not charged to further workers, and a quarantined worker's
+//! failures are taken off the jobs that failed there. A success clears both sides.
+
+use std::collections::BTreeSet;
+
+use indexmap::IndexMap;
+
+use crate::index::WorkerIndex;
+use crate::settings::PlacementSettings;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::JobId;
+
+/// Jobs whose failures are remembered at most.
+const JOBS_MAX: usize = 16_384;
+
+/// Largest power of two that a quarantine term grows by.
+const TERM_DOUBLINGS_MAX: u32 = 16;
+
+/// Who a failure is charged to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FailureCharge {
+    /// Neither side has failed often enough.
+    Undecided,
+    /// The job fails on this many different workers.
+    Job {
+        /// Different workers.
+        failed_workers: u32,
+    },
+    /// This many different jobs fail on the worker.
+    Worker {
+        /// Different jobs.
+        failed_jobs: u32,
+    },
+}
+
+#[derive(Debug, Default)]
+struct WorkerFailures {
+    jobs: IndexMap<JobId, BootTime>,
+    terms: u32,
+}
+
+#[derive(Debug, Default)]
+struct JobFailures {
+    workers: IndexMap<WorkerIndex, BootTime>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct QuarantineEnd {
+    until: BootTime,
+    worker: WorkerIndex,
+}
+
+/// Recent failures of workers and jobs, and the quarantines that follow from them.
+#[derive(Debug, Default)]
+pub(crate) struct FailureLedger {
+    workers: IndexMap<WorkerIndex, WorkerFailures>,
+    jobs: IndexMap<JobId, JobFailures>,
+    ends: BTreeSet<QuarantineEnd>,
+}
+
+impl FailureLedger {
+    /// Records a failure and says who is at fault.
+    pub(crate) fn record(
+        &mut self,
+        now: BootTime,
+        job: JobId,
+        worker: WorkerIndex,
+        settings: &PlacementSettings,
+    ) -> FailureCharge {
+        let failed_workers = self.record_job(now, job, worker, settings);
+        if failed_workers >= settings.job_failed_workers_max {
+            self.clear_job_from_workers(job);
+            return FailureCharge::Job { failed_workers };
+        }
+        let failures = self.workers.entry(worker).or_default();
+        failures.jobs.insert(job, now);
+        forget_old(&mut failures.jobs, now, settings.failure_window_ms);
+        let failed_jobs = failures.jobs.len() as u32;
+        // A worker that was quarantined before is on probation: one failure is enough.
+        let limit = match failures.terms {
+            0 => settings.worker_failed_jobs_max,
+            _ => 1,
+        };
+        if failed_jobs >= limit {
+            return FailureCharge::Worker { failed_jobs };
+        }
+        FailureCharge::Undecided
+    }
+
+    fn record_job(
+        &mut self,
+        now: BootTime,
+        job: JobId,
+        worker: WorkerIndex,
+        settings: &PlacementSettings,
+    ) -> u32 {
+        if self.jobs.len() >= JOBS_MAX && !self.jobs.contains_key(&job) {
+            self.jobs.swap_remove_index(0);
+        }
+        let failures = self.jobs.entry(job).or_default();
+        forget_old(&mut failures.workers, now, settings.failure_window_ms);
+        if failures.workers.len() < settings.job_failed_workers_max as usize {
+            failures.workers.insert(worker, now);
+        }
+        failures.workers.len() as u32
+    }
+
+    fn clear_job_from_workers(&mut self, job: JobId) {
+        let Some(failures) = self.jobs.get(&job) else {
+            return;
+        };
+        for worker in failures.workers.keys() {
+            if let Some(failures) = self.workers.get_mut(worker) {
+                failures.jobs.swap_remove(&job);
+            }
+        }
+    }
+
+    /// Records a success, which clears the job and the worker.
+    pub(crate) fn record_success(&mut self, job: JobId, worker: WorkerIndex) {
+        self.jobs.swap_remove(&job);
+        self.workers.swap_remove(&worker);
+    }
+
+    /// Starts a quarantine and returns its term in milliseconds.
+    pub(crate) fn quarantine(
+        &mut self,
+        now: BootTime,
+        worker: WorkerIndex,
+        settings: &PlacementSettings,
+    ) -> u64 {
+        let failures = self.workers.entry(worker).or_default();
+        let doublings = failures.terms.min(TERM_DOUBLINGS_MAX);
+        let term_ms = settings.quarantine_ms.saturating_mul(1 << doublings);
+        let term_ms = term_ms.min(settings.quarantine_max_ms);
+        failures.terms += 1;
+        let jobs: Vec<JobId> = failures.jobs.drain(..).map(|(job, _)| job).collect();
+        for job in jobs {
+            self.take_off_job(job, worker);
+        }
+        let until = BootTime::from_millis(now.as_millis().saturating_add(term_ms));
+        self.ends.insert(QuarantineEnd { until, worker });
+        term_ms
+    }
+
+    fn take_off_job(&mut self, job: JobId, worker: WorkerIndex) {
+        let Some(failures) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        failures.workers.swap_remove(&worker);
+        if failures.workers.is_empty() {
+            self.jobs.swap_remove(&job);
+        }
+    }
+
+    /// Ends one quarantine whose term is over.
+    pub(crate) fn next_released(&mut self, now: BootTime) -> Option<WorkerIndex> {
+        let first = *self.ends.first()?;
+        if first.until > now {
+            return None;
+        }
+        self.ends.remove(&first);
+        Some(first.worker)
+    }
+
+    /// Forgets a worker that is gone for good.
+    pub(crate) fn forget_worker(&mut self, worker: WorkerIndex) {
+        self.workers.swap_remove(&worker);
+        self.ends.retain(|end| end.worker != worker);
+        for failures in self.jobs.values_mut() {
+            failures.workers.swap_remove(&worker);
+        }
+    }
+
+    /// Different jobs that failed on a worker of late.
+    pub(crate) fn failed_jobs(&self, worker: WorkerIndex) -> i64 {
+        let failures = self.workers.get(&worker);
+        failures.map_or(0, |failures| failures.jobs.len() as i64)
+    }
+
+    /// Whether a job failed on a worker of late.
+    pub(crate) fn has_failed(&self, job: JobId, worker: WorkerIndex) -> bool {
+        let failures = self.jobs.get(&job);
+        failures.is_some_and(|failures| failures.workers.contains_key(&worker))
+    }
+}
+
+fn forget_old<K>(moments: &mut IndexMap<K, BootTime>, now: BootTime, window_ms: u64) {
+    let oldest_ms = now.as_millis().saturating_sub(window_ms);
+    moments.retain(|_, moment| moment.as_millis() >= oldest_ms);
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/placement_core.rs
@@ -0,0 +1,239 @@
+//! The policy: events go in, decisions come out.
+//!
+//! Events change the ledger and the queues at once; decisions are made only in
+//! [`PlacementCore::decide`], whose work is bounded by its budget and does not grow with the
+//! number of workers and tasks. Given the same seed, events and times, the decisions are the
+//! same.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::data_centre::CentreTable;
+use crate::decision::DecisionNumber;
+use crate::decision::PlacementDecision;
+use crate::event::PlacementEvent;
+use crate::failure_ledger::FailureLedger;
+use crate::index::DataCentreIndex;
+use crate::index::KindIndex;
+use crate::index::NameTable;
+use crate::index::RackIndex;
+use crate::index::WorkerIndex;
+use crate::record::TaskAttempt;
+use crate::record::TaskClass;
+use crate::record::WorkloadKind;
+use crate::settings::PlacementSettings;
+use crate::shape::ShapeTable;
+use crate::task_table::TaskTable;
+use crate::team::TeamTable;
+use crate::worker_table::WorkerTable;
+use guavavane_model::prelude::AttemptNumber;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::RackName;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::TaskId;
+use guavavane_model::prelude::WorkerName;
+
+mod decide;
+mod drain;
+mod failure;
+mod ledger;
+mod preempt;
+mod queue;
+mod score;
+mod search;
+mod task_event;
+mod worker_event;
+
+/// What an event did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StepOutcome {
+    /// It changed the state.
+    Applied,
+    /// It changed nothing.
+    Ignored(IgnoredReason),
+}
+
+/// Why an event changed nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum IgnoredReason {
+    /// The state is as the event says.
+    Duplicate,
+    /// A later attempt is known.
+    Stale,
+    /// The task has ended or was cancelled.
+    Ended,
+    /// The task is not known.
+    UnknownTask,
+    /// The worker is not known.
+    UnknownWorker,
+    /// The cell has as many data centres as it can.
+    TooManyDataCentres,
+    /// The same attempt is committed to another worker.
+    Conflict,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct RackKey {
+    centre: DataCentreIndex,
+    name: RackName,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct KindKey {
+    kind: WorkloadKind,
+    class: TaskClass,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum SpreadPlace {
+    Rack(RackIndex),
+    Centre(DataCentreIndex),
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct SpreadKey {
+    kind: KindIndex,
+    place: SpreadPlace,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DelayedTask {
+    until: BootTime,
+    task: TaskId,
+}
+
+/// A second attempt that is to run before the first one is evicted.
+#[derive(Clone, Copy, Debug)]
+struct ReplacementEntry {
+    worker: WorkerIndex,
+    attempt: AttemptNumber,
+}
+
+/// A reservation that the replicated state has neither committed nor refused.
+#[derive(Clone, Copy, Debug)]
+struct UnconfirmedPlace {
+    worker: WorkerIndex,
+    attempt: TaskAttempt,
+}
+
+/// Room on a worker for a task that waits for evicted ones to leave.
+#[derive(Clone, Copy, Debug)]
+struct RoomHold {
+    worker: WorkerIndex,
+    reserved: ResourceVector,
+    /// Worker of the running attempt, if the task is to be replaced.
+    replaces: Option<WorkerIndex>,
+}
+
+/// The placement policy.
+#[derive(Debug)]
+pub struct PlacementCore {
+    settings: PlacementSettings,
+    rng: ChaCha8Rng,
+    centres: CentreTable,
+    racks: NameTable<RackKey, RackIndex>,
+    kinds: NameTable<KindKey, KindIndex>,
+    teams: TeamTable,
+    shapes: ShapeTable,
+    tasks: TaskTable,
+    workers: WorkerTable,
+    failures: FailureLedger,
+    spread: IndexMap<SpreadKey, u32>,
+    delayed: BTreeSet<DelayedTask>,
+    replacements: IndexMap<TaskId, ReplacementEntry>,
+    /// Reservations that the replicated state has neither committed nor refused.
+    unconfirmed: IndexMap<DecisionNumber, UnconfirmedPlace>,
+    holds: IndexMap<TaskId, RoomHold>,
+    /// Whether a hold may have become ready or hopeless.
+    holds_changed: bool,
+    shrunk: IndexSet<WorkerIndex>,
+    /// Placements and evictions that the next calls return.
+    outbox: VecDeque<PlacementDecision>,
+    /// Reports that the next calls return.
+    notices: VecDeque<PlacementDecision>,
+    next_front: u64,
+    next_back: u64,
+    next_decision: u64,
+}
+
+/// First position of tasks that were not evicted; those that were go before them.
+const FIRST_BACK: u64 = 1 << 63;
+
+impl PlacementCore {
+    /// A policy that knows no worker and no task.
+    pub fn new(settings: PlacementSettings, seed: u64) -> Self {
+        let tasks = TaskTable::new(settings.ended_tasks_max);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let next_decision = rng.random_range(0..u64::MAX / 2);
+        Self {
+            settings,
+            rng,
+            centres: CentreTable::new(),
+            racks: NameTable::new(),
+            kinds: NameTable::new(),
+            teams: TeamTable::new(),
+            shapes: ShapeTable::default(),
+            tasks,
+            workers: WorkerTable::default(),
+            failures: FailureLedger::default(),
+            spread: IndexMap::new(),
+            delayed: BTreeSet::new(),
+            replacements: IndexMap::new(),
+            unconfirmed: IndexMap::new(),
+            holds: IndexMap::new(),
+            holds_changed: false,
+            shrunk: IndexSet::new(),
+            outbox: VecDeque::new(),
+            notices: VecDeque::new(),
+            next_front: 0,
+            next_back: FIRST_BACK,
+            next_decision,
+        }
+    }
+
+    /// Takes an event in.
+    pub fn step(&mut self, now: BootTime, event: PlacementEvent) -> StepOutcome {
+        match event {
+            PlacementEvent::WorkerUp(record) => self.worker_up(record),
+            PlacementEvent::WorkerChanged(record) => self.worker_up(record),
+            PlacementEvent::WorkerGone(name) => self.worker_gone(&name),
+            PlacementEvent::DataCentreOut(name) => self.data_centre_out(&name),
+            PlacementEvent::DataCentreIn(name) => self.data_centre_in(now, &name),
+            PlacementEvent::QuotaSet(quota) => self.quota_set(&quota),
+            PlacementEvent::TaskSubmitted(record) => self.task_submitted(record),
+            PlacementEvent::TaskRestored(restore) => self.task_restored(now, restore),
+            PlacementEvent::TaskCancelled(task) => self.task_cancelled(task),
+            PlacementEvent::TaskRunning(placement) => self.task_running(now, &placement),
+            PlacementEvent::TaskReleased(release) => self.task_released(now, &release),
+            PlacementEvent::DecisionRejected(number) => self.decision_rejected(number),
+            PlacementEvent::UsageSample(_) | PlacementEvent::LatencySample(_) => {
+                StepOutcome::Ignored(IgnoredReason::UnknownTask)
+            }
+        }
+    }
+
+    /// Tasks that wait or run.
+    pub fn task_count(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Workers that are present.
+    pub fn worker_count(&self) -> usize {
+        self.workers.present_count()
+    }
+
+    /// What a worker is committed to, if it is known.
+    pub fn committed(&self, name: &WorkerName) -> Option<ResourceVector> {
+        let worker = self.workers.find(name)?;
+        Some(*self.workers.get(worker).committed())
+    }
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/placement_core/failure.rs
@@ -0,0 +1,91 @@
+//! Acts on failures: backoff, giving up, quarantine.
+
+use std::time::Duration;
+
+use super::PlacementCore;
+use crate::decision::GiveUpDecision;
+use crate::decision::PlacementDecision;
+use crate::decision::QuarantineDecision;
+use crate::failure_ledger::FailureCharge;
+use crate::index::WorkerIndex;
+use crate::worker_table::Resident;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::TaskId;
+
+/// Largest power of two that a backoff grows by.
+const BACKOFF_DOUBLINGS_MAX: u32 = 20;
+
+impl PlacementCore {
+    pub(super) fn record_success(&mut self, worker: WorkerIndex, resident: &Resident) {
+        if let Some(entry) = self.tasks.get(resident.task) {
+            self.failures.record_success(entry.job, worker);
+        }
+    }
+
+    /// Charges the failure of a task that was freed, and backs the task off.
+    pub(super) fn handle_failure(&mut self, now: BootTime, worker: WorkerIndex, task: TaskId) {
+        let Some(entry) = self.tasks.get_mut(task) else {
+            return;
+        };
+        entry.failures = entry.failures.saturating_add(1);
+        let job = entry.job;
+        let failures = u32::from(entry.failures);
+        let charge = self.failures.record(now, job, worker, &self.settings);
+        match charge {
+            FailureCharge::Job { failed_workers } => {
+                let decision = GiveUpDecision {
+                    task,
+                    job,
+                    failed_workers,
+                };
+                self.notices.push_back(PlacementDecision::GiveUp(decision));
+                self.end_task(task);
+                return;
+            }
+            FailureCharge::Worker { failed_jobs } => self.quarantine(now, worker, failed_jobs),
+            FailureCharge::Undecided => {}
+        }
+        let doublings = (failures - 1).min(BACKOFF_DOUBLINGS_MAX);
+        let backoff_ms = self.settings.backoff_ms.saturating_mul(1 << doublings);
+        let backoff_ms = backoff_ms.min(self.settings.backoff_max_ms);
+        self.delay(task, now + Duration::from_millis(backoff_ms));
+    }
+
+    fn quarantine(&mut self, now: BootTime, worker: WorkerIndex, failed_jobs: u32) {
+        let Some(slot) = self.workers.find_slot(worker) else {
+            return;
+        };
+        let centre = slot.centre;
+        let already = slot.quarantined;
+        let name = slot.name.clone();
+        if already || !self.centres.get(centre).can_quarantine(&self.settings) {
+            return;
+        }
+        let term_ms = self.failures.quarantine(now, worker, &self.settings);
+        self.centres.get_mut(centre).quarantined += 1;
+        self.workers.update(worker, |slot| slot.quarantined = true);
+        self.holds_changed = true;
+        let decision = QuarantineDecision {
+            worker: name,
+            failed_jobs,
+            term_ms,
+        };
+        self.notices
+            .push_back(PlacementDecision::QuarantineWorker(decision));
+    }
+
+    /// Ends the quarantines whose terms are over.
+    pub(super) fn end_quarantines(&mut self, now: BootTime) {
+        while let Some(worker) = self.failures.next_released(now) {
+            let Some(slot) = self.workers.find_slot(worker) else {
+                continue;
+            };
+            let centre = slot.centre;
+            let name = slot.name.clone();
+            self.centres.get_mut(centre).quarantined -= 1;
+            self.workers.update(worker, |slot| slot.quarantined = false);
+            self.notices
+                .push_back(PlacementDecision::ReleaseQuarantine(name));
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/placement_core/queue.rs
@@ -0,0 +1,252 @@
+//! Moves tasks and shapes in and out of the queues.
+
+use std::time::Duration;
+
+use super::DelayedTask;
+use super::PlacementCore;
+use crate::decision::ImpossibleDecision;
+use crate::decision::PlacementDecision;
+use crate::decision::ResourceLack;
+use crate::index::ShapeIndex;
+use crate::record::TaskPriority;
+use crate::shape::QueuePosition;
+use crate::shape::ShapeKey;
+use crate::shape::ShapeState;
+use crate::task_table::TaskState;
+use crate::team::ReadyShape;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::TaskId;
+
+/// Which end of the queue a task enters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum QueueEnd {
+    /// Before all tasks that never ran.
+    Front,
+    /// Behind all other tasks.
+    Back,
+}
+
+impl PlacementCore {
+    /// Puts a task that is in no queue into that of its shape.
+    pub(super) fn enqueue(&mut self, task: TaskId, end: QueueEnd) {
+        let counter = match end {
+            QueueEnd::Front => &mut self.next_front,
+            QueueEnd::Back => &mut self.next_back,
+        };
+        let position = QueuePosition(*counter);
+        *counter += 1;
+        let entry = self.tasks.get_mut(task);
+        let entry = entry.expect("only known tasks are queued");
+        entry.state = TaskState::Queued { position };
+        let shape = entry.shape;
+        let first_use = self.shapes.get(shape).queue.is_empty();
+        self.shapes.get_mut(shape).queue.insert(position, task);
+        match self.shapes.get(shape).state {
+            ShapeState::Idle if first_use => self.open_shape(shape),
+            ShapeState::Impossible => self.report_impossible(shape, task),
+            _ => self.refresh_head(shape),
+        }
+    }
+
+    /// Takes a task out of the queue of its shape.
+    pub(super) fn dequeue(&mut self, task: TaskId) {
+        let Some(entry) = self.tasks.get(task) else {
+            return;
+        };
+        let TaskState::Queued { position } = entry.state else {
+            return;
+        };
+        let shape = entry.shape;
+        self.shapes.get_mut(shape).queue.remove(&position);
+        self.refresh_head(shape);
+    }
+
+    pub(super) fn delay(&mut self, task: TaskId, until: BootTime) {
+        self.delayed.insert(DelayedTask { until, task });
+        if let Some(entry) = self.tasks.get_mut(task) {
+            entry.state = TaskState::Delayed { until };
+        }
+    }
+
+    /// Queues the tasks again whose backoff has ended.
+    pub(super) fn end_delays(&mut self, now: BootTime, limit: usize) {
+        for _ in 0..limit {
+            let Some(first) = self.delayed.first().copied() else {
+                return;
+            };
+            if first.until > now {
+                return;
+            }
+            self.delayed.remove(&first);
+            self.enqueue(first.task, QueueEnd::Back);
+        }
+    }
+
+    /// Tries shapes again whose delay has ended.
+    pub(super) fn end_blocks(&mut self, now: BootTime, limit: usize) {
+        for _ in 0..limit {
+            let Some(shape) = self.shapes.first_due(now) else {
+                return;
+            };
+            self.wake_shape(shape);
+        }
+    }
+
+    /// Lets a shape into the lane of its team, or names it as impossible.
+    fn open_shape(&mut self, shape: ShapeIndex) {
+        let lacks = self.lacks(&self.shapes.get(shape).key);
+        match lacks {
+            Some(lacks) => self.close_as_impossible(shape, lacks),
+            None => self.make_ready(shape),
+        }
+    }
+
+    fn make_ready(&mut self, shape: ShapeIndex) {
+        let entry = self.shapes.get_mut(shape);
+        let Some(head) = entry.queue.keys().next().copied() else {
+            entry.state = ShapeState::Idle;
+            return;
+        };
+        entry.state = ShapeState::Ready { head };
+        let key = entry.key;
+        let class = key.class;
+        let ready = ReadyShape { class, head, shape };
+        self.teams.insert(key.team, key.priority, ready);
+    }
+
+    /// Takes a shape out of whichever list its state names.
+    fn withdraw(&mut self, shape: ShapeIndex) {
+        let entry = self.shapes.get_mut(shape);
+        let key = entry.key;
+        let state = entry.state;
+        entry.state = ShapeState::Idle;
+        match state {
+            ShapeState::Ready { head } => {
+                let class = key.class;
+                let ready = ReadyShape { class, head, shape };
+                self.teams.remove(key.team, key.priority, ready);
+            }
+            ShapeState::Blocked { until } => self.shapes.unblock(shape, until),
+            ShapeState::Impossible => self.shapes.unmark_impossible(shape),
+            ShapeState::Idle => {}
+        }
+    }
+
+    /// Brings the lane up to date after the queue of a shape changed.
+    fn refresh_head(&mut self, shape: ShapeIndex) {
+        let entry = self.shapes.get(shape);
+        let first = entry.queue.keys().next().copied();
+        match (entry.state, first) {
+            (ShapeState::Ready { head }, Some(first)) if head == first => {}
+            (ShapeState::Ready { .. }, Some(_)) => {
+                self.withdraw(shape);
+                self.make_ready(shape);
+            }
+            (_, None) => self.withdraw(shape),
+            (_, Some(_)) => {}
+        }
+    }
+
+    /// Passes a shape over for a while, longer each time.
+    pub(super) fn block_shape(&mut self, now: BootTime, shape: ShapeIndex) {
+        self.withdraw(shape);
+        let longest_ms = match self.shapes.get(shape).key.priority {
+            TaskPriority::Urgent => self.settings.urgent_retry_delay_max_ms,
+            TaskPriority::Normal => self.settings.retry_delay_max_ms,
+        };
+        let entry = self.shapes.get_mut(shape);
+        let delay_ms = (entry.delay_ms * 2).max(self.settings.retry_delay_ms);
+        entry.delay_ms = delay_ms.min(longest_ms);
+        let until = now + Duration::from_millis(entry.delay_ms);
+        self.shapes.block(shape, until);
+    }
+
+    pub(super) fn wake_shape(&mut self, shape: ShapeIndex) {
+        self.withdraw(shape);
+        self.make_ready(shape);
+    }
+
+    pub(super) fn close_as_impossible(&mut self, shape: ShapeIndex, lacks: ResourceLack) {
+        self.withdraw(shape);
+        self.shapes.mark_impossible(shape);
+        let queue = &self.shapes.get(shape).queue;
+        let tasks: Vec<TaskId> = queue.values().copied().collect();
+        for task in tasks {
+            self.push_impossible(task, lacks);
+        }
+    }
+
+    fn report_impossible(&mut self, shape: ShapeIndex, task: TaskId) {
+        if let Some(lacks) = self.lacks(&self.shapes.get(shape).key) {
+            self.push_impossible(task, lacks);
+        }
+    }
+
+    fn push_impossible(&mut self, task: TaskId, lacks: ResourceLack) {
+        let Some(entry) = self.tasks.get(task) else {
+            return;
+        };
+        let job = entry.job;
+        let decision = ImpossibleDecision { task, job, lacks };
+        self.notices
+            .push_back(PlacementDecision::ReportImpossible(decision));
+    }
+
+    /// Opens shapes again that have become possible.
+    pub(super) fn retry_impossible(&mut self) {
+        for shape in self.shapes.impossible() {
+            if self.lacks(&self.shapes.get(shape).key).is_none() {
+                self.wake_shape(shape);
+            }
+        }
+    }
+
+    /// What a shape needs that no worker of its data centres has, or its team's cap forbids.
+    pub(super) fn lacks(&self, key: &ShapeKey) -> Option<ResourceLack> {
+        let needed = key.demand;
+        if let Some(cap) = self.teams.cap(key.team) {
+            if !needed.fits_within(&cap) {
+                return Some(ResourceLack::TeamCap { needed, cap });
+            }
+        }
+        let centres = key.centres.iter().map(|centre| self.centres.get(centre));
+        let mut largest = ResourceVector::ZERO;
+        let mut any = false;
+        for capacity in centres.flat_map(|centre| centre.capacities()) {
+            if needed.fits_within(capacity) {
+                return None;
+            }
+            any = true;
+            largest.cpu_millis = largest.cpu_millis.max(capacity.cpu_millis);
+            largest.memory_mib = largest.memory_mib.max(capacity.memory_mib);
+            largest.accelerators = largest.accelerators.max(capacity.accelerators);
+        }
+        Some(lack_of(any, needed, largest))
+    }
+}
+
+fn lack_of(any: bool, needed: ResourceVector, largest: ResourceVector) -> ResourceLack {
+    if !any {
+        return ResourceLack::Workers;
+    }
+    if needed.accelerators > largest.accelerators {
+        return ResourceLack::Accelerators {
+            needed: needed.accelerators,
+            largest: largest.accelerators,
+        };
+    }
+    if needed.memory_mib > largest.memory_mib {
+        return ResourceLack::Memory {
+            needed: needed.memory_mib,
+            largest: largest.memory_mib,
+        };
+    }
+    if needed.cpu_millis > largest.cpu_millis {
+        return ResourceLack::Processors {
+            needed: needed.cpu_millis,
+            largest: largest.cpu_millis,
+        };
+    }
+    ResourceLack::Combination { needed }
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/placement_core/score.rs
@@ -0,0 +1,128 @@
+//! Scores the workers that a task could go to.
+
+use super::PlacementCore;
+use super::SpreadKey;
+use super::SpreadPlace;
+use crate::decision::ScoreBreakdown;
+use crate::decision::ScoredWorker;
+use crate::index::ShapeIndex;
+use crate::index::WorkerIndex;
+use crate::record::TaskClass;
+use crate::shape::ShapeKey;
+use crate::worker_table::WorkerSlot;
+use guavavane_model::prelude::JobId;
+use guavavane_model::prelude::ResourceVector;
+
+/// Penalty for each replica of the same service on the worker.
+const SAME_WORKER_PENALTY: i64 = 1_000;
+
+/// Penalty if all replicas of the service are in the same rack.
+const SAME_RACK_PENALTY: i64 = 2_000;
+
+/// Penalty if all replicas of the service are in the same data centre.
+const SAME_CENTRE_PENALTY: i64 = 3_000;
+
+/// Penalty for each job that failed on the worker of late.
+const FAILED_JOB_PENALTY: i64 = 200;
+
+/// Penalty if the task's own job failed on the worker of late.
+const OWN_FAILURE_PENALTY: i64 = 2_000;
+
+/// Workers that were passed over and are named with a decision.
+const ALTERNATIVES_MAX: usize = 2;
+
+/// A worker with its score.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ScoredIndex {
+    pub(super) worker: WorkerIndex,
+    pub(super) score: ScoreBreakdown,
+}
+
+/// A task that workers are scored for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ScoreRequest {
+    pub(super) shape: ShapeIndex,
+    pub(super) key: ShapeKey,
+    pub(super) job: JobId,
+    pub(super) needed: ResourceVector,
+}
+
+fn permille(part: u64, whole: u64) -> i64 {
+    let permille = u128::from(part) * 1_000 / u128::from(whole.max(1));
+    i64::try_from(permille).unwrap_or(i64::MAX)
+}
+
+impl PlacementCore {
+    /// The workers with their scores, best first.
+    pub(super) fn score_workers(
+        &self,
+        request: &ScoreRequest,
+        workers: &[WorkerIndex],
+    ) -> Vec<ScoredIndex> {
+        let scored = workers.iter().map(|worker| ScoredIndex {
+            worker: *worker,
+            score: self.score(request, *worker),
+        });
+        let mut scored: Vec<ScoredIndex> = scored.collect();
+        scored.sort_by_key(|scored| -scored.score.total());
+        scored
+    }
+
+    fn score(&self, request: &ScoreRequest, worker: WorkerIndex) -> ScoreBreakdown {
+        let slot = self.workers.get(worker);
+        let fullness = fullness(slot, &request.needed);
+        let service = request.key.class == TaskClass::LatencyCritical;
+        ScoreBreakdown {
+            fit: if service { -fullness } else { fullness },
+            spread: if service {
+                self.spread_score(request, slot)
+            } else {
+                0
+            },
+            interference: 0,
+            failures: self.failure_score(request.job, worker),
+        }
+    }
+
+    fn spread_score(&self, request: &ScoreRequest, slot: &WorkerSlot) -> i64 {
+        let kind = request.key.kind;
+        let count = |place| {
+            let count = self.spread.get(&SpreadKey { kind, place });
+            count.map_or(0, |count| i64::from(*count))
+        };
+        let total = count(SpreadPlace::Cell).max(1);
+        let in_rack = count(SpreadPlace::Rack(slot.rack));
+        let in_centre = count(SpreadPlace::Centre(slot.centre));
+        let residents = slot.residents.iter();
+        let on_worker = residents.filter(|resident| resident.shape == request.shape);
+        let on_worker = on_worker.count() as i64;
+        -(on_worker * SAME_WORKER_PENALTY
+            + in_rack * SAME_RACK_PENALTY / total
+            + in_centre * SAME_CENTRE_PENALTY / total)
+    }
+
+    fn failure_score(&self, job: JobId, worker: WorkerIndex) -> i64 {
+        let own = i64::from(self.failures.has_failed(job, worker));
+        -(self.failures.failed_jobs(worker) * FAILED_JOB_PENALTY + own * OWN_FAILURE_PENALTY)
+    }
+
+    pub(super) fn name_alternatives(&self, scored: &[ScoredIndex]) -> Vec<ScoredWorker> {
+        let passed_over = scored.iter().skip(1).take(ALTERNATIVES_MAX);
+        passed_over
+            .map(|scored| ScoredWorker {
+                worker: self.workers.get(scored.worker).name.clone(),
+                total: scored.score.total(),
+            })
+            .collect()
+    }
+}
+
+/// Mean of the shares of processors and memory that are committed with the task, in thousandths.
+fn fullness(slot: &WorkerSlot, needed: &ResourceVector) -> i64 {
+    let committed = slot.committed();
+    let cpu = committed.cpu_millis.saturating_add(needed.cpu_millis);
+    let memory = committed.memory_mib.saturating_add(needed.memory_mib);
+    let cpu = permille(cpu, slot.capacity.cpu_millis);
+    let memory = permille(memory, slot.capacity.memory_mib);
+    (cpu + memory) / 2
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/placement_core/task_event.rs
@@ -0,0 +1,407 @@
+//! Events about tasks.
+//!
+//! Late and doubled events name an attempt that is no longer current and change nothing. What
+//! the replicated state has committed is taken over even if the policy had decided otherwise.
+
+use super::ledger::Reservation;
+use super::queue::QueueEnd;
+use super::IgnoredReason;
+use super::KindKey;
+use super::PlacementCore;
+use super::ReplacementEntry;
+use super::StepOutcome;
+use super::UnconfirmedPlace;
+use crate::decision::DecisionNumber;
+use crate::decision::EvictionCause;
+use crate::event::ReleaseCause;
+use crate::event::TaskPlacement;
+use crate::event::TaskRelease;
+use crate::event::TaskRestore;
+use crate::index::DataCentreSet;
+use crate::index::WorkerIndex;
+use crate::record::TaskAttempt;
+use crate::record::TaskRecord;
+use crate::shape::ShapeKey;
+use crate::task_table::TaskEntry;
+use crate::task_table::TaskState;
+use crate::worker_table::Resident;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::TaskId;
+
+impl PlacementCore {
+    pub(super) fn task_submitted(&mut self, record: TaskRecord) -> StepOutcome {
+        if self.tasks.has_ended(record.id) {
+            return StepOutcome::Ignored(IgnoredReason::Ended);
+        }
+        if let Some(entry) = self.tasks.get_mut(record.id) {
+            return resubmit(entry, &record);
+        }
+        let key = self.shape_of(&record);
+        let shape = self.shapes.acquire(key);
+        let entry = TaskEntry {
+            job: record.job,
+            shape,
+            attempt: record.attempt,
+            last_attempt: record.attempt,
+            state: TaskState::Awaiting,
+            expected_run_ms: u32::try_from(record.expected_run_ms).unwrap_or(u32::MAX),
+            failures: 0,
+            cancelled: false,
+        };
+        self.tasks.insert(record.id, entry);
+        self.enqueue(record.id, QueueEnd::Back);
+        StepOutcome::Applied
+    }
+
+    /// Takes a task over with every attempt that the replicated state has committed.
+    pub(super) fn task_restored(&mut self, now: BootTime, restore: TaskRestore) -> StepOutcome {
+        let task = restore.record.id;
+        let outcome = self.task_submitted(restore.record);
+        if outcome != StepOutcome::Applied {
+            return outcome;
+        }
+        let mut placements = restore.placements;
+        placements.sort_by_key(|placement| placement.attempt);
+        // The attempt that stays is taken over last and becomes the current one.
+        placements.sort_by_key(|placement| !placement.evicting);
+        for placement in &placements {
+            self.adopt(now, placement);
+        }
+        placements.pop();
+        for placement in placements {
+            let attempt = placement.attempt;
+            if let Some(worker) = self.workers.find(&placement.worker) {
+                let attempt = TaskAttempt { task, attempt };
+                self.push_eviction(worker, attempt, EvictionCause::DataCentreOut);
+            }
+        }
+        StepOutcome::Applied
+    }
+
+    fn shape_of(&mut self, record: &TaskRecord) -> ShapeKey {
+        let mut centres = DataCentreSet::default();
+        for name in record.data_centres.iter() {
+            if let Some(centre) = self.centres.intern(name) {
+                centres.insert(centre);
+            }
+        }
+        let kind = KindKey {
+            kind: record.kind.clone(),
+            class: record.class,
+        };
+        ShapeKey {
+            team: self.teams.intern(&record.team),
+            kind: self.kinds.intern(&kind),
+            class: record.class,
+            priority: record.priority,
+            exclusive: record.exclusive,
+            demand: record.demand,
+            centres,
+        }
+    }
+
+    pub(super) fn task_cancelled(&mut self, task: TaskId) -> StepOutcome {
+        if self.tasks.has_ended(task) {
+            return StepOutcome::Ignored(IgnoredReason::Duplicate);
+        }
+        let Some(entry) = self.tasks.get_mut(task) else {
+            self.tasks.remember_ended(task);
+            return StepOutcome::Applied;
+        };
+        if entry.cancelled {
+            return StepOutcome::Ignored(IgnoredReason::Duplicate);
+        }
+        entry.cancelled = true;
+        let state = entry.state;
+        self.drop_hold(task);
+        if !matches!(state, TaskState::Placed { .. }) {
+            self.end_task(task);
+        }
+        StepOutcome::Applied
+    }
+
+    /// Forgets a task; attempts that are still committed stay in the ledger.
+    pub(super) fn end_task(&mut self, task: TaskId) {
+        self.unqueue(task);
+        self.replacements.swap_remove(&task);
+        self.tasks.remember_ended(task);
+        if let Some(entry) = self.tasks.remove(task) {
+            self.shapes.release(entry.shape);
+        }
+    }
+
+    /// Takes a task out of whatever it waits in.
+    fn unqueue(&mut self, task: TaskId) {
+        self.drop_hold(task);
+        self.dequeue(task);
+        let state = self.tasks.get(task).map(|entry| entry.state);
+        if let Some(TaskState::Delayed { until }) = state {
+            self.delayed.remove(&super::DelayedTask { until, task });
+        }
+    }
+
+    pub(super) fn task_running(&mut self, now: BootTime, placement: &TaskPlacement) -> StepOutcome {
+        let attempt = TaskAttempt {
+            task: placement.task,
+            attempt: placement.attempt,
+        };
+        if let Some(worker) = self.workers.find(&placement.worker) {
+            if let Some(resident) = self.workers.get(worker).resident(attempt) {
+                let number = resident.unconfirmed;
+                return self.confirm(worker, attempt, number);
+            }
+        }
+        let Some(entry) = self.tasks.get(placement.task) else {
+            return StepOutcome::Ignored(match self.tasks.has_ended(placement.task) {
+                true => IgnoredReason::Ended,
+                false => IgnoredReason::UnknownTask,
+            });
+        };
+        if placement.attempt < entry.last_attempt {
+            return StepOutcome::Ignored(IgnoredReason::Stale);
+        }
+        if let TaskState::Placed { worker } = entry.state {
+            return self.adopt_over(now, worker, placement, attempt);
+        }
+        self.adopt(now, placement)
+    }
+
+    /// Confirms an attempt that is in the ledger.
+    fn confirm(
+        &mut self,
+        worker: WorkerIndex,
+        attempt: TaskAttempt,
+        number: Option<DecisionNumber>,
+    ) -> StepOutcome {
+        let Some(number) = number else {
+            return StepOutcome::Ignored(IgnoredReason::Duplicate);
+        };
+        self.unconfirmed.swap_remove(&number);
+        self.workers
+            .update_resident(worker, attempt, |resident| resident.unconfirmed = None);
+        self.finish_replacement(worker, attempt);
+        let current = self.tasks.get(attempt.task);
+        let is_current = current.is_some_and(|entry| entry.attempt == attempt.attempt);
+        if !is_current {
+            self.push_eviction(worker, attempt, EvictionCause::DataCentreOut);
+        }
+        StepOutcome::Applied
+    }
+
+    /// Makes a replacement that runs the current attempt, and evicts the one it replaces.
+    fn finish_replacement(&mut self, worker: WorkerIndex, attempt: TaskAttempt) {
+        let Some(replacement) = self.replacements.get(&attempt.task) else {
+            return;
+        };
+        if replacement.attempt != attempt.attempt {
+            return;
+        }
+        self.replacements.swap_remove(&attempt.task);
+        let Some(entry) = self.tasks.get_mut(attempt.task) else {
+            return;
+        };
+        let old = entry.attempt_of(attempt.task);
+        let state = entry.state;
+        entry.attempt = attempt.attempt;
+        entry.state = TaskState::Placed { worker };
+        if let TaskState::Placed { worker } = state {
+            self.push_eviction(worker, old, EvictionCause::DataCentreOut);
+        }
+    }
+
+    /// Takes over a placement of a task that the policy has on a worker already.
+    fn adopt_over(
+        &mut self,
+        now: BootTime,
+        worker: WorkerIndex,
+        placement: &TaskPlacement,
+        attempt: TaskAttempt,
+    ) -> StepOutcome {
+        let entry = self.tasks.get(attempt.task);
+        let entry = entry.expect("the caller found the task");
+        let old = entry.attempt_of(attempt.task);
+        let last_attempt = entry.last_attempt;
+        let resident = self.workers.get(worker).resident(old);
+        let confirmed = resident.is_some_and(|resident| resident.unconfirmed.is_none());
+        if !confirmed {
+            self.free(worker, old);
+            return self.adopt(now, placement);
+        }
+        if attempt.attempt <= last_attempt {
+            return StepOutcome::Ignored(IgnoredReason::Conflict);
+        }
+        // Two attempts are committed: the older one was being replaced.
+        let outcome = self.adopt(now, placement);
+        self.push_eviction(worker, old, EvictionCause::DataCentreOut);
+        outcome
+    }
+
+    /// Commits a worker to an attempt because the replicated state has.
+    fn adopt(&mut self, now: BootTime, placement: &TaskPlacement) -> StepOutcome {
+        let attempt = TaskAttempt {
+            task: placement.task,
+            attempt: placement.attempt,
+        };
+        let name = &placement.worker;
+        self.unqueue(attempt.task);
+        self.discard_replacement(attempt.task);
+        let entry = self.tasks.get(attempt.task);
+        let shape = entry.expect("the caller found the task").shape;
+        let key = self.shapes.get(shape).key;
+        let known = self.workers.find(name);
+        let worker = known.or_else(|| {
+            let centre = key.centres.iter().next()?;
+            self.add_unknown_worker(name, centre)
+        });
+        let Some(worker) = worker else {
+            self.enqueue(attempt.task, QueueEnd::Front);
+            return StepOutcome::Ignored(IgnoredReason::UnknownWorker);
+        };
+        let reservation = Reservation {
+            task: attempt.task,
+            attempt: attempt.attempt,
+            shape,
+            worker,
+            reserved: placement.reserved,
+            unconfirmed: None,
+            evicting: placement.evicting,
+            since: BootTime::from_millis(now.as_millis().saturating_sub(placement.ran_ms)),
+        };
+        self.reserve(reservation);
+        if let Some(entry) = self.tasks.get_mut(attempt.task) {
+            entry.attempt = attempt.attempt;
+            entry.note_attempt(attempt.attempt);
+            entry.state = TaskState::Placed { worker };
+        }
+        self.check_excess(worker);
+        self.holds_changed = true;
+        StepOutcome::Applied
+    }
+
+    pub(super) fn task_released(&mut self, now: BootTime, release: &TaskRelease) -> StepOutcome {
+        let attempt = TaskAttempt {
+            task: release.task,
+            attempt: release.attempt,
+        };
+        let Some(worker) = self.workers.find(&release.worker) else {
+            return StepOutcome::Ignored(IgnoredReason::UnknownWorker);
+        };
+        let Some(resident) = self.free(worker, attempt) else {
+            return StepOutcome::Ignored(IgnoredReason::Duplicate);
+        };
+        let Some(entry) = self.tasks.get(release.task) else {
+            return StepOutcome::Applied;
+        };
+        let is_current = entry.attempt == release.attempt;
+        let is_over = entry.cancelled
+            || matches!(
+                release.cause,
+                ReleaseCause::Finished | ReleaseCause::Stopped
+            );
+        let is_replaced = release.attempt < entry.attempt;
+        match is_current {
+            _ if is_over && !is_replaced => self.finish(worker, &resident, release.cause),
+            true => self.requeue(now, worker, &resident, release.cause),
+            false => self.drop_replacement(attempt),
+        }
+        StepOutcome::Applied
+    }
+
+    fn finish(&mut self, worker: WorkerIndex, resident: &Resident, cause: ReleaseCause) {
+        if cause == ReleaseCause::Finished {
+            self.record_success(worker, resident);
+        }
+        let entry = self.tasks.get(resident.task);
+        let left = entry.map(|entry| (entry.state, entry.attempt_of(resident.task)));
+        self.end_task(resident.task);
+        // The attempt that was to be replaced still runs if the replacement ended first.
+        if let Some((TaskState::Placed { worker }, attempt)) = left {
+            self.push_eviction(worker, attempt, EvictionCause::DataCentreOut);
+        }
+    }
+
+    fn drop_replacement(&mut self, attempt: TaskAttempt) {
+        let replacement = self.replacements.get(&attempt.task);
+        if replacement.is_some_and(|replacement| replacement.attempt == attempt.attempt) {
+            self.replacements.swap_remove(&attempt.task);
+        }
+    }
+
+    /// Frees a replacement that the replicated state has decided otherwise about.
+    fn discard_replacement(&mut self, task: TaskId) {
+        let Some(replacement) = self.replacements.swap_remove(&task) else {
+            return;
+        };
+        let attempt = TaskAttempt {
+            task,
+            attempt: replacement.attempt,
+        };
+        self.free(replacement.worker, attempt);
+    }
+
+    /// Queues a task again whose current attempt ended, or lets its replacement take over.
+    fn requeue(
+        &mut self,
+        now: BootTime,
+        worker: WorkerIndex,
+        resident: &Resident,
+        cause: ReleaseCause,
+    ) {
+        let task = resident.task;
+        if let Some(replacement) = self.replacements.swap_remove(&task) {
+            self.promote(task, replacement);
+            return;
+        }
+        self.drop_hold(task);
+        if let Some(entry) = self.tasks.get_mut(task) {
+            entry.attempt = entry.raise_attempt();
+        }
+        if cause == ReleaseCause::FailedOnWorker {
+            self.handle_failure(now, worker, task);
+            return;
+        }
+        self.enqueue(task, QueueEnd::Front);
+    }
+
+    fn promote(&mut self, task: TaskId, replacement: ReplacementEntry) {
+        if let Some(entry) = self.tasks.get_mut(task) {
+            entry.attempt = replacement.attempt;
+            entry.state = TaskState::Placed {
+                worker: replacement.worker,
+            };
+        }
+    }
+
+    pub(super) fn decision_rejected(&mut self, number: DecisionNumber) -> StepOutcome {
+        let Some(place) = self.unconfirmed.get(&number).copied() else {
+            return StepOutcome::Ignored(IgnoredReason::Stale);
+        };
+        let UnconfirmedPlace { worker, attempt } = place;
+        self.free(worker, attempt);
+        self.drop_replacement(attempt);
+        let Some(entry) = self.tasks.get(attempt.task) else {
+            return StepOutcome::Applied;
+        };
+        let was_current = entry.state == TaskState::Placed { worker };
+        if was_current && entry.attempt == attempt.attempt {
+            match entry.cancelled {
+                true => self.end_task(attempt.task),
+                false => self.enqueue(attempt.task, QueueEnd::Front),
+            }
+        }
+        StepOutcome::Applied
+    }
+}
+
+/// Takes over the attempt of a task that was submitted again.
+fn resubmit(entry: &mut TaskEntry, record: &TaskRecord) -> StepOutcome {
+    if record.attempt <= entry.last_attempt {
+        return StepOutcome::Ignored(IgnoredReason::Duplicate);
+    }
+    if let TaskState::Placed { .. } = entry.state {
+        return StepOutcome::Ignored(IgnoredReason::Conflict);
+    }
+    entry.attempt = record.attempt;
+    entry.last_attempt = record.attempt;
+    StepOutcome::Applied
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/placement_core/worker_event.rs
@@ -0,0 +1,184 @@
+//! Events about workers, data centres and quotas.
+
+use super::IgnoredReason;
+use super::PlacementCore;
+use super::RackKey;
+use super::StepOutcome;
+use crate::data_centre::CentreStatus;
+use crate::event::TeamQuota;
+use crate::index::DataCentreIndex;
+use crate::index::RackIndex;
+use crate::index::WorkerIndex;
+use crate::record::WorkerRecord;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::DataCentreName;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::WorkerName;
+
+impl PlacementCore {
+    pub(super) fn worker_up(&mut self, record: WorkerRecord) -> StepOutcome {
+        let Some(centre) = self.centres.intern(&record.data_centre) else {
+            return StepOutcome::Ignored(IgnoredReason::TooManyDataCentres);
+        };
+        let rack = self.racks.intern(&RackKey {
+            centre,
+            name: record.rack,
+        });
+        let worker = match self.workers.find(&record.name) {
+            Some(worker) => worker,
+            None => self.add_worker(record.name, centre, rack),
+        };
+        let slot = self.workers.get(worker);
+        let same_place = slot.centre == centre && slot.rack == rack;
+        if slot.present && same_place && slot.capacity == record.capacity {
+            return StepOutcome::Ignored(IgnoredReason::Duplicate);
+        }
+        if !same_place {
+            self.move_worker(worker, centre, rack);
+        }
+        self.set_capacity(worker, true, record.capacity);
+        self.check_excess(worker);
+        self.holds_changed = true;
+        self.retry_impossible();
+        StepOutcome::Applied
+    }
+
+    fn add_worker(
+        &mut self,
+        name: WorkerName,
+        centre: DataCentreIndex,
+        rack: RackIndex,
+    ) -> WorkerIndex {
+        let worker = self.workers.add(name, centre, rack);
+        self.centres.get_mut(centre).workers.insert(worker);
+        worker
+    }
+
+    /// A worker that the replicated state committed a task to before it was reported.
+    pub(super) fn add_unknown_worker(
+        &mut self,
+        name: &WorkerName,
+        centre: DataCentreIndex,
+    ) -> Option<WorkerIndex> {
+        let unknown = "unknown".try_into();
+        let rack = self.racks.intern(&RackKey {
+            centre,
+            name: unknown.ok()?,
+        });
+        Some(self.add_worker(name.clone(), centre, rack))
+    }
+
+    /// Counts a worker's tasks in another rack or data centre.
+    fn move_worker(&mut self, worker: WorkerIndex, centre: DataCentreIndex, rack: RackIndex) {
+        let slot = self.workers.get(worker);
+        let old = slot.centre;
+        let present = slot.present;
+        let quarantined = u64::from(slot.quarantined);
+        let capacity = slot.capacity;
+        self.count_spread_of(worker, false);
+        if present {
+            self.set_capacity(worker, false, capacity);
+        }
+        self.centres.get_mut(old).workers.swap_remove(&worker);
+        self.centres.get_mut(old).quarantined -= quarantined;
+        self.workers.update(worker, |slot| {
+            slot.centre = centre;
+            slot.rack = rack;
+        });
+        self.centres.get_mut(centre).workers.insert(worker);
+        self.centres.get_mut(centre).quarantined += quarantined;
+        self.count_spread_of(worker, true);
+    }
+
+    fn set_capacity(&mut self, worker: WorkerIndex, present: bool, capacity: ResourceVector) {
+        let slot = self.workers.get(worker);
+        let centre = slot.centre;
+        let removed = match slot.present {
+            true => slot.capacity,
+            false => ResourceVector::ZERO,
+        };
+        if slot.present {
+            self.centres.get_mut(centre).remove_capacity(removed);
+        }
+        let added = match present {
+            true => capacity,
+            false => ResourceVector::ZERO,
+        };
+        if present {
+            self.centres.get_mut(centre).add_capacity(added);
+        }
+        self.teams.change_totals(&removed, &added);
+        self.workers.update(worker, |slot| {
+            slot.present = present;
+            slot.capacity = capacity;
+        });
+    }
+
+    pub(super) fn check_excess(&mut self, worker: WorkerIndex) {
+        let slot = self.workers.get(worker);
+        if slot.present && slot.has_excess() {
+            self.shrunk.insert(worker);
+        }
+    }
+
+    pub(super) fn worker_gone(&mut self, name: &WorkerName) -> StepOutcome {
+        let Some(worker) = self.workers.find(name) else {
+            return StepOutcome::Ignored(IgnoredReason::UnknownWorker);
+        };
+        let slot = self.workers.get(worker);
+        if !slot.present {
+            return StepOutcome::Ignored(IgnoredReason::Duplicate);
+        }
+        let capacity = slot.capacity;
+        self.set_capacity(worker, false, capacity);
+        self.holds_changed = true;
+        self.forget_worker_if_empty(worker);
+        StepOutcome::Applied
+    }
+
+    pub(super) fn forget_worker_if_empty(&mut self, worker: WorkerIndex) {
+        let slot = self.workers.get(worker);
+        let centre = slot.centre;
+        let quarantined = u64::from(slot.quarantined);
+        if !self.workers.forget_if_empty(worker) {
+            return;
+        }
+        let entry = self.centres.get_mut(centre);
+        entry.workers.swap_remove(&worker);
+        entry.quarantined -= quarantined;
+        self.shrunk.swap_remove(&worker);
+        self.failures.forget_worker(worker);
+    }
+
+    pub(super) fn data_centre_out(&mut self, name: &DataCentreName) -> StepOutcome {
+        let Some(centre) = self.centres.intern(name) else {
+            return StepOutcome::Ignored(IgnoredReason::TooManyDataCentres);
+        };
+        let entry = self.centres.get_mut(centre);
+        if entry.status == CentreStatus::Out {
+            return StepOutcome::Ignored(IgnoredReason::Duplicate);
+        }
+        entry.status = CentreStatus::Out;
+        self.holds_changed = true;
+        StepOutcome::Applied
+    }
+
+    pub(super) fn data_centre_in(&mut self, now: BootTime, name: &DataCentreName) -> StepOutcome {
+        let Some(centre) = self.centres.intern(name) else {
+            return StepOutcome::Ignored(IgnoredReason::TooManyDataCentres);
+        };
+        let entry = self.centres.get_mut(centre);
+        if entry.status != CentreStatus::Out {
+            return StepOutcome::Ignored(IgnoredReason::Duplicate);
+        }
+        entry.status = CentreStatus::Ramping { since: now };
+        StepOutcome::Applied
+    }
+
+    pub(super) fn quota_set(&mut self, quota: &TeamQuota) -> StepOutcome {
+        self.teams.set_quota(quota);
+        self.holds_changed = true;
+        self.retry_impossible();
+        StepOutcome::Applied
+    }
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/team.rs
@@ -0,0 +1,201 @@
+//! Teams: quotas, and the order of fair shares by dominant resource.
+//!
+//! The next placement goes to the team whose dominant share, divided by its weight, is least
+//! among those that have a shape to place: progressive filling as in dominant resource
+//! fairness (Ghodsi et al., NSDI 2011).
+
+use std::collections::BTreeSet;
+
+use crate::event::TeamQuota;
+use crate::index::DenseIndex;
+use crate::index::NameTable;
+use crate::index::ShapeIndex;
+use crate::index::TeamIndex;
+use crate::record::TaskClass;
+use crate::record::TaskPriority;
+use crate::shape::QueuePosition;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::TeamName;
+
+/// One whole share, as a fixed-point number.
+const SHARE_ONE: u128 = 1 << 32;
+
+/// A shape in the lane of its team; services go before batch, then the oldest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ReadyShape {
+    pub(crate) class: TaskClass,
+    pub(crate) head: QueuePosition,
+    pub(crate) shape: ShapeIndex,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TeamRank {
+    share: u64,
+    team: TeamIndex,
+}
+
+#[derive(Debug, Default)]
+struct TeamLane {
+    shapes: BTreeSet<ReadyShape>,
+    ranked: Option<TeamRank>,
+}
+
+#[derive(Debug)]
+struct TeamEntry {
+    weight: u32,
+    cap: Option<ResourceVector>,
+    usage: ResourceVector,
+    lanes: [TeamLane; 2],
+}
+
+/// All teams.
+#[derive(Debug)]
+pub(crate) struct TeamTable {
+    names: NameTable<TeamName, TeamIndex>,
+    entries: Vec<TeamEntry>,
+    ranks: [BTreeSet<TeamRank>; 2],
+    totals: ResourceVector,
+    totals_changed: bool,
+}
+
+fn lane_of(priority: TaskPriority) -> usize {
+    match priority {
+        TaskPriority::Urgent => 0,
+        TaskPriority::Normal => 1,
+    }
+}
+
+fn share_of(used: u64, total: u64) -> u128 {
+    u128::from(used) * SHARE_ONE / u128::from(total.max(1))
+}
+
+impl TeamTable {
+    pub(crate) fn new() -> Self {
+        Self {
+            names: NameTable::new(),
+            entries: Vec::new(),
+            ranks: [BTreeSet::new(), BTreeSet::new()],
+            totals: ResourceVector::ZERO,
+            totals_changed: false,
+        }
+    }
+
+    pub(crate) fn intern(&mut self, name: &TeamName) -> TeamIndex {
+        let team: TeamIndex = self.names.intern(name);
+        if team.position() == self.entries.len() {
+            self.entries.push(TeamEntry {
+                weight: 1,
+                cap: None,
+                usage: ResourceVector::ZERO,
+                lanes: [TeamLane::default(), TeamLane::default()],
+            });
+        }
+        team
+    }
+
+    pub(crate) fn set_quota(&mut self, quota: &TeamQuota) -> TeamIndex {
+        let team = self.intern(&quota.team);
+        let entry = &mut self.entries[team.position()];
+        entry.weight = quota.weight.max(1);
+        entry.cap = quota.cap;
+        self.rank(team);
+        team
+    }
+
+    pub(crate) fn cap(&self, team: TeamIndex) -> Option<ResourceVector> {
+        self.entries[team.position()].cap
+    }
+
+    /// Whether the team may hold this much more.
+    pub(crate) fn admits(&self, team: TeamIndex, amount: &ResourceVector) -> bool {
+        let entry = &self.entries[team.position()];
+        let Some(cap) = entry.cap else {
+            return true;
+        };
+        let usage = entry.usage.checked_add(amount);
+        usage.is_some_and(|usage| usage.fits_within(&cap))
+    }
+
+    /// Whether the team holds no more than its cap.
+    pub(crate) fn is_within_cap(&self, team: TeamIndex) -> bool {
+        self.admits(team, &ResourceVector::ZERO)
+    }
+
+    pub(crate) fn charge(&mut self, team: TeamIndex, amount: &ResourceVector) {
+        let entry = &mut self.entries[team.position()];
+        let usage = entry.usage.checked_add(amount);
+        entry.usage = usage.expect("reservations of one team overflow 64 bits");
+        self.rank(team);
+    }
+
+    pub(crate) fn refund(&mut self, team: TeamIndex, amount: &ResourceVector) {
+        let entry = &mut self.entries[team.position()];
+        let usage = entry.usage.checked_sub(amount);
+        entry.usage = usage.expect("a team was refunded more than it was charged");
+        self.rank(team);
+    }
+
+    /// Adds to or takes from what all workers have together.
+    pub(crate) fn change_totals(&mut self, removed: &ResourceVector, added: &ResourceVector) {
+        let totals = self.totals.saturating_sub(removed);
+        let totals = totals.checked_add(added);
+        self.totals = totals.expect("capacity of one cell overflows 64 bits");
+        self.totals_changed = true;
+    }
+
+    /// Ranks all teams again if what all workers have together changed.
+    pub(crate) fn refresh(&mut self) {
+        if !self.totals_changed {
+            return;
+        }
+        self.totals_changed = false;
+        for position in 0..self.entries.len() {
+            self.rank(TeamIndex::from_position(position));
+        }
+    }
+
+    pub(crate) fn insert(&mut self, team: TeamIndex, priority: TaskPriority, shape: ReadyShape) {
+        let lane = &mut self.entries[team.position()].lanes[lane_of(priority)];
+        lane.shapes.insert(shape);
+        self.rank(team);
+    }
+
+    pub(crate) fn remove(&mut self, team: TeamIndex, priority: TaskPriority, shape: ReadyShape) {
+        let lane = &mut self.entries[team.position()].lanes[lane_of(priority)];
+        lane.shapes.remove(&shape);
+        self.rank(team);
+    }
+
+    /// The shape to place next.
+    pub(crate) fn next_shape(&self, priority: TaskPriority) -> Option<ShapeIndex> {
+        let rank = self.ranks[lane_of(priority)].first()?;
+        let lane = &self.entries[rank.team.position()].lanes[lane_of(priority)];
+        let first = lane.shapes.first();
+        Some(first.expect("a ranked team has a ready shape").shape)
+    }
+
+    fn rank(&mut self, team: TeamIndex) {
+        let share = self.weighted_share(team);
+        let entry = &mut self.entries[team.position()];
+        for (lane, ranks) in entry.lanes.iter_mut().zip(&mut self.ranks) {
+            let wanted = (!lane.shapes.is_empty()).then_some(TeamRank { share, team });
+            if wanted == lane.ranked {
+                continue;
+            }
+            if let Some(rank) = lane.ranked {
+                ranks.remove(&rank);
+            }
+            ranks.extend(wanted);
+            lane.ranked = wanted;
+        }
+    }
+
+    fn weighted_share(&self, team: TeamIndex) -> u64 {
+        let entry = &self.entries[team.position()];
+        let cpu = share_of(entry.usage.cpu_millis, self.totals.cpu_millis);
+        let memory = share_of(entry.usage.memory_mib, self.totals.memory_mib);
+        let accelerators = share_of(entry.usage.accelerators, self.totals.accelerators);
+        let dominant = cpu.max(memory).max(accelerators);
+        u64::try_from(dominant / u128::from(entry.weight)).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/token_bucket.rs
@@ -0,0 +1,49 @@
+//! Rate limit with a bounded burst, in integers.
+
+use guavavane_model::prelude::BootTime;
+
+/// Thousandths of a token, so that slow rates lose nothing to rounding.
+const MILLI_TOKENS: u64 = 1_000;
+
+/// A token bucket whose rate is passed in with each use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TokenBucket {
+    milli_tokens: u64,
+    filled_at: BootTime,
+}
+
+impl TokenBucket {
+    /// A bucket that holds one token.
+    pub(crate) fn new(now: BootTime) -> Self {
+        Self {
+            milli_tokens: MILLI_TOKENS,
+            filled_at: now,
+        }
+    }
+
+    /// Adds what has accrued at `rate_milli` thousandths of a token a second, up to `burst`.
+    pub(crate) fn refill(&mut self, now: BootTime, rate_milli: u64, burst: u64) {
+        let elapsed_ms = now.as_millis().saturating_sub(self.filled_at.as_millis());
+        let accrued = elapsed_ms.saturating_mul(rate_milli) / 1_000;
+        if accrued == 0 {
+            return;
+        }
+        let limit = burst.saturating_mul(MILLI_TOKENS);
+        self.milli_tokens = self.milli_tokens.saturating_add(accrued).min(limit);
+        self.filled_at = now;
+    }
+
+    /// Whether a token is there.
+    pub(crate) fn has_token(&self) -> bool {
+        self.milli_tokens >= MILLI_TOKENS
+    }
+
+    /// Takes a token if one is there.
+    pub(crate) fn take(&mut self) -> bool {
+        let taken = self.has_token();
+        if taken {
+            self.milli_tokens -= MILLI_TOKENS;
+        }
+        taken
+    }
+}
--- /dev/null
+++ b/crates/guavavane_placement/src/worker_table.rs
@@ -0,0 +1,302 @@
+//! Ledger of what each worker is committed to, and the indexes by free capacity.
+//!
+//! The residents of a worker are its ledger: whatever is committed is the sum of their
+//! reservations. A worker that is absent, quarantined or committed beyond its capacity (after
+//! it shrank) is in no index, so that no search finds it.
+
+use indexmap::IndexMap;
+
+use crate::capacity_grid::CapacityGrid;
+use crate::decision::DecisionNumber;
+use crate::decision::ThrottleLevel;
+use crate::index::DataCentreIndex;
+use crate::index::DenseIndex;
+use crate::index::RackIndex;
+use crate::index::ShapeIndex;
+use crate::index::WorkerIndex;
+use crate::record::TaskAttempt;
+use guavavane_model::prelude::AttemptNumber;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::TaskId;
+use guavavane_model::prelude::WorkerName;
+
+/// An attempt that a worker is committed to.
+#[derive(Clone, Debug)]
+pub(crate) struct Resident {
+    pub(crate) task: TaskId,
+    pub(crate) attempt: AttemptNumber,
+    pub(crate) shape: ShapeIndex,
+    pub(crate) reserved: ResourceVector,
+    pub(crate) since: BootTime,
+    /// Decision that the replicated state has not committed yet.
+    pub(crate) unconfirmed: Option<DecisionNumber>,
+    /// Whether its eviction was ordered.
+    pub(crate) evicting: bool,
+    /// Whether other tasks may take its place.
+    pub(crate) preemptable: bool,
+    #[expect(dead_code, reason = "the estimates that read it are not built yet")]
+    pub(crate) throttle: ThrottleLevel,
+}
+
+impl Resident {
+    pub(crate) fn is(&self, attempt: TaskAttempt) -> bool {
+        self.task == attempt.task && self.attempt == attempt.attempt
+    }
+
+    /// Whether an eviction may be ordered now.
+    pub(crate) fn can_evict(&self) -> bool {
+        self.unconfirmed.is_none() && !self.evicting
+    }
+
+    /// Work since the start, in core-milliseconds times a thousand.
+    pub(crate) fn work_lost(&self, now: BootTime) -> u64 {
+        let elapsed_ms = now.as_millis().saturating_sub(self.since.as_millis());
+        elapsed_ms.saturating_mul(self.reserved.cpu_millis.max(1))
+    }
+}
+
+/// A worker and its ledger.
+#[derive(Debug)]
+pub(crate) struct WorkerSlot {
+    pub(crate) name: WorkerName,
+    pub(crate) centre: DataCentreIndex,
+    pub(crate) rack: RackIndex,
+    pub(crate) capacity: ResourceVector,
+    pub(crate) present: bool,
+    pub(crate) quarantined: bool,
+    pub(crate) residents: Vec<Resident>,
+    committed: ResourceVector,
+    /// Promised to tasks that wait for evicted ones to leave.
+    held: ResourceVector,
+    /// Part of what is committed that more important tasks may take.
+    preemptable: ResourceVector,
+    /// Part of what is committed that is about to leave.
+    leaving: ResourceVector,
+}
+
+impl WorkerSlot {
+    pub(crate) fn committed(&self) -> &ResourceVector {
+        &self.committed
+    }
+
+    /// What a new task may take.
+    pub(crate) fn free(&self) -> ResourceVector {
+        self.capacity
+            .saturating_sub(&self.committed)
+            .saturating_sub(&self.held)
+    }
+
+    /// What a task that room is held for may take.
+    pub(crate) fn uncommitted(&self) -> ResourceVector {
+        self.capacity.saturating_sub(&self.committed)
+    }
+
+    /// What will be free once the tasks that are about to leave have left.
+    pub(crate) fn free_soon(&self) -> ResourceVector {
+        let staying = self.committed.saturating_sub(&self.leaving);
+        self.capacity
+            .saturating_sub(&staying)
+            .saturating_sub(&self.held)
+    }
+
+    /// What an important task could take if every preemptable task left.
+    pub(crate) fn room(&self) -> ResourceVector {
+        let staying = self.committed.saturating_sub(&self.leaving);
+        let staying = staying.saturating_sub(&self.preemptable);
+        self.capacity
+            .saturating_sub(&staying)
+            .saturating_sub(&self.held)
+    }
+
+    /// Whether what stays and what is held fits the capacity.
+    pub(crate) fn holds_fit(&self) -> bool {
+        let staying = self.committed.saturating_sub(&self.leaving);
+        let needed = staying.checked_add(&self.held);
+        needed.is_some_and(|needed| needed.fits_within(&self.capacity))
+    }
+
+    /// Whether what stays exceeds the capacity.
+    pub(crate) fn has_excess(&self) -> bool {
+        let staying = self.committed.saturating_sub(&self.leaving);
+        !staying.fits_within(&self.capacity)
+    }
+
+    pub(crate) fn has_holds(&self) -> bool {
+        self.held != ResourceVector::ZERO
+    }
+
+    pub(crate) fn resident(&self, attempt: TaskAttempt) -> Option<&Resident> {
+        self.residents.iter().find(|resident| resident.is(attempt))
+    }
+
+    fn accepts(&self) -> bool {
+        self.present && !self.quarantined && self.committed.fits_within(&self.capacity)
+    }
+
+    fn sum(&mut self) {
+        let zero = ResourceVector::ZERO;
+        let add = |total: ResourceVector, resident: &Resident| {
+            let sum = total.checked_add(&resident.reserved);
+            sum.expect("reservations of one worker overflow 64 bits")
+        };
+        let residents = &self.residents;
+        self.committed = residents.iter().fold(zero, add);
+        let preemptable = residents
+            .iter()
+            .filter(|resident| resident.preemptable && resident.can_evict());
+        self.preemptable = preemptable.fold(zero, add);
+        let leaving = residents.iter().filter(|resident| resident.evicting);
+        self.leaving = leaving.fold(zero, add);
+    }
+}
+
+/// All workers.
+#[derive(Debug, Default)]
+pub(crate) struct WorkerTable {
+    by_name: IndexMap<WorkerName, WorkerIndex>,
+    slots: Vec<Option<WorkerSlot>>,
+    vacant: Vec<WorkerIndex>,
+    /// Workers by what a new task may take.
+    pub(crate) free_grid: CapacityGrid,
+    /// Workers by what an important task could take by preemption.
+    pub(crate) room_grid: CapacityGrid,
+}
+
+impl WorkerTable {
+    pub(crate) fn find(&self, name: &WorkerName) -> Option<WorkerIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    pub(crate) fn get(&self, worker: WorkerIndex) -> &WorkerSlot {
+        let slot = self.slots[worker.position()].as_ref();
+        slot.expect("a worker index outlived its worker")
+    }
+
+    /// The worker of an index that may have been forgotten.
+    pub(crate) fn find_slot(&self, worker: WorkerIndex) -> Option<&WorkerSlot> {
+        self.slots.get(worker.position())?.as_ref()
+    }
+
+    fn get_mut(&mut self, worker: WorkerIndex) -> &mut WorkerSlot {
+        let slot = self.slots[worker.position()].as_mut();
+        slot.expect("a worker index outlived its worker")
+    }
+
+    /// Workers that are present.
+    pub(crate) fn present_count(&self) -> usize {
+        let slots = self.slots.iter().flatten();
+        slots.filter(|slot| slot.present).count()
+    }
+
+    /// Adds a worker that is not known yet.
+    pub(crate) fn add(
+        &mut self,
+        name: WorkerName,
+        centre: DataCentreIndex,
+        rack: RackIndex,
+    ) -> WorkerIndex {
+        let slot = WorkerSlot {
+            name: name.clone(),
+            centre,
+            rack,
+            capacity: ResourceVector::ZERO,
+            present: false,
+            quarantined: false,
+            residents: Vec::new(),
+            committed: ResourceVector::ZERO,
+            held: ResourceVector::ZERO,
+            preemptable: ResourceVector::ZERO,
+            leaving: ResourceVector::ZERO,
+        };
+        let worker = self.vacant.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            WorkerIndex::from_position(self.slots.len() - 1)
+        });
+        self.slots[worker.position()] = Some(slot);
+        self.by_name.insert(name, worker);
+        worker
+    }
+
+    /// Forgets a worker that is absent and committed to nothing; whether it did.
+    pub(crate) fn forget_if_empty(&mut self, worker: WorkerIndex) -> bool {
+        let slot = self.get(worker);
+        if slot.present || !slot.residents.is_empty() || slot.has_holds() {
+            return false;
+        }
+        let name = slot.name.clone();
+        self.free_grid.remove(worker);
+        self.room_grid.remove(worker);
+        self.by_name.swap_remove(&name);
+        self.slots[worker.position()] = None;
+        self.vacant.push(worker);
+        true
+    }
+
+    /// Changes a worker and brings its ledger and its place in the indexes up to date.
+    pub(crate) fn update<F: FnOnce(&mut WorkerSlot)>(&mut self, worker: WorkerIndex, change: F) {
+        let slot = self.get_mut(worker);
+        change(slot);
+        slot.sum();
+        let centre = slot.centre;
+        if !slot.accepts() {
+            self.free_grid.remove(worker);
+            self.room_grid.remove(worker);
+            return;
+        }
+        let free = slot.free();
+        let room = slot.room();
+        self.free_grid.insert(worker, centre, &free);
+        self.room_grid.insert(worker, centre, &room);
+    }
+
+    /// Changes one resident of a worker; whether it was there.
+    pub(crate) fn update_resident<F: FnOnce(&mut Resident)>(
+        &mut self,
+        worker: WorkerIndex,
+        attempt: TaskAttempt,
+        change: F,
+    ) -> bool {
+        let mut found = false;
+        self.update(worker, |slot| {
+            let mut residents = slot.residents.iter_mut();
+            if let Some(resident) = residents.find(|resident| resident.is(attempt)) {
+                change(resident);
+                found = true;
+            }
+        });
+        found
+    }
+
+    pub(crate) fn add_resident(&mut self, worker: WorkerIndex, resident: Resident) {
+        self.update(worker, |slot| slot.residents.push(resident));
+    }
+
+    pub(crate) fn remove_resident(
+        &mut self,
+        worker: WorkerIndex,
+        attempt: TaskAttempt,
+    ) -> Option<Resident> {
+        let mut removed = None;
+        self.update(worker, |slot| {
+            let mut residents = slot.residents.iter();
+            let position = residents.position(|resident| resident.is(attempt));
+            removed = position.map(|position| slot.residents.swap_remove(position));
+        });
+        removed
+    }
+
+    pub(crate) fn hold(&mut self, worker: WorkerIndex, amount: &ResourceVector) {
+        self.update(worker, |slot| {
+            let held = slot.held.checked_add(amount);
+            slot.held = held.expect("held room of one worker overflows 64 bits");
+        });
+    }
+
+    pub(crate) fn unhold(&mut self, worker: WorkerIndex, amount: &ResourceVector) {
+        self.update(worker, |slot| {
+            let held = slot.held.checked_sub(amount);
+            slot.held = held.expect("more room was given up than was held");
+        });
+    }
+}
--- /dev/null
+++ b/crates/guavavane_placement/tests/generated_sequences.rs
@@ -0,0 +1,171 @@
+//! Generated sequences of submissions, cancellations, reports and failures.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+mod support;
+
+use bolero::check;
+use bolero::TypeGenerator;
+
+use crate::support::worker_name;
+use crate::support::worker_record;
+use crate::support::StateFake;
+use crate::support::CENTRES;
+use guavavane_model::prelude::JobId;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::TaskId;
+use guavavane_placement::prelude::*;
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Operation {
+    Submit { cpu: u8, memory: u8, flags: u8 },
+    Cancel { task: u8 },
+    CancelWave { modulus: u8 },
+    Finish { at: u8 },
+    Fail { at: u8 },
+    ExpireLease { at: u8 },
+    FinishEvictions,
+    Deliver { at: u8, doubled: bool },
+    DeliverAll,
+    LoseReport { at: u8 },
+    WorkerUp { worker: u8, cpu: u8, memory: u8 },
+    WorkerGone { worker: u8 },
+    CentreOut { centre: u8 },
+    CentreIn { centre: u8 },
+    SetQuota { team: u8, cpu: u8 },
+    RejectNext,
+    Rebuild,
+    Advance { millis: u16 },
+    Decide { budget: u8 },
+}
+
+fn submit(state: &mut StateFake, cpu: u8, memory: u8, flags: u8) {
+    let id = TaskId(state.tasks.len() as u64 + 1_000 * state.now.as_micros());
+    let class = match flags & 1 {
+        0 => TaskClass::Batch,
+        _ => TaskClass::LatencyCritical,
+    };
+    let demand = ResourceVector::new(u64::from(cpu) * 100, u64::from(memory) * 256, 0);
+    let mut record = support::task_record(id.0, class, demand);
+    record.job = JobId(u64::from(flags >> 4));
+    record.exclusive = flags & 2 != 0;
+    record.team = ["a", "b"][usize::from(flags >> 2 & 1)].try_into().unwrap();
+    record.data_centres = match flags >> 5 {
+        0 => record.data_centres[..1].into(),
+        _ => record.data_centres,
+    };
+    record.priority = match flags & 8 {
+        0 => TaskPriority::Normal,
+        _ => TaskPriority::Urgent,
+    };
+    state.submit(record);
+    state.advance(1);
+}
+
+fn run(state: &mut StateFake, operation: &Operation) {
+    match *operation {
+        Operation::Submit { cpu, memory, flags } => submit(state, cpu, memory, flags),
+        Operation::Cancel { task } => {
+            let position = usize::from(task).checked_rem(state.tasks.len());
+            if let Some((id, _)) = position.and_then(|at| state.tasks.get_index(at)) {
+                let id = *id;
+                state.cancel(id);
+            }
+        }
+        Operation::CancelWave { modulus } => {
+            let wave = state.tasks.keys().copied();
+            let wave: Vec<TaskId> = wave.step_by(usize::from(modulus) % 3 + 1).collect();
+            wave.into_iter().for_each(|task| state.cancel(task));
+        }
+        Operation::Finish { at } => release(state, at, ReleaseCause::Finished),
+        Operation::Fail { at } => release(state, at, ReleaseCause::FailedOnWorker),
+        Operation::ExpireLease { at } => release(state, at, ReleaseCause::LeaseExpired),
+        Operation::FinishEvictions => state.finish_evictions(),
+        Operation::Deliver { at, doubled } => state.deliver(usize::from(at), doubled),
+        Operation::DeliverAll => state.deliver_all(),
+        Operation::LoseReport { at } => state.lose(usize::from(at)),
+        Operation::WorkerUp {
+            worker,
+            cpu,
+            memory,
+        } => {
+            let capacity = ResourceVector::new(u64::from(cpu) * 200, u64::from(memory) * 512, 0);
+            state.worker_up(worker_record(usize::from(worker % 9), capacity));
+        }
+        Operation::WorkerGone { worker } => {
+            state.worker_gone(&worker_name(usize::from(worker % 9)));
+        }
+        Operation::CentreOut { centre } => set_out(state, centre, true),
+        Operation::CentreIn { centre } => set_out(state, centre, false),
+        Operation::SetQuota { team, cpu } => {
+            let cap = ResourceVector::new(u64::from(cpu) * 400, u64::MAX, u64::MAX);
+            state.set_quota(TeamQuota {
+                team: ["a", "b"][usize::from(team % 2)].try_into().unwrap(),
+                weight: u32::from(team),
+                cap: (cpu > 20).then_some(cap),
+            });
+        }
+        Operation::RejectNext => state.reject_next = true,
+        Operation::Rebuild => state.rebuild(),
+        Operation::Advance { millis } => state.advance(u64::from(millis)),
+        Operation::Decide { budget } => {
+            state.decide(usize::from(budget % 16) + 1);
+        }
+    }
+}
+
+fn release(state: &mut StateFake, at: u8, cause: ReleaseCause) {
+    if let Some(attempt) = state.attempt_at(usize::from(at)) {
+        state.release(attempt, cause);
+    }
+}
+
+fn set_out(state: &mut StateFake, centre: u8, out: bool) {
+    let name = CENTRES[usize::from(centre % 3)].try_into().unwrap();
+    state.set_out(&name, out);
+}
+
+fn new_state(seed: u64) -> StateFake {
+    let mut state = StateFake::new(PlacementSettings::default(), seed);
+    for number in 0..6 {
+        let capacity = ResourceVector::new(16_000, 60_000, 0);
+        state.worker_up(worker_record(number, capacity));
+    }
+    state
+}
+
+/// The state fake checks each decision: capacity, one place, data centres, caps, cancellations,
+/// preemption of urgent work, impossible tasks and the cap on quarantines.
+#[test]
+fn decisions_keep_every_rule() {
+    check!()
+        .with_type::<Vec<Operation>>()
+        .with_iterations(4_000)
+        .with_max_len(1_024)
+        .for_each(|operations| {
+            let mut state = new_state(7);
+            for operation in operations {
+                run(&mut state, operation);
+            }
+            state.deliver_all();
+            state.decide(64);
+        });
+}
+
+/// The same seed, events and times give the same decisions.
+#[test]
+fn decisions_repeat_for_a_seed() {
+    check!()
+        .with_type::<Vec<Operation>>()
+        .with_iterations(500)
+        .with_max_len(1_024)
+        .for_each(|operations| {
+            let mut first = new_state(11);
+            let mut second = new_state(11);
+            for operation in operations {
+                run(&mut first, operation);
+                run(&mut second, operation);
+                assert_eq!(first.decide(8), second.decide(8));
+            }
+        });
+}
