Add the control daemon and the operators' command line

Cause: the decision cores need one authority that commits documents, data centres, the ledger, tasks and claims, and a way for operators to drive it. Ruled out: the policy as authority over the ledger; a leader that is replaced would have to be trusted, so the state machine checks again.

--- /dev/null
+++ b/crates/guavavane_control/src/orders.rs
@@ -0,0 +1,187 @@
+//! What a poll of an agent changes, and the orders that answer it.
+//!
+//! Both are pure functions of the replicated state and the poll, so that an order is repeated
+//! until a later poll reports its effect, and a lost answer costs one poll.
+
+use indexmap::IndexMap;
+
+use crate::state::command::AttemptEnd;
+use crate::state::command::EndCause;
+use crate::state::command::EvictionCause;
+use crate::state::command::WorkerObservation;
+use crate::state::job_record::task_attempt;
+use crate::state::job_record::TaskCommitment;
+use crate::state::job_record::TaskRecord;
+use crate::state::ControlState;
+use guavavane_model::prelude::BootId;
+use guavavane_model::prelude::FenceNumber;
+use guavavane_model::prelude::TaskId;
+use guavavane_protocol::poll::AttemptPhase;
+use guavavane_protocol::poll::AttemptReport;
+use guavavane_protocol::poll::TaskAttempt;
+use guavavane_protocol::poll::WorkerOrder;
+use guavavane_protocol::poll::WorkerPoll;
+
+/// The observation that a poll makes of its worker.
+pub fn poll_observation(poll: &WorkerPoll) -> WorkerObservation {
+    WorkerObservation {
+        worker: poll.worker.clone(),
+        data_centre: poll.data_centre.clone(),
+        rack: poll.rack.clone(),
+        boot: poll.boot,
+        capacity: poll.capacity,
+    }
+}
+
+/// The ends of attempts that a poll reports and the state does not have yet.
+pub fn reported_ends(state: &ControlState, poll: &WorkerPoll) -> Vec<AttemptEnd> {
+    poll.attempts
+        .iter()
+        .filter(|report| is_held_here(state, poll, report))
+        .filter_map(attempt_end)
+        .collect()
+}
+
+fn is_held_here(state: &ControlState, poll: &WorkerPoll, report: &AttemptReport) -> bool {
+    state
+        .jobs()
+        .current(report.attempt)
+        .and_then(TaskRecord::commitment)
+        .is_some_and(|held| {
+            held.worker == poll.worker && held.boot == poll.boot && held.fence == report.fence
+        })
+}
+
+fn attempt_end(report: &AttemptReport) -> Option<AttemptEnd> {
+    let cause = match report.phase {
+        AttemptPhase::Running | AttemptPhase::Checkpointed => return None,
+        AttemptPhase::Stopped => EndCause::Stopped,
+        AttemptPhase::Finished => EndCause::Finished,
+        AttemptPhase::Failed => EndCause::Failed,
+        AttemptPhase::NotStarted => EndCause::NotStarted,
+    };
+    Some(AttemptEnd {
+        attempt: report.attempt,
+        cause,
+        progress_ms: report.checkpoint_ms,
+    })
+}
+
+/// What an answer renews and orders.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PollAnswer {
+    /// Attempts whose leases are renewed.
+    pub renewed: Vec<TaskAttempt>,
+    /// Orders.
+    pub orders: Vec<WorkerOrder>,
+}
+
+/// Answers a poll from a state that has the poll's observation and ends.
+pub fn answer_poll(state: &ControlState, poll: &WorkerPoll, permit_ms: u32) -> PollAnswer {
+    let mut answer = PollAnswer::default();
+    let Some(worker) = state.workers().get(&poll.worker) else {
+        return answer;
+    };
+    if worker.boot != poll.boot {
+        return answer;
+    }
+    let out = state.data_centres().is_out(&worker.data_centre);
+    let reports: IndexMap<TaskAttempt, &AttemptReport> = poll
+        .attempts
+        .iter()
+        .map(|report| (report.attempt, report))
+        .collect();
+    for task in &worker.tasks {
+        let record = state.jobs().task(*task).expect("a committed task is kept");
+        let held = record
+            .commitment()
+            .expect("a worker lists committed tasks only");
+        let attempt = task_attempt(*task, record);
+        let context = HeldAttempt {
+            attempt,
+            record,
+            held,
+        };
+        if reports.contains_key(&attempt) {
+            context.answer_running(&mut answer);
+        } else {
+            context.answer_unreported(out, permit_ms, &mut answer);
+        }
+    }
+    for report in &poll.attempts {
+        if !is_held_by(state, poll.boot, &worker.tasks, report) {
+            answer.orders.push(unheld_order(report));
+        }
+    }
+    answer
+}
+
+struct HeldAttempt<'a> {
+    attempt: TaskAttempt,
+    record: &'a TaskRecord,
+    held: &'a TaskCommitment,
+}
+
+impl HeldAttempt<'_> {
+    fn answer_running(&self, answer: &mut PollAnswer) {
+        answer.renewed.push(self.attempt);
+        answer.orders.extend(self.eviction_order());
+    }
+
+    /// An attempt that the agent does not report has not started there.
+    fn answer_unreported(&self, out: bool, permit_ms: u32, answer: &mut PollAnswer) {
+        // An order to end an attempt that never started makes the agent refuse its start for
+        // good, and report that.
+        let attempt = self.attempt;
+        let order = match self.eviction_order() {
+            Some(order) => order,
+            None if out => WorkerOrder::Stop { attempt },
+            None => WorkerOrder::Start {
+                attempt,
+                fence: self.held.fence,
+                program: self.held.program.clone(),
+                demand: self.held.demand,
+                permit_ms,
+                resume_ms: self.record.progress_ms,
+            },
+        };
+        answer.orders.push(order);
+    }
+
+    fn eviction_order(&self) -> Option<WorkerOrder> {
+        let attempt = self.attempt;
+        match self.held.evicting? {
+            EvictionCause::Cancelled => Some(WorkerOrder::Stop { attempt }),
+            _ => Some(WorkerOrder::Evict { attempt }),
+        }
+    }
+}
+
+fn is_held_by(
+    state: &ControlState,
+    boot: BootId,
+    tasks: &indexmap::IndexSet<TaskId>,
+    report: &AttemptReport,
+) -> bool {
+    let held = state
+        .jobs()
+        .current(report.attempt)
+        .and_then(TaskRecord::commitment);
+    tasks.contains(&report.attempt.task) && held.is_some_and(|held| holds(held, boot, report.fence))
+}
+
+fn holds(held: &TaskCommitment, boot: BootId, fence: FenceNumber) -> bool {
+    held.boot == boot && held.fence == fence
+}
+
+/// The order for an attempt that the worker has and the state does not hold there.
+fn unheld_order(report: &AttemptReport) -> WorkerOrder {
+    let attempt = report.attempt;
+    match report.phase {
+        AttemptPhase::Running | AttemptPhase::Checkpointed => WorkerOrder::Stop { attempt },
+        AttemptPhase::Stopped
+        | AttemptPhase::Finished
+        | AttemptPhase::Failed
+        | AttemptPhase::NotStarted => WorkerOrder::Forget { attempt },
+    }
+}
--- a/crates/guavavane_model/src/resource.rs
+++ b/crates/guavavane_model/src/resource.rs
@@ -61,6 +61,16 @@
         })
     }
 
+    /// The larger of each part.
+    #[must_use]
+    pub fn max_each(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// The difference with each part at least zero.
     #[must_use]
     pub fn saturating_sub(&self, other: &Self) -> Self {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate re-exports the crates of the workspace and holds the daemons' binaries.
 
 pub use guavavane_agent as agent;
+pub use guavavane_command as command;
 pub use guavavane_control as control;
 pub use guavavane_daemon as daemon;
 pub use guavavane_entry as entry;
