--- a/crates/guavavane_quorum/src/storage/replay.rs
+++ b/crates/guavavane_quorum/src/storage/replay.rs
@@ -66,6 +66,9 @@
         let bytes = folder.read(&name).map_err(StorageError::io(&name))?;
         if last && position > 0 && is_unbegun(&bytes, *number) {
             folder.remove(&name).map_err(StorageError::io(&name))?;
+            // It must not come back once the segment before it is written to again.
+            let synced = folder.sync_folder();
+            synced.map_err(StorageError::io(folder.label()))?;
             break;
         }
         log.read_segment(*number, &bytes, last)
--- a/crates/guavavane_quorum/src/storage/store.rs
+++ b/crates/guavavane_quorum/src/storage/store.rs
@@ -194,14 +194,13 @@
     }
 
     fn remove_segments(&mut self, through: LogIndex) -> Result<(), StorageError> {
-        while let Some(segment) = self.closed.front().copied() {
-            if segment.last_index > through {
-                break;
-            }
+        let covered = |s: &ClosedSegment| s.last_index <= through;
+        while let Some(segment) = self.closed.front().copied().filter(covered) {
             let name = segment_name(segment.number);
             self.folder.remove(&name).map_err(StorageError::io(&name))?;
             self.closed.pop_front();
         }
-        Ok(())
+        let synced = self.folder.sync_folder();
+        synced.map_err(StorageError::io(self.folder.label()))
     }
 }
--- a/crates/guavavane_quorum/tests/consensus.rs
+++ b/crates/guavavane_quorum/tests/consensus.rs
@@ -15,14 +15,18 @@
 use crate::network::Weather;
 use crate::sequences::for_each_value;
 
-const SLOTS: usize = 5;
+const SLOTS: usize = 6;
 const REPAIRED: u8 = 110;
+/// Rounds from a restart to the first election.
+const ELECTION_ROUNDS: u64 = 96;
+const TURMOIL_ROUNDS: u8 = 20;
 const SEQUENCES: u64 = 400;
 
 /// One thing that happens to the group, after some time has passed.
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 struct Event {
-    #[generator(0..90)]
+    /// Squared, so that much may happen at nearly the same time.
+    #[generator(0..11)]
     rounds: u8,
     #[generator(0..40)]
     loss: u8,
@@ -30,6 +34,8 @@
     double: u8,
     #[generator(0..70)]
     delay: u8,
+    #[generator(0..10)]
+    hold: u8,
     /// Below [`REPAIRED`]: cuts, freezes and crashes end before the time passes.
     repair: u8,
     /// Replica that it happens to; see [`aim`].
@@ -45,6 +51,8 @@
     ReadTwice,
     Crash,
     CrashAtSync,
+    Bounce,
+    BounceOther,
     Restart,
     RestartAll,
     LoseDisk,
@@ -55,6 +63,8 @@
     Transfer,
     Remove(u8),
     CrashAll,
+    /// Replicas restart one after the other while they elect a leader.
+    Turmoil(u8),
 }
 
 fn slot(number: u8) -> usize {
@@ -78,11 +88,12 @@
         loss: event.loss,
         double: event.double,
         delay: event.delay,
+        hold: event.hold,
     };
     if event.repair < REPAIRED {
         network.repair();
     }
-    network.run(u64::from(event.rounds), weather);
+    network.run(u64::from(event.rounds).pow(2), weather);
     let aimed = aim(network, event.slot);
     match event.action {
         Action::Propose(count) => (0..count).for_each(|_| network.propose(aimed)),
@@ -99,6 +110,8 @@
         }
         Action::Crash => network.crash(aimed),
         Action::CrashAtSync => network.nodes[aimed].doomed = true,
+        Action::Bounce => network.bounce(aimed),
+        Action::BounceOther => network.bounce(slot(event.slot)),
         Action::Restart => network.restart(slot(event.slot)),
         Action::RestartAll => (0..SLOTS).for_each(|slot| network.restart(slot)),
         Action::LoseDisk => network.lose_disk(aimed),
@@ -108,10 +121,17 @@
         Action::MendAll => network.nodes.iter_mut().for_each(|n| n.cut = false),
         Action::Transfer => network.step(aimed, vec![CoreInput::Transfer]),
         Action::Remove(target) => network.remove(aimed, slot(target)),
-        Action::CrashAll => {
-            (0..SLOTS).for_each(|slot| network.crash(slot));
-            (0..SLOTS).for_each(|slot| network.restart(slot));
-        }
+        Action::CrashAll => (0..SLOTS).for_each(|slot| network.bounce(slot)),
+        Action::Turmoil(first) => turmoil(network, weather, first),
+    }
+}
+
+fn turmoil(network: &mut CoreNetwork, weather: Weather, first: u8) {
+    (0..SLOTS).for_each(|slot| network.bounce(slot));
+    network.run(ELECTION_ROUNDS, weather);
+    for number in 0..TURMOIL_ROUNDS {
+        network.run(1, weather);
+        network.bounce(slot(first.wrapping_add(number)));
     }
 }
 
@@ -119,7 +139,8 @@
 fn faults_break_no_promise_and_the_group_recovers() {
     let events = produce::<Vec<Event>>().with().len(20..120usize);
     for_each_value(SEQUENCES, events, |seed, events| {
-        let mut network = CoreNetwork::new(3, SLOTS, seed);
+        let voters = [1, 3, 3, 5][seed as usize % 4];
+        let mut network = CoreNetwork::new(voters, SLOTS, seed);
         network.run(300, Weather::default());
         for event in events {
             happen(&mut network, event);
--- a/crates/guavavane_quorum/tests/network/mod.rs
+++ b/crates/guavavane_quorum/tests/network/mod.rs
@@ -24,6 +24,7 @@
 use crate::network::truth::Truth;
 
 const ROUND_MS: u64 = 10;
+const HOLD_ROUNDS: u64 = 200;
 const JOIN_ROUNDS: u64 = 50;
 
 /// How the network treats messages, in percent.
@@ -32,16 +33,21 @@
     pub(crate) loss: u8,
     pub(crate) double: u8,
     pub(crate) delay: u8,
+    /// Held for up to [`HOLD_ROUNDS`].
+    pub(crate) hold: u8,
 }
 
 pub(crate) struct CoreNetwork {
     pub(crate) nodes: Vec<Node>,
     pub(crate) truth: Truth,
     wire: Vec<OutgoingMessage>,
+    /// Messages with the round in which they go on.
+    held: Vec<(u64, OutgoingMessage)>,
     rounds: u64,
     next_ticket: u64,
     next_id: u64,
     random: ChaCha8Rng,
+    settings: CheckedSettings,
 }
 
 impl CoreNetwork {
@@ -51,17 +57,19 @@
             nodes: Vec::new(),
             truth: Truth::default(),
             wire: Vec::new(),
+            held: Vec::new(),
             rounds: 0,
             next_ticket: 0,
             next_id: 100,
             random: ChaCha8Rng::seed_from_u64(seed),
+            settings: node::settings(voters.max(3), seed % 3 == 0),
         };
         let members: MemberSet = (0..voters).map(|n| node::member(n, n as u64 + 1)).collect();
         for slot in 0..slots {
             let mut node = Node::empty(slot);
             if slot < voters {
                 node.init_voter(slot as u64 + 1, members.clone());
-                node.start(network.now(), slot as u64);
+                node.start(network.now(), slot as u64, &network.settings);
             }
             network.nodes.push(node);
         }
@@ -92,12 +100,20 @@
 
     fn deliver(&mut self, weather: Weather) {
         let mut arriving = std::mem::take(&mut self.wire);
+        let now = self.rounds;
+        let released = self.held.extract_if(.., |(due, _)| *due <= now);
+        arriving.extend(released.map(|(_, message)| message));
         arriving.shuffle(&mut self.random);
         for message in arriving {
             if self.random.random_range(0..100) < weather.delay {
                 self.wire.push(message);
                 continue;
             }
+            if self.random.random_range(0..100) < weather.hold {
+                let due = now + self.random.random_range(1..HOLD_ROUNDS);
+                self.held.push((due, message.clone()));
+                continue;
+            }
             if self.random.random_range(0..100) < weather.double {
                 self.wire.push(message.clone());
             }
@@ -183,12 +199,17 @@
         self.nodes[slot].crash(&mut self.random);
     }
 
+    pub(crate) fn bounce(&mut self, slot: usize) {
+        self.crash(slot);
+        self.restart(slot);
+    }
+
     pub(crate) fn restart(&mut self, slot: usize) {
         let now = self.now();
         let seed = self.random.random();
         let node = &mut self.nodes[slot];
         if node.state == NodeState::Down && node.id.is_some() {
-            node.start(now, seed);
+            node.start(now, seed, &self.settings);
         }
     }
 
@@ -208,7 +229,7 @@
         let refused = LogOpen::open(MemoryDisk::default(), 1);
         assert!(matches!(refused, Err(StorageError::NoIdentity { .. })));
         node.init_learner(fresh);
-        node.start(now, fresh);
+        node.start(now, fresh, &self.settings);
     }
 
     fn may_lose(&self, id: ReplicaId) -> bool {
@@ -269,7 +290,7 @@
         leaders().count() == 1
             && ids().all(|id| members.get(id).is_some())
             && members.iter().all(|m| ids().any(|id| id == m.id))
-            && members.voter_count() >= 3
+            && members.voter_count() >= ids().count().min(3)
             && self
                 .truth
                 .acknowledged
--- a/crates/guavavane_quorum/tests/network/node.rs
+++ b/crates/guavavane_quorum/tests/network/node.rs
@@ -66,8 +66,11 @@
     }
 }
 
-pub(crate) fn settings(slot: usize) -> CheckedSettings {
+/// Small bounds; with `crowded`, replicas stand for election at nearly the same time.
+pub(crate) fn settings(voters: usize, crowded: bool) -> CheckedSettings {
     let settings = QuorumSettings {
+        election_timeout_max_ms: if crowded { 1_030 } else { 2_000 },
+        voters_wanted: voters,
         removal_timeout_ms: 5_000,
         in_flight_entries: 8,
         message_bytes_max: 300,
@@ -75,7 +78,7 @@
         trailing_entries: 3,
         promotion_lag_entries: 4,
         segment_bytes: 700,
-        ..QuorumSettings::new(address(slot))
+        ..QuorumSettings::new(address(0))
     };
     settings.try_into().unwrap()
 }
@@ -131,8 +134,13 @@
             + Duration::from_secs(1_000 * (slot + 1))
     }
 
-    pub(crate) fn start(&mut self, now: BootTime, seed: u64) {
-        let settings = settings(self.slot);
+    pub(crate) fn start(&mut self, now: BootTime, seed: u64, settings: &CheckedSettings) {
+        let address = address(self.slot);
+        let settings = QuorumSettings {
+            address,
+            ..QuorumSettings::clone(settings)
+        };
+        let settings = CheckedSettings::try_from(settings).unwrap();
         let (store, stored) = LogStore::open(self.disk.clone(), settings.segment_bytes).unwrap();
         let snapshot = stored.snapshot.as_ref();
         self.values = snapshot.map_or_else(Vec::new, |s| decode(&s.bytes));
