--- a/crates/guavavane_quorum/tests/consensus.rs
+++ b/crates/guavavane_quorum/tests/consensus.rs
@@ -8,18 +8,18 @@
 use bolero::generator::TypeGenerator;
 use bolero::produce;
 
-use guavavane_quorum::core::CoreInput;
-
 use crate::network::node::Node;
 use crate::network::CoreNetwork;
 use crate::network::Weather;
 use crate::sequences::for_each_value;
+use guavavane_quorum::core::CoreInput;
 
 const SLOTS: usize = 6;
 const REPAIRED: u8 = 110;
 /// Rounds from a restart to the first election.
 const ELECTION_ROUNDS: u64 = 96;
 const TURMOIL_ROUNDS: u8 = 20;
+const POWER_LOSS_ROUNDS: u64 = 4;
 const SEQUENCES: u64 = 400;
 
 /// One thing that happens to the group, after some time has passed.
@@ -65,6 +65,8 @@
     CrashAll,
     /// Replicas restart one after the other while they elect a leader.
     Turmoil(u8),
+    /// Followers crash as they sync, and the leader is cut off.
+    PowerLoss(u8),
 }
 
 fn slot(number: u8) -> usize {
@@ -123,6 +125,7 @@
         Action::Remove(target) => network.remove(aimed, slot(target)),
         Action::CrashAll => (0..SLOTS).for_each(|slot| network.bounce(slot)),
         Action::Turmoil(first) => turmoil(network, weather, first),
+        Action::PowerLoss(doomed) => power_loss(network, weather, aimed, doomed),
     }
 }
 
@@ -130,9 +133,22 @@
     (0..SLOTS).for_each(|slot| network.bounce(slot));
     network.run(ELECTION_ROUNDS, weather);
     for number in 0..TURMOIL_ROUNDS {
+        let next = slot(first.wrapping_add(number));
+        network.nodes[next].doomed = number % 2 == 0;
         network.run(1, weather);
-        network.bounce(slot(first.wrapping_add(number)));
+        network.bounce(next);
+    }
+}
+
+fn power_loss(network: &mut CoreNetwork, weather: Weather, leader: usize, doomed: u8) {
+    for other in (0..SLOTS).filter(|s| *s != leader) {
+        network.nodes[other].doomed = doomed & (1 << other) != 0;
     }
+    network.propose(leader);
+    network.run(POWER_LOSS_ROUNDS, weather);
+    network.nodes[leader].cut = true;
+    (0..SLOTS).for_each(|slot| network.restart(slot));
+    network.run(3 * ELECTION_ROUNDS, weather);
 }
 
 #[test]
--- a/crates/guavavane_quorum/tests/network/memory_disk.rs
+++ b/crates/guavavane_quorum/tests/network/memory_disk.rs
@@ -1,5 +1,7 @@
 //! A disk in memory that forgets what was not synced, tears writes, fills up and fails.
 
+#![allow(dead_code, reason = "each test uses some of the faults")]
+
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
--- a/crates/guavavane_quorum/tests/network/mod.rs
+++ b/crates/guavavane_quorum/tests/network/mod.rs
@@ -12,17 +12,16 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::network::memory_disk::MemoryDisk;
+use crate::network::node::Node;
+use crate::network::node::NodeState;
+use crate::network::truth::Truth;
 use guavavane_model::time::BootTime;
 use guavavane_quorum::core::CoreInput;
 use guavavane_quorum::core::MemberChange;
 use guavavane_quorum::core::RequestTicket;
 use guavavane_quorum::prelude::*;
 
-use crate::network::memory_disk::MemoryDisk;
-use crate::network::node::Node;
-use crate::network::node::NodeState;
-use crate::network::truth::Truth;
-
 const ROUND_MS: u64 = 10;
 const HOLD_ROUNDS: u64 = 200;
 const JOIN_ROUNDS: u64 = 50;
@@ -62,7 +61,7 @@
             next_ticket: 0,
             next_id: 100,
             random: ChaCha8Rng::seed_from_u64(seed),
-            settings: node::settings(voters.max(3), seed % 3 == 0),
+            settings: node::settings(voters.max(3), seed.is_multiple_of(3)),
         };
         let members: MemberSet = (0..voters).map(|n| node::member(n, n as u64 + 1)).collect();
         for slot in 0..slots {
--- a/crates/guavavane_quorum/tests/network/node.rs
+++ b/crates/guavavane_quorum/tests/network/node.rs
@@ -8,6 +8,8 @@
 
 use rand_chacha::ChaCha8Rng;
 
+use crate::network::memory_disk::MemoryDisk;
+use crate::network::truth::Truth;
 use guavavane_model::identity::CellId;
 use guavavane_model::time::BootTime;
 use guavavane_quorum::core::ConsensusCore;
@@ -19,9 +21,6 @@
 use guavavane_quorum::prelude::*;
 use guavavane_quorum::storage::LogStore;
 
-use crate::network::memory_disk::MemoryDisk;
-use crate::network::truth::Truth;
-
 const SNAPSHOT_ENTRIES: u64 = 12;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/guavavane_quorum/tests/network/truth.rs
+++ b/crates/guavavane_quorum/tests/network/truth.rs
@@ -3,12 +3,11 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::network::node::Node;
 use guavavane_model::time::BootTime;
 use guavavane_quorum::core::RequestTicket;
 use guavavane_quorum::prelude::*;
 
-use crate::network::node::Node;
-
 #[derive(Default)]
 pub(crate) struct Truth {
     leaders: IndexMap<Term, ReplicaId>,
--- a/crates/guavavane_quorum/tests/replication.rs
+++ b/crates/guavavane_quorum/tests/replication.rs
@@ -133,7 +133,7 @@
 #[test]
 fn a_folder_is_locked_against_a_second_process() {
     let folder = ScratchFolder::new();
-    init_voters(&[folder.0.clone()]);
+    init_voters(std::slice::from_ref(&folder.0));
     let network = LocalNetwork::default();
     let handle = network.start(settings(0), folder.0.clone());
     let again = LocalFolder::open(&folder.0);
--- a/crates/guavavane_quorum/tests/storage.rs
+++ b/crates/guavavane_quorum/tests/storage.rs
@@ -11,6 +11,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::memory_disk::MemoryDisk;
+use crate::sequences::for_each_value;
 use guavavane_model::identity::CellId;
 use guavavane_quorum::core::StoredState;
 use guavavane_quorum::entry::EntryPayload;
@@ -21,9 +23,6 @@
 use guavavane_quorum::storage::DiskFolder;
 use guavavane_quorum::storage::LogStore;
 
-use crate::memory_disk::MemoryDisk;
-use crate::sequences::for_each_value;
-
 const SEQUENCES: u64 = 50_000;
 const SEGMENT_BYTES: u64 = 250;
 
@@ -129,8 +128,8 @@
 
 fn last_segment(disk: &MemoryDisk) -> String {
     let names = disk.list().unwrap();
-    let segments = names.into_iter().filter(|n| n.starts_with("segment"));
-    segments.last().unwrap()
+    let mut segments = names.into_iter().filter(|n| n.starts_with("segment"));
+    segments.next_back().unwrap()
 }
 
 #[test]
--- a/crates/guavavane_quorum/tests/threads/mod.rs
+++ b/crates/guavavane_quorum/tests/threads/mod.rs
@@ -1,5 +1,7 @@
 //! Replicas on threads with real disks, wired by in-process channels.
 
+#![allow(dead_code, reason = "each user needs a part")]
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
