--- /dev/null
+++ b/crates/guavavane_placement/src/interference.rs
@@ -0,0 +1,181 @@
+//! Estimates of how much one workload slows another, for each band of load.
+//!
+//! The excess of a service's slowdown over its objective is taken as a sum: one part of its own
+//! at that load, and one for each workload beside it, in proportion to the time and speed at
+//! which that ran. The parts are fitted by normalised least mean squares, one sample at a time,
+//! and fall back to a small prior with a half-life while no sample confirms them.
+
+use indexmap::IndexMap;
+
+use crate::index::KindIndex;
+use crate::settings::PlacementSettings;
+use guavavane_model::prelude::BootTime;
+
+/// Excess that an unknown neighbour is taken to cause, as a fraction.
+const PRIOR_EXCESS: f32 = 0.03;
+
+/// Largest excess that one neighbour is taken to cause.
+const EXCESS_MAX: f32 = 16.0;
+
+/// Step of the fit; one would follow each sample in full.
+const LEARNING_RATE: f32 = 0.3;
+
+/// Weight of a service's own part against that of one neighbour.
+const OWN_WEIGHT: f32 = 0.3;
+
+/// Step at which the load of a service is followed.
+const LOAD_RATE: f32 = 0.2;
+
+/// Bands of load.
+const BANDS: u8 = 4;
+
+/// Width of a band, in thousandths of full load.
+const BAND_PERMILLE: f32 = 250.0;
+
+/// A band of load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct LoadBand(u8);
+
+impl LoadBand {
+    /// The band of a load in thousandths.
+    pub(crate) fn of(load_permille: f32) -> Self {
+        let band = (load_permille / BAND_PERMILLE) as u8;
+        Self(band.min(BANDS - 1))
+    }
+}
+
+/// A workload beside a service, with the time and speed at which it ran.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NeighbourShare {
+    pub(crate) kind: KindIndex,
+    /// One for a neighbour that ran at full speed throughout.
+    pub(crate) share: f32,
+}
+
+/// A slowdown with the neighbours it is attributed to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttributedSample<'a> {
+    pub(crate) service: KindIndex,
+    pub(crate) load_permille: u32,
+    /// Slowdown beyond the objective, as a fraction.
+    pub(crate) excess: f32,
+    pub(crate) neighbours: &'a [NeighbourShare],
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct PairKey {
+    service: KindIndex,
+    /// The neighbour, or `None` for the service's own part.
+    neighbour: Option<KindIndex>,
+    band: LoadBand,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PairEstimate {
+    excess: f32,
+    updated: BootTime,
+}
+
+/// All estimates.
+#[derive(Debug)]
+pub(crate) struct InterferenceEstimates {
+    pairs: IndexMap<PairKey, PairEstimate>,
+    loads: IndexMap<KindIndex, f32>,
+    half_life_ms: f32,
+    pairs_max: usize,
+}
+
+impl InterferenceEstimates {
+    pub(crate) fn new(settings: &PlacementSettings) -> Self {
+        Self {
+            pairs: IndexMap::new(),
+            loads: IndexMap::new(),
+            half_life_ms: settings.estimate_half_life_ms.max(1) as f32,
+            pairs_max: settings.estimates_max.max(1),
+        }
+    }
+
+    /// Fits the estimates to one sample.
+    pub(crate) fn learn(&mut self, now: BootTime, sample: &AttributedSample<'_>) {
+        let load = sample.load_permille as f32;
+        let known = *self.loads.entry(sample.service).or_insert(load);
+        self.loads
+            .insert(sample.service, known + LOAD_RATE * (load - known));
+        let band = LoadBand::of(load);
+        let own = PairKey {
+            service: sample.service,
+            neighbour: None,
+            band,
+        };
+        let mut predicted = self.settled(now, own, 0.0);
+        let mut norm = OWN_WEIGHT;
+        for neighbour in sample.neighbours {
+            let key = own.with(neighbour.kind);
+            predicted += neighbour.share * self.settled(now, key, PRIOR_EXCESS);
+            norm += neighbour.share * neighbour.share;
+        }
+        let step = LEARNING_RATE * (sample.excess - predicted) / norm;
+        self.adjust(now, own, 0.0, step * OWN_WEIGHT);
+        for neighbour in sample.neighbours {
+            let key = own.with(neighbour.kind);
+            self.adjust(now, key, PRIOR_EXCESS, step * neighbour.share);
+        }
+    }
+
+    fn adjust(&mut self, now: BootTime, key: PairKey, prior: f32, change: f32) {
+        let excess = self.settled(now, key, prior) + change;
+        if self.pairs.len() >= self.pairs_max && !self.pairs.contains_key(&key) {
+            self.pairs.swap_remove_index(0);
+        }
+        let excess = excess.clamp(0.0, EXCESS_MAX);
+        let updated = now;
+        self.pairs.insert(key, PairEstimate { excess, updated });
+    }
+
+    /// An estimate with what it has lost since its last sample.
+    fn settled(&self, now: BootTime, key: PairKey, prior: f32) -> f32 {
+        let Some(estimate) = self.pairs.get(&key) else {
+            return prior;
+        };
+        self.decayed(now, estimate, prior)
+    }
+
+    fn decayed(&self, now: BootTime, estimate: &PairEstimate, prior: f32) -> f32 {
+        let age = now.saturating_since(estimate.updated);
+        let half_lives = age.as_millis() as f32 / self.half_life_ms;
+        prior + (estimate.excess - prior) * (-half_lives).exp2()
+    }
+
+    /// Excess that a neighbour at full speed causes a service at its load of late.
+    pub(crate) fn predict(&self, now: BootTime, service: KindIndex, neighbour: KindIndex) -> f32 {
+        let load = self.loads.get(&service).copied();
+        let Some(load) = load else {
+            return PRIOR_EXCESS;
+        };
+        let band = LoadBand::of(load);
+        let own = PairKey {
+            service,
+            neighbour: None,
+            band,
+        };
+        // A band without samples borrows from the next lower one, then from the higher ones.
+        let lower = (0..=band.0).rev();
+        let higher = band.0 + 1..BANDS;
+        let bands = lower.chain(higher).map(LoadBand);
+        let mut estimates = bands.filter_map(|band| {
+            let key = PairKey { band, ..own };
+            self.pairs.get(&key.with(neighbour))
+        });
+        let estimate = estimates.next();
+        estimate.map_or(PRIOR_EXCESS, |estimate| {
+            self.decayed(now, estimate, PRIOR_EXCESS)
+        })
+    }
+}
+
+impl PairKey {
+    fn with(self, neighbour: KindIndex) -> Self {
+        let neighbour = Some(neighbour);
+        Self { neighbour, ..self }
+    }
+}
--- a/crates/guavavane_placement/src/placement_core.rs
+++ b/crates/guavavane_placement/src/placement_core.rs
@@ -26,13 +26,18 @@
 use crate::index::NameTable;
 use crate::index::RackIndex;
 use crate::index::WorkerIndex;
+use crate::interference::InterferenceEstimates;
 use crate::record::TaskAttempt;
 use crate::record::TaskClass;
 use crate::record::WorkloadKind;
+use crate::residence::ResidenceHistory;
 use crate::settings::PlacementSettings;
 use crate::shape::ShapeTable;
+use crate::size_estimate::SizeEstimates;
+use crate::strain::StrainTable;
 use crate::task_table::TaskTable;
 use crate::team::TeamTable;
+use crate::token_bucket::TokenBucket;
 use crate::worker_table::WorkerTable;
 use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootTime;
@@ -45,6 +50,7 @@
 mod drain;
 mod failure;
 mod ledger;
+mod measure;
 mod preempt;
 mod queue;
 mod score;
@@ -76,6 +82,8 @@
     UnknownWorker,
     /// The cell has as many data centres as it can.
     TooManyDataCentres,
+    /// The settings or the task's class give the sample no use.
+    Unused,
     /// The same attempt is committed to another worker.
     Conflict,
 }
@@ -147,6 +155,11 @@
     tasks: TaskTable,
     workers: WorkerTable,
     failures: FailureLedger,
+    sizes: SizeEstimates,
+    interference: InterferenceEstimates,
+    history: ResidenceHistory,
+    strains: StrainTable,
+    eviction_bucket: TokenBucket,
     spread: IndexMap<SpreadKey, u32>,
     delayed: BTreeSet<DelayedTask>,
     replacements: IndexMap<TaskId, ReplacementEntry>,
@@ -172,6 +185,7 @@
     /// A policy that knows no worker and no task.
     pub fn new(settings: PlacementSettings, seed: u64) -> Self {
         let tasks = TaskTable::new(settings.ended_tasks_max);
+        let interference = InterferenceEstimates::new(&settings);
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let next_decision = rng.random_range(0..u64::MAX / 2);
         Self {
@@ -185,6 +199,11 @@
             tasks,
             workers: WorkerTable::default(),
             failures: FailureLedger::default(),
+            sizes: SizeEstimates::default(),
+            interference,
+            history: ResidenceHistory::default(),
+            strains: StrainTable::default(),
+            eviction_bucket: TokenBucket::new(BootTime::default()),
             spread: IndexMap::new(),
             delayed: BTreeSet::new(),
             replacements: IndexMap::new(),
@@ -214,10 +233,9 @@
             PlacementEvent::TaskCancelled(task) => self.task_cancelled(task),
             PlacementEvent::TaskRunning(placement) => self.task_running(now, &placement),
             PlacementEvent::TaskReleased(release) => self.task_released(now, &release),
-            PlacementEvent::DecisionRejected(number) => self.decision_rejected(number),
-            PlacementEvent::UsageSample(_) | PlacementEvent::LatencySample(_) => {
-                StepOutcome::Ignored(IgnoredReason::UnknownTask)
-            }
+            PlacementEvent::DecisionRejected(number) => self.decision_rejected(now, number),
+            PlacementEvent::UsageSample(sample) => self.usage_sample(&sample),
+            PlacementEvent::LatencySample(sample) => self.latency_sample(now, &sample),
         }
     }
 
--- a/crates/guavavane_placement/src/placement_core/decide.rs
+++ b/crates/guavavane_placement/src/placement_core/decide.rs
@@ -19,6 +19,7 @@
 use crate::index::WorkerIndex;
 use crate::record::TaskAttempt;
 use crate::record::TaskPriority;
+use crate::shape::ShapeKey;
 use crate::shape::ShapeState;
 use crate::task_table::TaskState;
 use guavavane_model::prelude::BootTime;
@@ -115,6 +116,7 @@
         };
         let key = self.shapes.get(shape).key;
         let request = ScoreRequest {
+            now,
             shape,
             key,
             job: entry.job,
@@ -161,7 +163,7 @@
         let key = entry.key;
         let head = entry.queue.values().next().copied();
         let task = head.expect("a ready shape has a waiting task");
-        let needed = key.demand;
+        let needed = self.reservation(&key);
         if !self.teams.admits(key.team, &needed) {
             self.block_shape(now, shape);
             return false;
@@ -176,7 +178,7 @@
             TaskPriority::Urgent => PlaceReason::Urgent,
             TaskPriority::Normal => PlaceReason::FairShare,
         };
-        if let Some(choice) = self.choose(&request, reason) {
+        if let Some(choice) = self.choose(now, &request, reason) {
             self.dequeue(task);
             self.count_placement(choice.worker);
             self.place(now, choice);
@@ -193,6 +195,19 @@
         false
     }
 
+    /// What to reserve: more than declared if measurements say so and some worker can.
+    fn reservation(&self, key: &ShapeKey) -> ResourceVector {
+        let raised = self.sizes.reservation(key.kind, &key.demand);
+        let raised_key = ShapeKey {
+            demand: raised,
+            ..*key
+        };
+        if raised == key.demand || self.lacks(&raised_key).is_some() {
+            return key.demand;
+        }
+        raised
+    }
+
     fn pass_over(&mut self, now: BootTime, shape: ShapeIndex) {
         match self.lacks(&self.shapes.get(shape).key) {
             Some(lacks) => self.close_as_impossible(shape, lacks),
@@ -203,6 +218,7 @@
     /// The best of a few workers that have room now.
     pub(super) fn choose(
         &mut self,
+        now: BootTime,
         request: &RoomRequest,
         reason: PlaceReason,
     ) -> Option<PlacementChoice> {
@@ -216,6 +232,7 @@
         let mut workers = self.find_workers(request.shape, &search);
         workers.retain(|worker| Some(*worker) != request.replaces);
         let score_request = ScoreRequest {
+            now,
             shape: request.shape,
             key,
             job: self.tasks.get(request.task)?.job,
--- a/crates/guavavane_placement/src/placement_core/drain.rs
+++ b/crates/guavavane_placement/src/placement_core/drain.rs
@@ -122,7 +122,7 @@
             return false;
         }
         let reason = self.replacement_reason(candidate.worker);
-        if let Some(choice) = self.choose(&request, reason) {
+        if let Some(choice) = self.choose(now, &request, reason) {
             self.count_placement(choice.worker);
             self.place(now, choice);
             return true;
--- a/crates/guavavane_placement/src/placement_core/failure.rs
+++ b/crates/guavavane_placement/src/placement_core/failure.rs
@@ -16,10 +16,22 @@
 const BACKOFF_DOUBLINGS_MAX: u32 = 20;
 
 impl PlacementCore {
-    pub(super) fn record_success(&mut self, worker: WorkerIndex, resident: &Resident) {
-        if let Some(entry) = self.tasks.get(resident.task) {
-            self.failures.record_success(entry.job, worker);
-        }
+    /// Clears the job and the worker of failures, and learns the run time.
+    pub(super) fn record_success(
+        &mut self,
+        now: BootTime,
+        worker: WorkerIndex,
+        resident: &Resident,
+    ) {
+        let Some(entry) = self.tasks.get(resident.task) else {
+            return;
+        };
+        self.failures.record_success(entry.job, worker);
+        let kind = self.shapes.get(entry.shape).key.kind;
+        let expected_ms = u64::from(entry.expected_run_ms);
+        let ran = now.saturating_since(resident.since);
+        let ran_ms = u64::try_from(ran.as_millis()).unwrap_or(u64::MAX);
+        self.sizes.record_run(kind, expected_ms, ran_ms);
     }
 
     /// Charges the failure of a task that was freed, and backs the task off.
--- a/crates/guavavane_placement/src/placement_core/ledger.rs
+++ b/crates/guavavane_placement/src/placement_core/ledger.rs
@@ -11,6 +11,7 @@
 use crate::index::WorkerIndex;
 use crate::record::TaskAttempt;
 use crate::record::TaskClass;
+use crate::residence::ResidenceSpan;
 use crate::worker_table::Resident;
 use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootTime;
@@ -48,6 +49,7 @@
             evicting: reservation.evicting,
             preemptable: key.preemptable(),
             throttle: ThrottleLevel::None,
+            throttled_at: reservation.since,
         };
         if let Some(number) = reservation.unconfirmed {
             let attempt = TaskAttempt {
@@ -65,7 +67,12 @@
     }
 
     /// Frees what a worker was committed to for an attempt.
-    pub(super) fn free(&mut self, worker: WorkerIndex, attempt: TaskAttempt) -> Option<Resident> {
+    pub(super) fn free(
+        &mut self,
+        now: BootTime,
+        worker: WorkerIndex,
+        attempt: TaskAttempt,
+    ) -> Option<Resident> {
         let resident = self.workers.remove_resident(worker, attempt)?;
         if let Some(number) = resident.unconfirmed {
             self.unconfirmed.swap_remove(&number);
@@ -76,6 +83,14 @@
             self.count_spread(worker, key.kind, false);
         }
         self.shapes.release(resident.shape);
+        self.end_strain(now, worker, attempt.task);
+        let span = ResidenceSpan {
+            kind: key.kind,
+            from: resident.since,
+            until: now,
+        };
+        let limit = self.settings.history_spans_max;
+        self.history.record(worker, span, limit);
         if self.workers.get(worker).has_holds() {
             self.holds_changed = true;
         }
--- a/crates/guavavane_placement/src/placement_core/preempt.rs
+++ b/crates/guavavane_placement/src/placement_core/preempt.rs
@@ -80,8 +80,9 @@
         needed: &ResourceVector,
     ) -> Option<PreemptionPlan> {
         let slot = self.workers.get(worker);
-        let victims = choose_victims(slot, now, needed)?;
-        let work_lost = victims.iter().map(|victim| victim.work_lost(now)).sum();
+        let cost = |resident: &Resident| self.eviction_cost(now, resident);
+        let victims = choose_victims(slot, cost, needed)?;
+        let work_lost = victims.iter().map(|victim| cost(victim)).sum();
         let victims = victims.iter().map(|victim| TaskAttempt {
             task: victim.task,
             attempt: victim.attempt,
@@ -93,6 +94,21 @@
         })
     }
 
+    /// Work lost by an eviction, doubled for a task that is about to end.
+    fn eviction_cost(&self, now: BootTime, resident: &Resident) -> u64 {
+        let lost = resident.work_lost(now);
+        let kind = self.shapes.get(resident.shape).key.kind;
+        let entry = self.tasks.get(resident.task);
+        let declared_ms = entry.map_or(0, |entry| u64::from(entry.expected_run_ms));
+        let expected_ms = self.sizes.expected_run_ms(kind, declared_ms);
+        let ran_ms = now.as_millis().saturating_sub(resident.since.as_millis());
+        let nearly_done = ran_ms > expected_ms / 4 * 3 && ran_ms < expected_ms;
+        match nearly_done {
+            true => lost.saturating_mul(2),
+            false => lost,
+        }
+    }
+
     /// Gives up room that is held for a task.
     pub(super) fn drop_hold(&mut self, task: TaskId) {
         let Some(hold) = self.holds.swap_remove(&task) else {
@@ -162,14 +178,14 @@
 /// Fewest losses first, each of them needed: no victim could stay and the task still fit.
 fn choose_victims<'a>(
     slot: &'a WorkerSlot,
-    now: BootTime,
+    cost: impl Fn(&Resident) -> u64,
     needed: &ResourceVector,
 ) -> Option<Vec<&'a Resident>> {
     let candidates = slot.residents.iter();
     let mut candidates: Vec<&Resident> = candidates
         .filter(|resident| resident.preemptable && resident.can_evict())
         .collect();
-    candidates.sort_by_key(|resident| resident.work_lost(now));
+    candidates.sort_by_key(|resident| cost(resident));
     let mut room = slot.free_soon();
     let mut victims: Vec<&Resident> = Vec::new();
     for candidate in candidates {
--- a/crates/guavavane_placement/src/placement_core/score.rs
+++ b/crates/guavavane_placement/src/placement_core/score.rs
@@ -10,6 +10,7 @@
 use crate::record::TaskClass;
 use crate::shape::ShapeKey;
 use crate::worker_table::WorkerSlot;
+use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::JobId;
 use guavavane_model::prelude::ResourceVector;
 
@@ -41,6 +42,7 @@
 /// A task that workers are scored for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ScoreRequest {
+    pub(super) now: BootTime,
     pub(super) shape: ShapeIndex,
     pub(super) key: ShapeKey,
     pub(super) job: JobId,
@@ -79,7 +81,12 @@
             } else {
                 0
             },
-            interference: 0,
+            interference: self.interference_score(
+                request.now,
+                request.key.kind,
+                request.key.class,
+                worker,
+            ),
             failures: self.failure_score(request.job, worker),
         }
     }
--- a/crates/guavavane_placement/src/placement_core/task_event.rs
+++ b/crates/guavavane_placement/src/placement_core/task_event.rs
@@ -224,7 +224,7 @@
         let resident = self.workers.get(worker).resident(old);
         let confirmed = resident.is_some_and(|resident| resident.unconfirmed.is_none());
         if !confirmed {
-            self.free(worker, old);
+            self.free(now, worker, old);
             return self.adopt(now, placement);
         }
         if attempt.attempt <= last_attempt {
@@ -244,7 +244,7 @@
         };
         let name = &placement.worker;
         self.unqueue(attempt.task);
-        self.discard_replacement(attempt.task);
+        self.discard_replacement(now, attempt.task);
         let entry = self.tasks.get(attempt.task);
         let shape = entry.expect("the caller found the task").shape;
         let key = self.shapes.get(shape).key;
@@ -286,7 +286,7 @@
         let Some(worker) = self.workers.find(&release.worker) else {
             return StepOutcome::Ignored(IgnoredReason::UnknownWorker);
         };
-        let Some(resident) = self.free(worker, attempt) else {
+        let Some(resident) = self.free(now, worker, attempt) else {
             return StepOutcome::Ignored(IgnoredReason::Duplicate);
         };
         let Some(entry) = self.tasks.get(release.task) else {
@@ -300,16 +300,22 @@
             );
         let is_replaced = release.attempt < entry.attempt;
         match is_current {
-            _ if is_over && !is_replaced => self.finish(worker, &resident, release.cause),
+            _ if is_over && !is_replaced => self.finish(now, worker, &resident, release.cause),
             true => self.requeue(now, worker, &resident, release.cause),
             false => self.drop_replacement(attempt),
         }
         StepOutcome::Applied
     }
 
-    fn finish(&mut self, worker: WorkerIndex, resident: &Resident, cause: ReleaseCause) {
+    fn finish(
+        &mut self,
+        now: BootTime,
+        worker: WorkerIndex,
+        resident: &Resident,
+        cause: ReleaseCause,
+    ) {
         if cause == ReleaseCause::Finished {
-            self.record_success(worker, resident);
+            self.record_success(now, worker, resident);
         }
         let entry = self.tasks.get(resident.task);
         let left = entry.map(|entry| (entry.state, entry.attempt_of(resident.task)));
@@ -328,7 +334,7 @@
     }
 
     /// Frees a replacement that the replicated state has decided otherwise about.
-    fn discard_replacement(&mut self, task: TaskId) {
+    fn discard_replacement(&mut self, now: BootTime, task: TaskId) {
         let Some(replacement) = self.replacements.swap_remove(&task) else {
             return;
         };
@@ -336,7 +342,7 @@
             task,
             attempt: replacement.attempt,
         };
-        self.free(replacement.worker, attempt);
+        self.free(now, replacement.worker, attempt);
     }
 
     /// Queues a task again whose current attempt ended, or lets its replacement take over.
@@ -372,12 +378,16 @@
         }
     }
 
-    pub(super) fn decision_rejected(&mut self, number: DecisionNumber) -> StepOutcome {
+    pub(super) fn decision_rejected(
+        &mut self,
+        now: BootTime,
+        number: DecisionNumber,
+    ) -> StepOutcome {
         let Some(place) = self.unconfirmed.get(&number).copied() else {
             return StepOutcome::Ignored(IgnoredReason::Stale);
         };
         let UnconfirmedPlace { worker, attempt } = place;
-        self.free(worker, attempt);
+        self.free(now, worker, attempt);
         self.drop_replacement(attempt);
         let Some(entry) = self.tasks.get(attempt.task) else {
             return StepOutcome::Applied;
--- a/crates/guavavane_placement/src/placement_core/worker_event.rs
+++ b/crates/guavavane_placement/src/placement_core/worker_event.rs
@@ -148,6 +148,7 @@
         entry.quarantined -= quarantined;
         self.shrunk.swap_remove(&worker);
         self.failures.forget_worker(worker);
+        self.history.forget_worker(worker);
     }
 
     pub(super) fn data_centre_out(&mut self, name: &DataCentreName) -> StepOutcome {
--- /dev/null
+++ b/crates/guavavane_placement/src/residence.rs
@@ -0,0 +1,60 @@
+//! Who was on a worker when: a bounded history of tasks that left.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use crate::event::MeasuredInterval;
+use crate::index::KindIndex;
+use crate::index::WorkerIndex;
+use guavavane_model::prelude::BootTime;
+
+/// Age at which a task that left is forgotten; later samples are attributed without it.
+const RETENTION_MS: u64 = 120_000;
+
+/// A stay of a task on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResidenceSpan {
+    pub(crate) kind: KindIndex,
+    pub(crate) from: BootTime,
+    pub(crate) until: BootTime,
+}
+
+impl ResidenceSpan {
+    /// Part of an interval that the stay covers, from zero to one.
+    pub(crate) fn overlap(&self, interval: &MeasuredInterval) -> f32 {
+        let from = self.from.max(interval.from);
+        let until = self.until.min(interval.until);
+        let length = interval.until.saturating_since(interval.from);
+        let covered = until.saturating_since(from);
+        covered.as_secs_f32() / length.as_secs_f32().max(f32::EPSILON)
+    }
+}
+
+/// Stays of tasks that left.
+#[derive(Debug, Default)]
+pub(crate) struct ResidenceHistory {
+    workers: IndexMap<WorkerIndex, VecDeque<ResidenceSpan>>,
+}
+
+impl ResidenceHistory {
+    /// Adds a stay, and forgets the oldest beyond `limit`.
+    pub(crate) fn record(&mut self, worker: WorkerIndex, span: ResidenceSpan, limit: usize) {
+        let spans = self.workers.entry(worker).or_default();
+        spans.push_back(span);
+        let oldest_ms = span.until.as_millis().saturating_sub(RETENTION_MS);
+        let is_old = |span: &ResidenceSpan| span.until.as_millis() < oldest_ms;
+        while spans.len() > limit || spans.front().is_some_and(is_old) {
+            spans.pop_front();
+        }
+    }
+
+    /// Stays of tasks that left a worker.
+    pub(crate) fn spans(&self, worker: WorkerIndex) -> impl Iterator<Item = &ResidenceSpan> {
+        self.workers.get(&worker).into_iter().flatten()
+    }
+
+    pub(crate) fn forget_worker(&mut self, worker: WorkerIndex) {
+        self.workers.swap_remove(&worker);
+    }
+}
--- a/crates/guavavane_placement/src/task_table.rs
+++ b/crates/guavavane_placement/src/task_table.rs
@@ -46,7 +46,6 @@
     /// Highest attempt that was ever reserved or reported.
     pub(crate) last_attempt: AttemptNumber,
     pub(crate) state: TaskState,
-    #[expect(dead_code, reason = "the estimates that read it are not built yet")]
     pub(crate) expected_run_ms: u32,
     pub(crate) failures: u8,
     pub(crate) cancelled: bool,
--- a/crates/guavavane_placement/src/worker_table.rs
+++ b/crates/guavavane_placement/src/worker_table.rs
@@ -35,8 +35,9 @@
     pub(crate) evicting: bool,
     /// Whether other tasks may take its place.
     pub(crate) preemptable: bool,
-    #[expect(dead_code, reason = "the estimates that read it are not built yet")]
     pub(crate) throttle: ThrottleLevel,
+    /// When the throttle last changed.
+    pub(crate) throttled_at: BootTime,
 }
 
 impl Resident {
@@ -183,6 +184,11 @@
         slot.expect("a worker index outlived its worker")
     }
 
+    /// Workers that are known, present or not.
+    pub(crate) fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
     /// Workers that are present.
     pub(crate) fn present_count(&self) -> usize {
         let slots = self.slots.iter().flatten();
--- a/crates/guavavane_placement/tests/generated_sequences.rs
+++ b/crates/guavavane_placement/tests/generated_sequences.rs
@@ -33,6 +33,8 @@
     CentreOut { centre: u8 },
     CentreIn { centre: u8 },
     SetQuota { team: u8, cpu: u8 },
+    SampleUsage { at: u8, permille: u16 },
+    SampleLatency { at: u8, permille: u16 },
     RejectNext,
     Rebuild,
     Advance { millis: u16 },
@@ -105,6 +107,10 @@
                 cap: (cpu > 20).then_some(cap),
             });
         }
+        Operation::SampleUsage { at, permille } => state.sample_usage(at.into(), permille.into()),
+        Operation::SampleLatency { at, permille } => {
+            state.sample_latency(at.into(), permille.into());
+        }
         Operation::RejectNext => state.reject_next = true,
         Operation::Rebuild => state.rebuild(),
         Operation::Advance { millis } => state.advance(u64::from(millis)),
@@ -146,6 +152,7 @@
             let mut state = new_state(7);
             for operation in operations {
                 run(&mut state, operation);
+                state.decide(4);
             }
             state.deliver_all();
             state.decide(64);
--- a/crates/guavavane_placement/tests/support/mod.rs
+++ b/crates/guavavane_placement/tests/support/mod.rs
@@ -444,6 +444,51 @@
         }
     }
 
+    fn interval(&self) -> MeasuredInterval {
+        let until = self.now;
+        let from = BootTime::from_millis(until.as_millis().saturating_sub(1_000));
+        MeasuredInterval { from, until }
+    }
+
+    /// Reports that a task uses this many thousandths of its declared size.
+    pub(crate) fn sample_usage(&mut self, position: usize, permille: u64) {
+        let Some(attempt) = self.attempt_at(position) else {
+            return;
+        };
+        let Some(task) = self.tasks.get(&attempt.task) else {
+            return;
+        };
+        let mut used = task.demand;
+        used.cpu_millis = used.cpu_millis * permille / 1_000;
+        used.memory_mib = used.memory_mib * permille / 1_000;
+        let worker = self.commitments[&attempt].worker.clone();
+        let interval = self.interval();
+        self.send(PlacementEvent::UsageSample(UsageSample {
+            task: attempt.task,
+            attempt: attempt.attempt,
+            worker,
+            interval,
+            used,
+        }));
+    }
+
+    /// Reports that a service runs at this slowdown.
+    pub(crate) fn sample_latency(&mut self, position: usize, slowdown_permille: u32) {
+        let Some(attempt) = self.attempt_at(position) else {
+            return;
+        };
+        let worker = self.commitments[&attempt].worker.clone();
+        let interval = self.interval();
+        self.send(PlacementEvent::LatencySample(LatencySample {
+            task: attempt.task,
+            attempt: attempt.attempt,
+            worker,
+            interval,
+            slowdown_permille,
+            load_permille: 500,
+        }));
+    }
+
     pub(crate) fn attempt_at(&self, position: usize) -> Option<TaskAttempt> {
         let count = self.commitments.len();
         let position = position.checked_rem(count)?;
