Check requests and endpoints of the router by generated faults

Two property tests: a world of two entries, three agents that count what they run and a control, over lost, doubled, delayed and crossed packets, restarts and outages; and a bench that checks each dispatch against what agents last announced.

Faults they found, now mended: a hedge timer that was handled after the deadline sent a second attempt with no time left; ejections above the floor stayed when other endpoints expired or left; an ignored incarnation could be the living one for 3 s.

--- a/crates/guavavane_routing/src/life.rs
+++ b/crates/guavavane_routing/src/life.rs
@@ -209,6 +209,16 @@
         }
     }
 
+    /// The claim is committed, but its attempt is not dispatched: claim for another.
+    pub fn unsent(mut self) -> RequestLife<Waiting> {
+        self.record.contested = false;
+        self.record.replaces = Some(self.state.holder.attempt);
+        RequestLife {
+            record: self.record,
+            state: Waiting,
+        }
+    }
+
     /// Another attempt holds the claim.
     pub fn held(mut self, other: ClaimHolder, rounds_max: u16) -> HeldStep {
         self.record.rounds += 1;
--- a/crates/guavavane_routing/src/router/claims.rs
+++ b/crates/guavavane_routing/src/router/claims.rs
@@ -58,9 +58,7 @@
                     self.refuse_claim(now, life, NotRunReason::DeadlinePassed);
                     return;
                 }
-                let life = life.granted();
-                self.requests.insert(id, LiveRequest::Running(life));
-                self.dispatch(now, &request, holder);
+                self.start_granted(now, life);
             }
             Some(ClaimReply::Outcome(ClaimOutcome::Held(other))) => {
                 self.close_unsent(now, holder.attempt);
@@ -84,6 +82,21 @@
         }
     }
 
+    /// Dispatches a claimed attempt, unless its endpoint takes no work any more.
+    fn start_granted(&mut self, now: BootTime, life: RequestLife<Claiming>) {
+        let request = Arc::clone(&life.record.request);
+        let holder = life.holder().clone();
+        let record = self.table.find_mut(&holder.target);
+        if record.is_some_and(|record| record.is_live(now)) {
+            let life = life.granted();
+            self.requests.insert(request.id, LiveRequest::Running(life));
+            self.dispatch(now, &request, holder);
+        } else {
+            self.close_unsent(now, holder.attempt);
+            self.resend(now, life.unsent(), false);
+        }
+    }
+
     fn refuse_claim(&mut self, now: BootTime, life: RequestLife<Claiming>, reason: NotRunReason) {
         let request = Arc::clone(&life.record.request);
         self.close_unsent(now, life.holder().attempt);
--- a/crates/guavavane_routing/src/router/health.rs
+++ b/crates/guavavane_routing/src/router/health.rs
@@ -8,6 +8,7 @@
 use crate::router::RequestRouter;
 use crate::service::ServiceKey;
 use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::EndpointName;
 use guavavane_protocol::prelude::DispatchTarget;
 use guavavane_protocol::prelude::EndpointState;
 use guavavane_protocol::prelude::RefusalReason;
@@ -59,11 +60,19 @@
 
     fn refuse_endpoint(&mut self, now: BootTime, open: &OpenAttempt, reason: RefusalReason) {
         match reason {
-            RefusalReason::Leaving => self.update(&open.holder.target, |record| {
-                record.state = EndpointState::Leaving;
-            }),
-            RefusalReason::WrongIncarnation | RefusalReason::UnknownEndpoint => {
+            RefusalReason::Leaving => {
+                self.update(&open.holder.target, |record| {
+                    record.state = EndpointState::Leaving;
+                });
+                self.restore_floor(now);
+            }
+            RefusalReason::WrongIncarnation => {
+                self.table.drop_incarnation(now, &open.holder.target);
+                self.restore_floor(now);
+            }
+            RefusalReason::UnknownEndpoint => {
                 self.update(&open.holder.target, |record| record.expires_at = now);
+                self.restore_floor(now);
             }
             RefusalReason::Busy | RefusalReason::RecordFull | RefusalReason::DeadlinePassed => {
                 self.update(&open.holder.target, |record| record.others = record.slots);
@@ -96,20 +105,42 @@
 
     /// Whether one more endpoint of the service may be ejected.
     fn may_eject(&self, now: BootTime, service: &ServiceKey) -> bool {
+        let (live, ejected) = self.count_ejected(now, service);
+        self.is_within_floor(live, ejected + 1)
+    }
+
+    fn is_within_floor(&self, live: usize, ejected: usize) -> bool {
+        ejected * 100 <= live * self.settings.ejection_percent_max as usize
+    }
+
+    fn count_ejected(&self, now: BootTime, service: &ServiceKey) -> (usize, usize) {
         let Some(pool) = self.table.pool(service) else {
-            return false;
+            return (0, 0);
         };
-        let live = pool
-            .local
-            .iter()
-            .chain(&pool.remote)
-            .map(|index| self.table.record(*index))
-            .filter(|record| record.is_live(now));
-        let (mut all, mut ejected) = (0_usize, 0_usize);
-        for record in live {
-            all += 1;
-            ejected += usize::from(record.health.is_ejected(now));
+        let (mut live, mut ejected) = (0, 0);
+        for index in pool.local.iter().chain(&pool.remote) {
+            let record = self.table.record(*index);
+            if record.is_live(now) {
+                live += 1;
+                ejected += usize::from(record.health.is_ejected(now));
+            }
+        }
+        (live, ejected)
+    }
+
+    /// Ends ejections that are too many now that other endpoints have gone.
+    pub(super) fn restore_floor(&mut self, now: BootTime) {
+        let ejected: Vec<(ServiceKey, EndpointName)> = self
+            .table
+            .endpoints()
+            .filter(|record| record.is_live(now) && record.health.is_ejected(now))
+            .map(|record| (record.service.clone(), record.target.endpoint.clone()))
+            .collect();
+        for (service, name) in ejected {
+            let (live, ejected) = self.count_ejected(now, &service);
+            if !self.is_within_floor(live, ejected) {
+                self.table.restore(&name, now);
+            }
         }
-        (ejected + 1) * 100 <= all * self.settings.ejection_percent_max as usize
     }
 }
--- a/crates/guavavane_routing/src/router/mod.rs
+++ b/crates/guavavane_routing/src/router/mod.rs
@@ -193,7 +193,10 @@
             RouterInput::Claim(ClaimTag::Job(job), reply) => self.end_job(now, job, reply),
             RouterInput::Revoke(id, reply) => self.end_revoke(now, id, reply),
             RouterInput::Announcement(announcement) => self.announce(now, *announcement),
-            RouterInput::DataCentres(statuses) => self.table.set_data_centres(&statuses),
+            RouterInput::DataCentres(statuses) => {
+                self.table.set_data_centres(&statuses);
+                self.restore_floor(now);
+            }
             RouterInput::Tick => self.tick(now),
         }
         self.run_timers(now);
@@ -222,11 +225,13 @@
 
     fn announce(&mut self, now: BootTime, announcement: EndpointAnnouncement) {
         self.table.announce(now, announcement);
+        self.restore_floor(now);
         self.pump_all(now);
     }
 
     fn tick(&mut self, now: BootTime) {
         self.table.forget_expired(now);
+        self.restore_floor(now);
         self.pump_all(now);
     }
 
--- a/crates/guavavane_routing/src/router/placement.rs
+++ b/crates/guavavane_routing/src/router/placement.rs
@@ -221,6 +221,9 @@
             return;
         }
         let request = Arc::clone(&life.record.request);
+        if self.is_too_late(now, &request) {
+            return;
+        }
         let mut avoid = life.record.avoid.clone();
         avoid.push(life.open()[0].target.endpoint.clone());
         let stall_limit = self.stall_limit(&request.service);
--- a/crates/guavavane_routing/src/table.rs
+++ b/crates/guavavane_routing/src/table.rs
@@ -292,6 +292,25 @@
             .filter(|record| record.target.incarnation == target.incarnation)
     }
 
+    /// Drops what the agent of a target announced: it has been replaced.
+    pub fn drop_incarnation(&mut self, now: BootTime, target: &DispatchTarget) {
+        if let Some(record) = self.find_mut(target) {
+            record.expires_at = now;
+        }
+        let announced = |agent: &&mut AgentRecord| agent.incarnation == target.incarnation;
+        if let Some(agent) = self.agents.values_mut().find(announced) {
+            // Its successor may be the very one that was ignored as replaced.
+            agent.replaced = None;
+        }
+    }
+
+    /// Ends the ejection of an endpoint.
+    pub fn restore(&mut self, name: &EndpointName, now: BootTime) {
+        if let Some(record) = self.endpoints.get_mut(name) {
+            record.health.restore(now);
+        }
+    }
+
     /// All endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &EndpointRecord> {
         self.endpoints.values()
--- /dev/null
+++ b/crates/guavavane_routing/tests/endpoints.rs
@@ -0,0 +1,288 @@
+//! Which endpoints get work, over generated announcements, outages, failures and time.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use bolero::check;
+use bolero::produce;
+use indexmap::IndexMap;
+
+use guavavane_model::prelude::*;
+use guavavane_protocol::prelude::*;
+use guavavane_routing::prelude::*;
+
+const WORKERS: u8 = 5;
+const SLOTS: u16 = 2;
+const EXPIRY_MS: u64 = 1_500;
+const TIMEOUT_MS: u64 = 1_000;
+const LATE_MAX: Duration = Duration::from_millis(3_000);
+const QUEUE_MAX: usize = 4;
+const REQUESTS_MAX: usize = 12;
+
+fn name<N: for<'a> TryFrom<&'a str, Error = NameError>>(text: String) -> N {
+    N::try_from(text.as_str()).unwrap()
+}
+
+/// What an agent last made known, kept apart from the table under test.
+#[derive(Clone, Copy)]
+struct Announced {
+    incarnation: u64,
+    sequence: u64,
+    ready: bool,
+    expires_at: BootTime,
+    replaced_at: BootTime,
+}
+
+struct Bench {
+    now: BootTime,
+    settings: RoutingSettings,
+    router: RequestRouter,
+    announced: IndexMap<u8, Announced>,
+    out: IndexMap<u8, (u64, bool)>,
+    open: Vec<DispatchRequest>,
+    deadlines: IndexMap<RequestId, BootTime>,
+    in_flight: usize,
+    sequence: u64,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut settings = RoutingSettings::new(name("dc-0".to_owned()), 3);
+        settings.queue_max = QUEUE_MAX;
+        settings.requests_max = REQUESTS_MAX;
+        settings.ejection_failures = 2;
+        Self {
+            now: BootTime::from_millis(10_000),
+            router: RequestRouter::new(settings.clone()),
+            settings,
+            announced: IndexMap::new(),
+            out: IndexMap::new(),
+            open: Vec::new(),
+            deadlines: IndexMap::new(),
+            in_flight: 0,
+            sequence: 0,
+        }
+    }
+
+    fn act(&mut self, [action, argument]: [u8; 2]) {
+        match action {
+            0..=69 => self.request(argument),
+            70..=139 => self.reply(argument),
+            140..=189 => self.announce(argument % WORKERS, argument / WORKERS),
+            190..=204 => self.set_data_centre(argument % 2, argument / 2),
+            205..=255 => self.advance(u64::from(argument)),
+        }
+        self.check();
+    }
+
+    fn request(&mut self, argument: u8) {
+        self.sequence += 1;
+        let id = RequestId {
+            entry: IncarnationId(1),
+            sequence: self.sequence,
+        };
+        let deadline = self.now + Duration::from_millis(TIMEOUT_MS);
+        self.deadlines.insert(id, deadline);
+        self.in_flight += 1;
+        let request = CallerRequest {
+            id,
+            service: ServiceKey {
+                environment: name("production".to_owned()),
+                service: name("despacho".to_owned()),
+            },
+            method: "GET".to_owned(),
+            path: "/".to_owned(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            deadline,
+            idempotent: argument % 2 == 0,
+            hedge: argument % 4 == 0,
+            claim: None,
+        };
+        self.step(RouterInput::Request(Box::new(request)));
+    }
+
+    fn reply(&mut self, argument: u8) {
+        if self.open.is_empty() {
+            return;
+        }
+        let index = usize::from(argument) % self.open.len();
+        let call = self.open.swap_remove(index);
+        let answer = |status| {
+            AttemptResult::Reply(DispatchReply::Answered(HttpAnswer {
+                status,
+                headers: Vec::new(),
+                body: Vec::new(),
+            }))
+        };
+        let result = match argument % 8 {
+            0 | 1 => answer(503),
+            2 => AttemptResult::Unseen,
+            3 => AttemptResult::Reply(DispatchReply::Refused(RefusalReason::Busy)),
+            4 => AttemptResult::Lost,
+            _ => answer(200),
+        };
+        self.step(RouterInput::Reply(call.attempt, result));
+    }
+
+    /// Announces with the next sequence, an old one or another incarnation.
+    fn announce(&mut self, worker: u8, choice: u8) {
+        let last = self.announced.get(&worker).copied().unwrap_or(Announced {
+            incarnation: 1,
+            sequence: 10,
+            ready: true,
+            expires_at: BootTime::default(),
+            replaced_at: BootTime::default(),
+        });
+        // What a dead process has sent does not arrive for longer than this.
+        let recent = self.now.saturating_since(last.replaced_at) < LATE_MAX;
+        let (incarnation, sequence) = match choice % 8 {
+            0 => (last.incarnation + 1, 1),
+            1 => (last.incarnation, last.sequence.saturating_sub(1)),
+            2 if recent => (last.incarnation - 1, last.sequence + 7),
+            _ => (last.incarnation, last.sequence + 1),
+        };
+        let ready = choice / 8 % 3 != 0;
+        let stale = incarnation < last.incarnation
+            || (incarnation == last.incarnation
+                && sequence <= last.sequence
+                && self.announced.contains_key(&worker));
+        let told = Announced {
+            incarnation,
+            sequence,
+            ready,
+            expires_at: self.now + Duration::from_millis(EXPIRY_MS),
+            replaced_at: if incarnation > last.incarnation && self.announced.contains_key(&worker) {
+                self.now
+            } else {
+                last.replaced_at
+            },
+        };
+        if !stale {
+            self.announced.insert(worker, told);
+        }
+        let announcement = announcement(worker, told);
+        self.step(RouterInput::Announcement(Box::new(announcement)));
+    }
+
+    fn set_data_centre(&mut self, data_centre: u8, choice: u8) {
+        let (version, _) = self.out.get(&data_centre).copied().unwrap_or_default();
+        let out = choice % 2 == 0;
+        // One in four views is an older one that comes late.
+        let sent = match choice % 4 {
+            3 => version.saturating_sub(1),
+            _ => version + 1,
+        };
+        if sent > version {
+            self.out.insert(data_centre, (sent, out));
+        }
+        if sent == version {
+            return;
+        }
+        let status = DataCentreStatus {
+            name: name(format!("dc-{data_centre}")),
+            out,
+            version: sent,
+        };
+        self.step(RouterInput::DataCentres(vec![status]));
+    }
+
+    fn advance(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+        self.step(RouterInput::Tick);
+    }
+
+    fn step(&mut self, input: RouterInput) {
+        for outcome in self.router.step(self.now, input) {
+            match outcome {
+                RouterOutcome::Dispatch { call, .. } => {
+                    self.check_dispatch(&call);
+                    self.open.push(*call);
+                }
+                RouterOutcome::Finish { .. } => self.in_flight -= 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn check_dispatch(&self, call: &DispatchRequest) {
+        let worker = worker_of(&call.target.endpoint);
+        let announced = &self.announced[&worker];
+        assert!(announced.ready, "work for a leaving endpoint");
+        assert!(self.now < announced.expires_at, "work for an expired one");
+        assert_eq!(call.target.incarnation.0, announced.incarnation);
+        let out = self.out.get(&(worker % 2));
+        assert!(
+            !out.is_some_and(|(_, out)| *out),
+            "work for a data centre out"
+        );
+        let left = self.deadlines[&call.attempt.request].saturating_since(self.now);
+        let passed = Duration::from_millis(u64::from(call.deadline_ms));
+        assert!(passed < left, "the deadline passed on is not shorter");
+        let same = |other: &&DispatchRequest| other.target == call.target;
+        let open = self.open.iter().filter(same).count();
+        assert!(open < usize::from(SLOTS), "more attempts than slots");
+    }
+
+    fn check(&self) {
+        let counts = self.router.counts();
+        assert_eq!(counts.requests, self.in_flight);
+        assert!(counts.queued <= QUEUE_MAX && counts.requests <= REQUESTS_MAX);
+        assert_eq!(counts.attempts, self.open.len());
+        let live = || {
+            self.router
+                .table()
+                .endpoints()
+                .filter(|e| e.is_live(self.now))
+        };
+        let ejected = live().filter(|e| e.health.is_ejected(self.now)).count();
+        let percent = self.settings.ejection_percent_max as usize;
+        assert!(ejected * 100 <= live().count() * percent, "floor broken");
+    }
+}
+
+fn worker_of(endpoint: &EndpointName) -> u8 {
+    endpoint
+        .as_str()
+        .trim_start_matches("endpoint-")
+        .parse()
+        .unwrap()
+}
+
+fn announcement(worker: u8, told: Announced) -> EndpointAnnouncement {
+    EndpointAnnouncement {
+        worker: name(format!("worker-{worker}")),
+        data_centre: name(format!("dc-{}", worker % 2)),
+        rack: name("rack-0".to_owned()),
+        address: format!("10.0.0.{worker}:1").parse().unwrap(),
+        incarnation: IncarnationId(told.incarnation),
+        sequence: told.sequence,
+        expiry_ms: EXPIRY_MS as u32,
+        endpoints: vec![EndpointStatus {
+            name: name(format!("endpoint-{worker}")),
+            environment: name("production".to_owned()),
+            service: name("despacho".to_owned()),
+            state: match told.ready {
+                true => EndpointState::Ready,
+                false => EndpointState::Leaving,
+            },
+            slots: SLOTS,
+            outstanding: 0,
+        }],
+    }
+}
+
+#[test]
+fn work_goes_only_to_live_endpoints_within_bounds() {
+    check!()
+        .with_iterations(400)
+        .with_max_len(8_192)
+        .with_generator(produce::<Vec<[u8; 2]>>().with().len(20_usize..500))
+        .for_each(|actions| {
+            let mut bench = Bench::new();
+            for action in actions {
+                bench.act(*action);
+            }
+        });
+}
--- /dev/null
+++ b/crates/guavavane_routing/tests/world/mod.rs
@@ -0,0 +1,442 @@
+//! Entries, agents and control around a network that loses, doubles, delays and crosses.
+//!
+//! The agents count what they run; those counts are the judge.
+
+#![allow(dead_code, unreachable_pub)]
+
+mod agent;
+mod claims;
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use guavavane_model::prelude::*;
+use guavavane_protocol::prelude::*;
+use guavavane_routing::prelude::*;
+
+pub use agent::FakeAgent;
+pub use claims::FakeControl;
+
+pub const ENTRIES: usize = 2;
+pub const AGENTS: usize = 3;
+const TIMEOUT_MS: u64 = 1_000;
+
+/// How a submitted request may be treated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    Plain,
+    Idempotent,
+    Keyed(u8),
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Dispatch(Box<DispatchRequest>),
+    DispatchReply(RequestAttempt, DispatchReply),
+    Revoke(RequestId, DispatchTarget, RevokeRequest),
+    RevokeReply(RequestId, RevokeReply),
+    Claim(ClaimTag, Box<ClaimRequest>),
+    ClaimReply(ClaimTag, Option<ClaimReply>),
+}
+
+#[derive(Clone, Debug)]
+struct Packet {
+    entry: IncarnationId,
+    call: u64,
+    message: Message,
+    /// Whether a copy has been delivered.
+    seen: bool,
+}
+
+#[derive(Clone, Debug)]
+struct OpenCall {
+    entry: IncarnationId,
+    ends_at: BootTime,
+    failure: RouterInput,
+}
+
+pub struct Entry {
+    pub incarnation: IncarnationId,
+    pub router: RequestRouter,
+    pub submitted: u32,
+    pub repeats: u32,
+    sequence: u64,
+}
+
+pub struct World {
+    pub now: BootTime,
+    pub settings: RoutingSettings,
+    pub entries: Vec<Entry>,
+    pub agents: Vec<FakeAgent>,
+    pub control: FakeControl,
+    pub kinds: IndexMap<RequestId, RequestKind>,
+    pub results: IndexMap<RequestId, RequestResult>,
+    /// Attempts sent, and whether each is proven not to have run.
+    attempts: IndexMap<RequestAttempt, bool>,
+    first_answers: IndexMap<u8, HttpAnswer>,
+    network: Vec<Packet>,
+    calls: IndexMap<u64, OpenCall>,
+    next_call: u64,
+}
+
+pub fn service() -> ServiceKey {
+    ServiceKey {
+        environment: EnvironmentName::try_from("production").unwrap(),
+        service: ServiceName::try_from("despacho").unwrap(),
+    }
+}
+
+pub fn settings() -> RoutingSettings {
+    let mut settings = RoutingSettings::new(DataCentreName::try_from("dc-0").unwrap(), 7);
+    settings.budget_tokens_max = 2;
+    settings.claim_wait = Duration::from_millis(50);
+    settings
+}
+
+pub fn key_of(kind: &RequestKind, id: RequestId) -> String {
+    match kind {
+        RequestKind::Keyed(key) => format!("key-{key}"),
+        _ => id.to_string(),
+    }
+}
+
+impl World {
+    pub fn new() -> Self {
+        let mut world = Self {
+            now: BootTime::from_millis(1_000),
+            settings: settings(),
+            entries: Vec::new(),
+            agents: (0..AGENTS).map(FakeAgent::new).collect(),
+            control: FakeControl::default(),
+            kinds: IndexMap::new(),
+            results: IndexMap::new(),
+            attempts: IndexMap::new(),
+            first_answers: IndexMap::new(),
+            network: Vec::new(),
+            calls: IndexMap::new(),
+            next_call: 0,
+        };
+        for index in 0..ENTRIES {
+            let entry = world.fresh_entry(index as u64 + 1);
+            world.entries.push(entry);
+        }
+        for agent in 0..AGENTS {
+            world.announce(agent);
+        }
+        world
+    }
+
+    fn fresh_entry(&self, incarnation: u64) -> Entry {
+        Entry {
+            incarnation: IncarnationId(incarnation),
+            router: RequestRouter::new(self.settings.clone()),
+            submitted: 0,
+            repeats: 0,
+            sequence: 0,
+        }
+    }
+
+    /// Plays one generated action.
+    pub fn act(&mut self, [action, argument]: [u8; 2]) {
+        let pick = usize::from(argument);
+        match action {
+            0..=39 => self.submit(pick % ENTRIES, argument / 4),
+            40..=139 => self.deliver(pick, false),
+            140..=159 => self.deliver(pick, true),
+            160..=174 => self.lose(pick),
+            175..=204 => self.work(pick % AGENTS, pick / AGENTS % 8 != 0),
+            205..=234 => self.advance(u64::from(argument) + 1),
+            235..=239 => self.restart_agent(pick % AGENTS),
+            240..=242 => self.restart_entry(pick % ENTRIES),
+            243..=246 => self.leave(pick % AGENTS),
+            247..=250 => self.control.down = pick % 4 == 0,
+            251..=255 => self.announce(pick % AGENTS),
+        }
+    }
+
+    pub fn submit(&mut self, entry: usize, choice: u8) {
+        let kind = match choice % 4 {
+            0 => RequestKind::Plain,
+            1 => RequestKind::Idempotent,
+            _ => RequestKind::Keyed(choice / 4 % 3),
+        };
+        self.submit_kind(entry, kind);
+    }
+
+    pub fn submit_kind(&mut self, entry: usize, kind: RequestKind) -> RequestId {
+        self.entries[entry].sequence += 1;
+        self.entries[entry].submitted += 1;
+        let id = RequestId {
+            entry: self.entries[entry].incarnation,
+            sequence: self.entries[entry].sequence,
+        };
+        let claim = matches!(kind, RequestKind::Keyed(_)).then(|| ClaimIntent {
+            key: key_of(&kind, id).into(),
+            digest: 1,
+        });
+        let request = CallerRequest {
+            id,
+            service: service(),
+            method: "POST".to_owned(),
+            path: "/".to_owned(),
+            headers: Vec::new(),
+            body: key_of(&kind, id).into_bytes(),
+            deadline: self.now + Duration::from_millis(TIMEOUT_MS),
+            idempotent: kind == RequestKind::Idempotent,
+            hedge: true,
+            claim,
+        };
+        self.kinds.insert(id, kind);
+        self.step(entry, RouterInput::Request(Box::new(request)));
+        id
+    }
+
+    fn step(&mut self, entry: usize, input: RouterInput) {
+        let incarnation = self.entries[entry].incarnation;
+        for outcome in self.entries[entry].router.step(self.now, input) {
+            match outcome {
+                RouterOutcome::Dispatch { call, limit } => {
+                    self.count_attempt(entry, &call);
+                    let failure = RouterInput::Reply(call.attempt, AttemptResult::Lost);
+                    self.send(incarnation, Message::Dispatch(call), limit, failure);
+                }
+                RouterOutcome::Claim { tag, call, limit } => {
+                    let failure = RouterInput::Claim(tag, None);
+                    self.send(incarnation, Message::Claim(tag, call), limit, failure);
+                }
+                RouterOutcome::Revoke {
+                    request,
+                    target,
+                    call,
+                    limit,
+                } => {
+                    let failure = RouterInput::Revoke(request, None);
+                    let message = Message::Revoke(request, target, call);
+                    self.send(incarnation, message, limit, failure);
+                }
+                RouterOutcome::Finish { request, result } => self.finish(request, result),
+                RouterOutcome::Decision { .. } => {}
+            }
+        }
+    }
+
+    fn count_attempt(&mut self, entry: usize, call: &DispatchRequest) {
+        let earlier = self
+            .attempts
+            .iter()
+            .any(|(attempt, not_run)| attempt.request == call.attempt.request && !not_run);
+        self.entries[entry].repeats += u32::from(earlier);
+        let fresh = self.attempts.insert(call.attempt, false).is_none();
+        assert!(fresh, "{:?} was sent twice", call.attempt);
+        let agent = self
+            .agents
+            .iter()
+            .find(|agent| agent.is_target(&call.target));
+        if let Some(agent) = agent {
+            let told = agent
+                .told_leaving
+                .contains(&self.entries[entry].incarnation);
+            assert!(!told, "new work for an endpoint that is known to leave");
+        }
+    }
+
+    fn finish(&mut self, request: RequestId, result: RequestResult) {
+        let kind = &self.kinds[&request];
+        if let RequestResult::Answered(answer) = &result {
+            let expected = key_of(kind, request);
+            let body = String::from_utf8(answer.body.clone()).unwrap();
+            let (key, _) = body.split_once('/').unwrap();
+            assert_eq!(key, expected, "answer of another request");
+            if let RequestKind::Keyed(key) = kind {
+                let first = self.first_answers.entry(*key).or_insert(answer.clone());
+                assert_eq!(first, answer, "two answers under one key");
+            }
+        }
+        let before = self.results.insert(request, result);
+        assert!(before.is_none(), "{request} finished twice");
+    }
+
+    fn send(
+        &mut self,
+        entry: IncarnationId,
+        message: Message,
+        limit: Duration,
+        failure: RouterInput,
+    ) {
+        self.next_call += 1;
+        let call = OpenCall {
+            entry,
+            ends_at: self.now + limit,
+            failure,
+        };
+        self.calls.insert(self.next_call, call);
+        self.network.push(Packet {
+            entry,
+            call: self.next_call,
+            message,
+            seen: false,
+        });
+    }
+
+    /// Delivers a packet in any order; a doubled one stays in the network.
+    fn deliver(&mut self, pick: usize, doubled: bool) {
+        if self.network.is_empty() {
+            return;
+        }
+        let index = pick % self.network.len();
+        let seen = self.network[index].seen;
+        self.network[index].seen = true;
+        let packet = if doubled {
+            self.network[index].clone()
+        } else {
+            self.network.swap_remove(index)
+        };
+        match packet.message {
+            Message::Dispatch(ref call) => {
+                let agent = call.target.agent;
+                let agent = self.agents.iter_mut().find(|a| a.address == agent);
+                // A connection ends with its process: no copy reaches the next incarnation.
+                if seen && !agent.as_ref().unwrap().is_target(&call.target) {
+                    return;
+                }
+                if let Some(reply) = agent.unwrap().dispatch(call, packet.entry, packet.call) {
+                    let reply = Message::DispatchReply(call.attempt, reply);
+                    self.reply(&packet, reply);
+                }
+            }
+            Message::Revoke(request, ref target, ref call) => {
+                let agent = self.agents.iter_mut().find(|a| a.address == target.agent);
+                let reply = agent.unwrap().revoke(call);
+                self.reply(&packet, Message::RevokeReply(request, reply));
+            }
+            Message::Claim(tag, ref call) => {
+                let reply = self.control.change(call, pick % 5 == 0);
+                self.reply(&packet, Message::ClaimReply(tag, reply));
+            }
+            Message::DispatchReply(attempt, ref reply) => {
+                let result = AttemptResult::Reply(reply.clone());
+                self.end_call(&packet, RouterInput::Reply(attempt, result));
+            }
+            Message::RevokeReply(request, ref reply) => {
+                let input = RouterInput::Revoke(request, Some(reply.clone()));
+                self.end_call(&packet, input);
+            }
+            Message::ClaimReply(tag, ref reply) => {
+                self.end_call(&packet, RouterInput::Claim(tag, reply.clone()));
+            }
+        }
+    }
+
+    fn reply(&mut self, packet: &Packet, message: Message) {
+        self.network.push(Packet {
+            message,
+            ..packet.clone()
+        });
+    }
+
+    /// Hands a reply to its entry; the transport drops replies of calls that have ended.
+    fn end_call(&mut self, packet: &Packet, input: RouterInput) {
+        if self.calls.swap_remove(&packet.call).is_none() {
+            return;
+        }
+        if let RouterInput::Reply(attempt, AttemptResult::Reply(DispatchReply::Refused(_))) = input
+        {
+            self.attempts.insert(attempt, true);
+        }
+        self.feed(packet.entry, input);
+    }
+
+    fn feed(&mut self, entry: IncarnationId, input: RouterInput) {
+        let index = self.entries.iter().position(|e| e.incarnation == entry);
+        if let Some(index) = index {
+            self.step(index, input);
+        }
+    }
+
+    /// Loses a packet; the sender of one that nobody saw may learn of it at once.
+    fn lose(&mut self, pick: usize) {
+        if self.network.is_empty() {
+            return;
+        }
+        let packet = self.network.swap_remove(pick % self.network.len());
+        let Message::Dispatch(call) = &packet.message else {
+            return;
+        };
+        if !packet.seen && pick % 2 == 0 {
+            self.attempts.insert(call.attempt, true);
+            let input = RouterInput::Reply(call.attempt, AttemptResult::Unseen);
+            self.end_call(&packet, input);
+        }
+    }
+
+    fn work(&mut self, agent: usize, whole: bool) {
+        if let Some((entry, call, attempt, reply)) = self.agents[agent].work(whole) {
+            self.network.push(Packet {
+                entry,
+                call,
+                message: Message::DispatchReply(attempt, reply),
+                seen: true,
+            });
+        }
+    }
+
+    pub fn advance(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+        let now = self.now;
+        let ended: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.ends_at <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            let call = self.calls.swap_remove(&id).unwrap();
+            self.feed(call.entry, call.failure);
+        }
+        for entry in 0..ENTRIES {
+            self.step(entry, RouterInput::Tick);
+        }
+    }
+
+    pub fn announce(&mut self, agent: usize) {
+        for entry in 0..ENTRIES {
+            let announcement = self.agents[agent].announcement();
+            let incarnation = self.entries[entry].incarnation;
+            self.agents[agent].tell(incarnation);
+            let input = RouterInput::Announcement(Box::new(announcement));
+            self.step(entry, input);
+        }
+    }
+
+    fn leave(&mut self, agent: usize) {
+        self.agents[agent].leaving = !self.agents[agent].leaving;
+        self.announce(agent);
+    }
+
+    fn restart_agent(&mut self, agent: usize) {
+        self.agents[agent].restart();
+    }
+
+    fn restart_entry(&mut self, index: usize) {
+        let next = self.entries[index].incarnation.0 + 100;
+        self.entries[index] = self.fresh_entry(next);
+        for agent in 0..AGENTS {
+            self.announce(agent);
+        }
+    }
+
+    /// Lets everything in the network arrive and all deadlines pass.
+    pub fn settle(&mut self) {
+        self.control.down = false;
+        for _ in 0..400 {
+            while !self.network.is_empty() {
+                self.deliver(1, false);
+            }
+            for agent in 0..AGENTS {
+                self.work(agent, true);
+            }
+            self.advance(20);
+        }
+    }
+}
