--- a/crates/guavavane_entry/tests/pipeline.rs
+++ b/crates/guavavane_entry/tests/pipeline.rs
@@ -8,10 +8,9 @@
 use std::thread;
 use std::time::Duration;
 
-use common::start_entry;
-use common::FakeAgent;
-use common::FakeControl;
-
+use crate::common::start_entry;
+use crate::common::FakeAgent;
+use crate::common::FakeControl;
 use guavavane_protocol::prelude::EndpointState;
 
 const OUTCOME: &str = "x-guavavane-outcome";
--- a/crates/guavavane_routing/tests/endpoints.rs
+++ b/crates/guavavane_routing/tests/endpoints.rs
@@ -7,6 +7,7 @@
 use bolero::check;
 use bolero::produce;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use guavavane_model::prelude::*;
 use guavavane_protocol::prelude::*;
@@ -41,6 +42,12 @@
     announced: IndexMap<u8, Announced>,
     out: IndexMap<u8, (u64, bool)>,
     open: Vec<DispatchRequest>,
+    /// Attempts that are not proven to have been refused.
+    unproven: IndexSet<RequestAttempt>,
+    /// Attempts sent while an earlier one of the same request was not proven refused.
+    repeats: u64,
+    /// Whether each attempt is lost.
+    losing: bool,
     deadlines: IndexMap<RequestId, BootTime>,
     in_flight: usize,
     sequence: u64,
@@ -52,6 +59,7 @@
         settings.queue_max = QUEUE_MAX;
         settings.requests_max = REQUESTS_MAX;
         settings.ejection_failures = 2;
+        settings.budget_tokens_max = 1;
         Self {
             now: BootTime::from_millis(10_000),
             router: RequestRouter::new(settings.clone()),
@@ -59,6 +67,9 @@
             announced: IndexMap::new(),
             out: IndexMap::new(),
             open: Vec::new(),
+            unproven: IndexSet::new(),
+            repeats: 0,
+            losing: false,
             deadlines: IndexMap::new(),
             in_flight: 0,
             sequence: 0,
@@ -96,8 +107,8 @@
             headers: Vec::new(),
             body: Vec::new(),
             deadline,
-            idempotent: argument % 2 == 0,
-            hedge: argument % 4 == 0,
+            idempotent: argument.is_multiple_of(2),
+            hedge: argument.is_multiple_of(4),
             claim: None,
         };
         self.step(RouterInput::Request(Box::new(request)));
@@ -117,12 +128,20 @@
             }))
         };
         let result = match argument % 8 {
+            _ if self.losing => AttemptResult::Lost,
             0 | 1 => answer(503),
             2 => AttemptResult::Unseen,
             3 => AttemptResult::Reply(DispatchReply::Refused(RefusalReason::Busy)),
             4 => AttemptResult::Lost,
             _ => answer(200),
         };
+        let refused = matches!(
+            result,
+            AttemptResult::Unseen | AttemptResult::Reply(DispatchReply::Refused(_))
+        );
+        if refused {
+            self.unproven.swap_remove(&call.attempt);
+        }
         self.step(RouterInput::Reply(call.attempt, result));
     }
 
@@ -143,7 +162,7 @@
             2 if recent => (last.incarnation - 1, last.sequence + 7),
             _ => (last.incarnation, last.sequence + 1),
         };
-        let ready = choice / 8 % 3 != 0;
+        let ready = !(choice / 8).is_multiple_of(3);
         let stale = incarnation < last.incarnation
             || (incarnation == last.incarnation
                 && sequence <= last.sequence
@@ -168,7 +187,7 @@
 
     fn set_data_centre(&mut self, data_centre: u8, choice: u8) {
         let (version, _) = self.out.get(&data_centre).copied().unwrap_or_default();
-        let out = choice % 2 == 0;
+        let out = choice.is_multiple_of(2);
         // One in four views is an older one that comes late.
         let sent = match choice % 4 {
             3 => version.saturating_sub(1),
@@ -198,6 +217,10 @@
             match outcome {
                 RouterOutcome::Dispatch { call, .. } => {
                     self.check_dispatch(&call);
+                    let id = call.attempt.request;
+                    let earlier = self.unproven.iter().any(|a| a.request == id);
+                    self.repeats += u64::from(earlier);
+                    self.unproven.insert(call.attempt);
                     self.open.push(*call);
                 }
                 RouterOutcome::Finish { .. } => self.in_flight -= 1,
@@ -230,6 +253,10 @@
         assert_eq!(counts.requests, self.in_flight);
         assert!(counts.queued <= QUEUE_MAX && counts.requests <= REQUESTS_MAX);
         assert_eq!(counts.attempts, self.open.len());
+        let settings = &self.settings;
+        let percent = u64::from(settings.retry_percent + settings.hedge_percent);
+        let cap = 2 * u64::from(settings.budget_tokens_max) + self.sequence * percent / 100;
+        assert!(self.repeats <= cap, "{} repeats", self.repeats);
         let live = || {
             self.router
                 .table()
@@ -286,3 +313,25 @@
             }
         });
 }
+
+#[test]
+fn retries_and_hedges_stay_within_their_budgets() {
+    check!()
+        .with_iterations(200)
+        .with_max_len(8_192)
+        .with_generator(produce::<Vec<[u8; 2]>>().with().len(100_usize..500))
+        .for_each(|actions| {
+            let mut bench = Bench::new();
+            bench.losing = true;
+            for [action, argument] in actions {
+                bench.announce(argument % WORKERS, 15);
+                // Only requests, losses and short steps of time.
+                match action {
+                    0..=119 => bench.request(0),
+                    120..=219 => bench.reply(*argument),
+                    220..=255 => bench.advance(u64::from(argument % 16)),
+                }
+                bench.check();
+            }
+        });
+}
--- a/crates/guavavane_routing/tests/requests.rs
+++ b/crates/guavavane_routing/tests/requests.rs
@@ -6,10 +6,10 @@
 
 use bolero::check;
 use bolero::produce;
-use world::key_of;
-use world::RequestKind;
-use world::World;
 
+use crate::world::key_of;
+use crate::world::RequestKind;
+use crate::world::World;
 use guavavane_routing::prelude::*;
 
 /// Longest generated sequence.
--- a/crates/guavavane_routing/tests/world/agent.rs
+++ b/crates/guavavane_routing/tests/world/agent.rs
@@ -5,8 +5,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use super::service;
-
+use crate::world::service;
 use guavavane_model::prelude::*;
 use guavavane_protocol::prelude::*;
 
--- a/crates/guavavane_routing/tests/world/mod.rs
+++ b/crates/guavavane_routing/tests/world/mod.rs
@@ -11,13 +11,12 @@
 
 use indexmap::IndexMap;
 
+use crate::world::agent::FakeAgent;
+use crate::world::claims::FakeControl;
 use guavavane_model::prelude::*;
 use guavavane_protocol::prelude::*;
 use guavavane_routing::prelude::*;
 
-pub use agent::FakeAgent;
-pub use claims::FakeControl;
-
 pub const ENTRIES: usize = 2;
 pub const AGENTS: usize = 3;
 const TIMEOUT_MS: u64 = 1_000;
@@ -142,15 +141,15 @@
         let pick = usize::from(argument);
         match action {
             0..=39 => self.submit(pick % ENTRIES, argument / 4),
-            40..=139 => self.deliver(pick, false),
-            140..=159 => self.deliver(pick, true),
+            40..=139 => self.deliver_any(pick, false),
+            140..=159 => self.deliver_any(pick, true),
             160..=174 => self.lose(pick),
-            175..=204 => self.work(pick % AGENTS, pick / AGENTS % 8 != 0),
+            175..=204 => self.work(pick % AGENTS, !(pick / AGENTS).is_multiple_of(8)),
             205..=234 => self.advance(u64::from(argument) + 1),
             235..=239 => self.restart_agent(pick % AGENTS),
             240..=242 => self.restart_entry(pick % ENTRIES),
             243..=246 => self.leave(pick % AGENTS),
-            247..=250 => self.control.down = pick % 4 == 0,
+            247..=250 => self.control.down = pick.is_multiple_of(4),
             251..=255 => self.announce(pick % AGENTS),
         }
     }
@@ -279,18 +278,22 @@
         });
     }
 
-    /// Delivers a packet in any order; a doubled one stays in the network.
-    fn deliver(&mut self, pick: usize, doubled: bool) {
-        if self.network.is_empty() {
-            return;
+    /// Delivers a packet in any order; the answer to a committed claim may be lost.
+    fn deliver_any(&mut self, pick: usize, doubled: bool) {
+        if !self.network.is_empty() {
+            let index = pick % self.network.len();
+            self.deliver(index, doubled, pick.is_multiple_of(5));
         }
-        let index = pick % self.network.len();
+    }
+
+    /// Delivers a packet; a doubled one stays in the network.
+    fn deliver(&mut self, index: usize, doubled: bool, unknown: bool) {
         let seen = self.network[index].seen;
         self.network[index].seen = true;
         let packet = if doubled {
             self.network[index].clone()
         } else {
-            self.network.swap_remove(index)
+            self.network.remove(index)
         };
         match packet.message {
             Message::Dispatch(ref call) => {
@@ -311,7 +314,7 @@
                 self.reply(&packet, Message::RevokeReply(request, reply));
             }
             Message::Claim(tag, ref call) => {
-                let reply = self.control.change(call, pick % 5 == 0);
+                let reply = self.control.change(call, unknown);
                 self.reply(&packet, Message::ClaimReply(tag, reply));
             }
             Message::DispatchReply(attempt, ref reply) => {
@@ -363,14 +366,14 @@
         let Message::Dispatch(call) = &packet.message else {
             return;
         };
-        if !packet.seen && pick % 2 == 0 {
+        if !packet.seen && pick.is_multiple_of(2) {
             self.attempts.insert(call.attempt, true);
             let input = RouterInput::Reply(call.attempt, AttemptResult::Unseen);
             self.end_call(&packet, input);
         }
     }
 
-    fn work(&mut self, agent: usize, whole: bool) {
+    pub fn work(&mut self, agent: usize, whole: bool) {
         if let Some((entry, call, attempt, reply)) = self.agents[agent].work(whole) {
             self.network.push(Packet {
                 entry,
@@ -414,11 +417,11 @@
         self.announce(agent);
     }
 
-    fn restart_agent(&mut self, agent: usize) {
+    pub fn restart_agent(&mut self, agent: usize) {
         self.agents[agent].restart();
     }
 
-    fn restart_entry(&mut self, index: usize) {
+    pub fn restart_entry(&mut self, index: usize) {
         let next = self.entries[index].incarnation.0 + 100;
         self.entries[index] = self.fresh_entry(next);
         for agent in 0..AGENTS {
@@ -426,13 +429,25 @@
         }
     }
 
+    /// Lets the calls in the network arrive; claims are committed without an answer.
+    pub fn deliver_claims(&mut self) {
+        for _ in 0..self.network.len() {
+            self.deliver(0, false, true);
+        }
+    }
+
+    /// Lets everything in the network arrive, the answers to it too.
+    pub fn deliver_all(&mut self) {
+        while !self.network.is_empty() {
+            self.deliver(0, false, false);
+        }
+    }
+
     /// Lets everything in the network arrive and all deadlines pass.
     pub fn settle(&mut self) {
         self.control.down = false;
         for _ in 0..400 {
-            while !self.network.is_empty() {
-                self.deliver(1, false);
-            }
+            self.deliver_all();
             for agent in 0..AGENTS {
                 self.work(agent, true);
             }
