Add the relay and the process group; refuse an attempt that was forgotten

The generated orders found that a worker ran an attempt again when it was forgotten and ordered once more under a higher fence. The worker now keeps the last attempt of each task beside its fence.

--- a/crates/guavavane_standin/src/command.rs
+++ b/crates/guavavane_standin/src/command.rs
@@ -15,6 +15,7 @@
 use crate::judge::judge_records;
 use crate::judge::JudgeRules;
 use crate::judge::OUT_BOUND_MS;
+use crate::relay::TcpRelay;
 use crate::worker::profile::TaskProfile;
 use crate::worker::server::WorkerServer;
 use crate::worker::settings::draw_boot;
@@ -145,6 +146,21 @@
     folder: PathBuf,
 }
 
+/// Flags of the relay.
+#[derive(Clone, Debug, Bpaf)]
+pub struct RelayFlags {
+    /// Address at which connections arrive
+    #[bpaf(argument("ADDR"))]
+    listen: SocketAddr,
+    /// Address to which they are relayed
+    #[bpaf(argument("ADDR"))]
+    target: SocketAddr,
+    /// Address that takes a mode as the body of `POST /mode`: pass, drop, drop-forward,
+    /// drop-back or close
+    #[bpaf(argument("ADDR"))]
+    control: SocketAddr,
+}
+
 /// Stand-ins for tests and trials of guavavane.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -155,6 +171,9 @@
     /// Sends requests at a fixed rate
     #[bpaf(command("callers"))]
     Callers(#[bpaf(external(caller_flags))] CallerFlags),
+    /// Relays TCP connections and cuts them silently on demand
+    #[bpaf(command("relay"))]
+    Relay(#[bpaf(external(relay_flags))] RelayFlags),
     /// Counts from evidence files; exit status 0 only if nothing was broken
     #[bpaf(command("judge"))]
     Judge(#[bpaf(external(judge_flags))] JudgeFlags),
@@ -165,6 +184,7 @@
     match standin_command().run() {
         StandinCommand::Worker(flags) => run_worker(flags),
         StandinCommand::Callers(flags) => run_callers(flags),
+        StandinCommand::Relay(flags) => run_relay(&flags),
         StandinCommand::Judge(flags) => run_judge(&flags),
     }
 }
@@ -237,6 +257,14 @@
     }
 }
 
+fn run_relay(flags: &RelayFlags) -> Result<()> {
+    let stop = StopFlag::on_signals()?;
+    let relay = TcpRelay::start(flags.listen, flags.target)?;
+    relay.serve_control(flags.control)?;
+    stop.wait();
+    Ok(())
+}
+
 fn run_judge(flags: &JudgeFlags) -> Result<()> {
     let rules = JudgeRules {
         entries_killed: flags.entries_killed,
--- a/crates/guavavane_standin/src/evidence.rs
+++ b/crates/guavavane_standin/src/evidence.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum StartRefusal {
-    /// A higher fencing number was seen for the task.
+    /// As high a fencing number or attempt was seen for the task.
     Fence,
     /// The order counts on another boot's clock.
     Boot,
--- a/crates/guavavane_standin/src/lib.rs
+++ b/crates/guavavane_standin/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod clock;
 pub mod command;
 pub mod evidence;
+pub mod harness;
 pub mod http;
 pub mod judge;
+pub mod relay;
 pub mod worker;
 
 /// Commonly used items of this crate.
@@ -21,9 +23,14 @@
     pub use crate::evidence::EvidenceEvent;
     pub use crate::evidence::EvidenceFile;
     pub use crate::evidence::EvidenceRecord;
+    pub use crate::harness::address::AddressPool;
+    pub use crate::harness::process::ProcessGroup;
+    pub use crate::harness::process::ProcessPlan;
     pub use crate::judge::judge_records;
     pub use crate::judge::JudgeReport;
     pub use crate::judge::JudgeRules;
+    pub use crate::relay::RelayMode;
+    pub use crate::relay::TcpRelay;
     pub use crate::worker::machine::WorkerMachine;
     pub use crate::worker::misbehaviour::Misbehaviour;
     pub use crate::worker::server::WorkerServer;
--- a/crates/guavavane_standin/src/worker/machine.rs
+++ b/crates/guavavane_standin/src/worker/machine.rs
@@ -10,6 +10,7 @@
 use crate::evidence::EvidenceEvent;
 use crate::evidence::StartRefusal;
 use crate::worker::profile::TaskProfile;
+use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::ResourceVector;
@@ -53,6 +54,19 @@
     sample_start: BootTime,
 }
 
+/// The newest placement of a task here; it outlives the task's record.
+#[derive(Clone, Copy, Debug)]
+struct LastPlacement {
+    attempt: AttemptNumber,
+    fence: FenceNumber,
+}
+
+impl LastPlacement {
+    fn precedes(&self, order: &StartOrder) -> bool {
+        self.fence < order.fence && self.attempt < order.key.attempt
+    }
+}
+
 /// State of a worker.
 #[derive(Debug)]
 pub struct WorkerMachine {
@@ -60,7 +74,7 @@
     profile: TaskProfile,
     usage: UsageSettings,
     tasks: IndexMap<AttemptKey, TaskRecord>,
-    fences: IndexMap<TaskId, FenceNumber>,
+    placements: IndexMap<TaskId, LastPlacement>,
     revoked: IndexSet<AttemptKey>,
     draining: bool,
     busy_slots: u64,
@@ -75,7 +89,7 @@
             profile,
             usage,
             tasks: IndexMap::new(),
-            fences: IndexMap::new(),
+            placements: IndexMap::new(),
             revoked: IndexSet::new(),
             draining: false,
             busy_slots: 0,
@@ -128,7 +142,11 @@
             });
             return refuse(format!("{reason:?}"));
         }
-        self.fences.insert(key.task, order.fence);
+        let last = LastPlacement {
+            attempt: key.attempt,
+            fence: order.fence,
+        };
+        self.placements.insert(key.task, last);
         self.events.push(EvidenceEvent::Started {
             worker: self.facts.worker.clone(),
             data_centre: self.facts.data_centre.clone(),
@@ -284,7 +302,6 @@
     }
 
     fn start_fault(&self, now: BootTime, order: &StartOrder) -> Option<StartRefusal> {
-        let highest = self.fences.get(&order.key.task);
         if self.draining {
             return Some(StartRefusal::Draining);
         }
@@ -294,7 +311,8 @@
         if self.revoked.contains(&order.key) {
             return Some(StartRefusal::Stopped);
         }
-        if highest.is_some_and(|highest| order.fence <= *highest) {
+        let last = self.placements.get(&order.key.task);
+        if last.is_some_and(|last| !last.precedes(order)) {
             return Some(StartRefusal::Fence);
         }
         if now.as_millis() > order.start_by_ms {
