--- a/crates/guavavane_agent/src/worker/command.rs
+++ b/crates/guavavane_agent/src/worker/command.rs
@@ -9,8 +9,8 @@
 use super::WorkerCommand;
 use super::WorkerControl;
 use super::WorkerOutcome;
+use crate::guard::ServiceKey;
 use guavavane_model::prelude::BootTime;
-use guavavane_model::prelude::ServiceName;
 use guavavane_platform::prelude::AttemptKey;
 use guavavane_platform::prelude::OrderAnswer;
 use guavavane_platform::prelude::ThrottleOrder;
@@ -20,8 +20,10 @@
 impl WorkerControl {
     /// Sends each attempt the command that it needs next.
     pub(super) fn drive_tasks(&mut self, now: BootTime) {
+        let has_room = self.ledger.is_within();
         for (attempt, entry) in &mut self.tasks {
-            if entry.in_flight || now < entry.retry_at {
+            let starting = matches!(entry.stage, TaskStage::Starting(_));
+            if entry.in_flight || now < entry.retry_at || (starting && !has_room) {
                 continue;
             }
             if let Some(command) = next_command(now, *attempt, entry) {
@@ -32,7 +34,7 @@
     }
 
     /// Goes on with the evictions that waited for a service's requests.
-    pub(super) fn end_drain(&mut self, now: BootTime, drained: &ServiceName) {
+    pub(super) fn end_drain(&mut self, now: BootTime, drained: &ServiceKey) {
         for entry in self.tasks.values_mut() {
             let TaskStage::Evicting(EvictionStep::Draining(eviction)) = &entry.stage else {
                 continue;
--- a/crates/guavavane_agent/src/worker/mod.rs
+++ b/crates/guavavane_agent/src/worker/mod.rs
@@ -25,10 +25,10 @@
 use self::ledger::WorkerLedger;
 use self::task::TaskEntry;
 use self::task::TaskStage;
+use crate::guard::ServiceKey;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::IncarnationId;
-use guavavane_model::prelude::ServiceName;
 use guavavane_model::prelude::TaskId;
 use guavavane_platform::prelude::AttemptKey;
 use guavavane_platform::prelude::AttemptList;
@@ -57,6 +57,9 @@
     pub drain_max: Duration,
     /// How long a released attempt is remembered, longer than any permit.
     pub released_keep: Duration,
+    /// Longest permit; longer ones are cut to it. A new run of the agent starts nothing for
+    /// this long, since a start that its predecessor sent may still be taken.
+    pub permit_max: Duration,
 }
 
 impl Default for WorkerTiming {
@@ -67,6 +70,7 @@
             retry_interval: Duration::from_millis(200),
             drain_max: Duration::from_secs(5),
             released_keep: Duration::from_secs(30),
+            permit_max: Duration::from_millis(2_000),
         }
     }
 }
@@ -171,7 +175,7 @@
         result: CommandResult,
     },
     /// The endpoints of a service have ended their requests.
-    ServiceDrained(ServiceName),
+    ServiceDrained(ServiceKey),
     /// The agent shuts down: it starts nothing more.
     Drain,
     /// Time has passed.
@@ -188,9 +192,9 @@
     /// Send a command to the worker.
     Command(WorkerCommand),
     /// Let the endpoints of a service end their requests.
-    DrainService(ServiceName),
+    DrainService(ServiceKey),
     /// Let the endpoints of a service take requests again.
-    ResumeService(ServiceName),
+    ResumeService(ServiceKey),
     /// The entries to announce to.
     Entries(EntryDirectory),
 }
@@ -214,6 +218,8 @@
     stage: PollStage,
     next_poll: BootTime,
     last_poll: BootTime,
+    /// Earliest start of this run of the agent.
+    starts_from: BootTime,
     sequence: u64,
     entries_digest: u64,
     clock: Option<WorkerClock>,
@@ -235,6 +241,7 @@
     pub fn new(now: BootTime, identity: AgentIdentity, timing: WorkerTiming) -> Self {
         Self {
             identity,
+            starts_from: now + timing.permit_max,
             timing,
             stage: PollStage::Idle,
             next_poll: now,
