--- a/crates/guavavane_entry/tests/pipeline.rs
+++ b/crates/guavavane_entry/tests/pipeline.rs
@@ -8,9 +8,9 @@
 use std::thread;
 use std::time::Duration;
 
+use common::start_entry;
 use common::FakeAgent;
 use common::FakeControl;
-use common::start_entry;
 
 use guavavane_protocol::prelude::EndpointState;
 
--- a/crates/guavavane_standin/src/harness/address.rs
+++ b/crates/guavavane_standin/src/harness/address.rs
@@ -49,7 +49,7 @@
     }
 
     /// A free address that was not given out before.
-    pub fn next(&mut self) -> Result<SocketAddr> {
+    pub fn take(&mut self) -> Result<SocketAddr> {
         loop {
             let listener = TcpListener::bind(SocketAddr::new(self.ip, 0))?;
             let address = listener.local_addr()?;
--- a/crates/guavavane_standin/tests/relay_and_group.rs
+++ b/crates/guavavane_standin/tests/relay_and_group.rs
@@ -81,6 +81,6 @@
     let mut first = AddressPool::new();
     let mut second = AddressPool::new();
     assert_ne!(first.ip(), second.ip());
-    assert_ne!(first.next().unwrap(), first.next().unwrap());
-    TcpListener::bind(second.next().unwrap()).unwrap();
+    assert_ne!(first.take().unwrap(), first.take().unwrap());
+    TcpListener::bind(second.take().unwrap()).unwrap();
 }
