--- a/crates/guavavane_standin/src/callers/balancer.rs
+++ b/crates/guavavane_standin/src/callers/balancer.rs
@@ -8,6 +8,8 @@
 
 use crate::http::http_get;
 
+/// Path of an entry's health check on its callers' listener.
+pub const HEALTH_PATH: &str = "/.guavavane/health";
 /// Time-out of a health check.
 const HEALTH_TIMEOUT_MS: u64 = 1_000;
 
@@ -51,7 +53,7 @@
     /// Checks the health of all targets once.
     pub fn check_health(&self) {
         for target in &self.targets {
-            let answer = http_get(format!("http://{}/health", target.address))
+            let answer = http_get(format!("http://{}{HEALTH_PATH}", target.address))
                 .timeout(Duration::from_millis(HEALTH_TIMEOUT_MS))
                 .send();
             let healthy = answer.is_ok_and(|response| response.is_success());
--- a/crates/guavavane_standin/src/command.rs
+++ b/crates/guavavane_standin/src/command.rs
@@ -5,14 +5,18 @@
 use std::time::Duration;
 
 use anyhow::bail;
+use anyhow::Context;
 use anyhow::Result;
 use bpaf::Bpaf;
 
 use crate::callers::load::run_load;
 use crate::callers::settings::CallerSettings;
 use crate::clock::StopFlag;
+use crate::demo::run_demo;
+use crate::demo::DemoSettings;
 use crate::evidence::read_folder;
 use crate::judge::judge_records;
+use crate::judge::JudgeReport;
 use crate::judge::JudgeRules;
 use crate::judge::OUT_BOUND_MS;
 use crate::relay::TcpRelay;
@@ -161,6 +165,19 @@
     control: SocketAddr,
 }
 
+/// Flags of the demo.
+#[derive(Clone, Debug, Bpaf)]
+pub struct DemoFlags {
+    /// Folder of the example documents
+    #[bpaf(argument("FOLDER"), fallback(PathBuf::from("examples")))]
+    examples: PathBuf,
+    /// Batch tasks that the document declares
+    #[bpaf(argument("N"), fallback(40))]
+    batch_tasks: u64,
+    /// Keep logs and evidence
+    keep: bool,
+}
+
 /// Stand-ins for tests and trials of guavavane.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -174,6 +191,9 @@
     /// Relays TCP connections and cuts them silently on demand
     #[bpaf(command("relay"))]
     Relay(#[bpaf(external(relay_flags))] RelayFlags),
+    /// Runs the Cooperativa's cell through one short day; exit status 0 only if it was good
+    #[bpaf(command("demo"))]
+    Demo(#[bpaf(external(demo_flags))] DemoFlags),
     /// Counts from evidence files; exit status 0 only if nothing was broken
     #[bpaf(command("judge"))]
     Judge(#[bpaf(external(judge_flags))] JudgeFlags),
@@ -185,6 +205,7 @@
         StandinCommand::Worker(flags) => run_worker(flags),
         StandinCommand::Callers(flags) => run_callers(flags),
         StandinCommand::Relay(flags) => run_relay(&flags),
+        StandinCommand::Demo(flags) => run_demo_day(flags),
         StandinCommand::Judge(flags) => run_judge(&flags),
     }
 }
@@ -271,7 +292,22 @@
         out_bound_ms: flags.out_bound_ms,
     };
     let records = read_folder(&flags.folder)?;
-    let report = judge_records(&records, &rules);
+    print_report(&judge_records(&records, &rules))
+}
+
+fn run_demo_day(flags: DemoFlags) -> Result<()> {
+    let program = std::env::current_exe()?;
+    let programs = program.parent().context("folder of this program")?;
+    let settings = DemoSettings {
+        examples: flags.examples,
+        programs: programs.to_owned(),
+        batch_tasks: flags.batch_tasks,
+        keep: flags.keep,
+    };
+    print_report(&run_demo(&settings)?)
+}
+
+fn print_report(report: &JudgeReport) -> Result<()> {
     for fault in &report.faults {
         eprintln!("{fault}");
     }
--- /dev/null
+++ b/crates/guavavane_standin/src/harness/cluster.rs
@@ -0,0 +1,438 @@
+//! A whole cluster of real processes on loopback.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitStatus;
+use std::time::Duration;
+
+use anyhow::bail;
+use anyhow::Context;
+use anyhow::Result;
+
+use crate::callers::balancer::HEALTH_PATH;
+use crate::callers::settings::CallerSettings;
+use crate::clock::wait_until;
+use crate::evidence::read_folder;
+use crate::evidence::EvidenceEvent;
+use crate::evidence::EvidenceFile;
+use crate::evidence::EvidenceRecord;
+use crate::harness::address::AddressPool;
+use crate::harness::plan::ClusterPlan;
+use crate::harness::process::CommandOutput;
+use crate::harness::process::ProcessGroup;
+use crate::harness::process::ProcessPlan;
+use crate::http::http_get;
+use crate::judge::judge_records;
+use crate::judge::JudgeReport;
+use crate::judge::JudgeRules;
+use crate::relay::TcpRelay;
+use guavavane_model::prelude::DataCentreName;
+use guavavane_model::prelude::WorkerName;
+
+/// Longest wait for a process to be ready or to end.
+pub const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time-out of a health check.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Where a control replica listens.
+#[derive(Clone, Debug)]
+pub struct ReplicaAddresses {
+    /// Calls.
+    pub call: SocketAddr,
+    /// Address that others know: the relay's, if there is one.
+    pub advertised: SocketAddr,
+    /// Health and status.
+    pub http: SocketAddr,
+    /// The relay before `call`.
+    pub relay: Option<TcpRelay>,
+}
+
+/// Where an entry listens.
+#[derive(Clone, Debug)]
+pub struct EntryAddresses {
+    /// Callers.
+    pub caller: SocketAddr,
+    /// Operators.
+    pub operator: SocketAddr,
+    /// Announcements.
+    pub call: SocketAddr,
+}
+
+/// Where a worker and its agent listen.
+#[derive(Clone, Debug)]
+pub struct WorkerAddresses {
+    /// Name of the worker.
+    pub name: WorkerName,
+    /// Orders to the worker.
+    pub worker: SocketAddr,
+    /// Calls to the agent.
+    pub agent: SocketAddr,
+    /// Endpoints' announcements, health and status of the agent.
+    pub agent_http: SocketAddr,
+    /// The relay before `agent`.
+    pub relay: Option<TcpRelay>,
+}
+
+/// A cluster whose processes run.
+#[derive(Debug)]
+pub struct RunningCluster {
+    /// What it consists of.
+    pub plan: ClusterPlan,
+    /// Its processes: `control-1`, `entry-1`, `agent-1`, `worker-1` and so on.
+    pub group: ProcessGroup,
+    /// Its control replicas.
+    pub replicas: Vec<ReplicaAddresses>,
+    /// Its entries.
+    pub entries: Vec<EntryAddresses>,
+    /// Its workers.
+    pub workers: Vec<WorkerAddresses>,
+    operator: EvidenceFile,
+}
+
+impl RunningCluster {
+    /// Starts all processes of a plan and waits until all are healthy.
+    pub fn start(plan: ClusterPlan, programs: &Path) -> Result<Self> {
+        let group = ProcessGroup::new(&plan.name, programs)?;
+        let mut pool = AddressPool::new();
+        let replicas = (0..plan.replicas)
+            .map(|_| replica_addresses(&plan, &mut pool))
+            .collect::<Result<Vec<_>>>()?;
+        let entries = (0..plan.entries)
+            .map(|_| entry_addresses(&mut pool))
+            .collect::<Result<Vec<_>>>()?;
+        let workers = (0..plan.workers)
+            .map(|index| worker_addresses(&plan, index, &mut pool))
+            .collect::<Result<Vec<_>>>()?;
+        let operator = EvidenceFile::open(&group.evidence_folder().join("operator.evidence"))?;
+        let mut cluster = Self {
+            plan,
+            group,
+            replicas,
+            entries,
+            workers,
+            operator,
+        };
+        cluster.start_processes()?;
+        Ok(cluster)
+    }
+
+    fn start_processes(&mut self) -> Result<()> {
+        for index in 0..self.plan.replicas {
+            self.init_replica(index)?;
+            self.group.spawn(self.replica_plan(index))?;
+        }
+        for index in 0..self.plan.workers {
+            self.group.spawn(self.worker_plan(index))?;
+            self.group.spawn(self.agent_plan(index))?;
+        }
+        for index in 0..self.plan.entries {
+            self.group.spawn(self.entry_plan(index))?;
+        }
+        for name in self.group.names() {
+            self.wait_healthy(&name)?;
+        }
+        Ok(())
+    }
+
+    /// Writes the identity of a first voter into its data folder.
+    pub fn init_replica(&self, index: usize) -> Result<()> {
+        let mut plan = ProcessPlan::new("init", "guavavane-control")
+            .argument("init")
+            .flag("data", self.replica_data(index).display())
+            .flag("replica", index + 1);
+        for (number, replica) in self.replicas.iter().enumerate() {
+            plan = plan.flag("voter", format!("{}@{}", number + 1, replica.advertised));
+        }
+        let arguments: Vec<&str> = plan.arguments.iter().map(String::as_str).collect();
+        let output = self.group.run(&plan.program, &arguments)?;
+        if output.code != Some(0) {
+            bail!("init of replica {}: {}", index + 1, output.stderr);
+        }
+        Ok(())
+    }
+
+    /// Data folder of a control replica.
+    pub fn replica_data(&self, index: usize) -> std::path::PathBuf {
+        self.group.data_folder(&format!("control-{}", index + 1))
+    }
+
+    fn replica_plan(&self, index: usize) -> ProcessPlan {
+        let replica = &self.replicas[index];
+        let plan = ProcessPlan::new(format!("control-{}", index + 1), "guavavane-control")
+            .argument("run")
+            .flag("data", self.replica_data(index).display())
+            .flag("listen", replica.call)
+            .flag("advertise", replica.advertised)
+            .flag("http", replica.http)
+            .flag("peers", self.control_list());
+        with_flags(plan, &self.plan.control_flags)
+    }
+
+    fn entry_plan(&self, index: usize) -> ProcessPlan {
+        let entry = &self.entries[index];
+        let plan = ProcessPlan::new(format!("entry-{}", index + 1), "guavavane-entry")
+            .flag("data-centre", self.plan.data_centre(index))
+            .flag("caller-listen", entry.caller)
+            .flag("operator-listen", entry.operator)
+            .flag("call-listen", entry.call)
+            .flag("control", self.control_list());
+        with_flags(plan, &self.plan.entry_flags)
+    }
+
+    fn agent_plan(&self, index: usize) -> ProcessPlan {
+        let worker = &self.workers[index];
+        let advertised = worker.relay.as_ref().map(TcpRelay::address);
+        let plan = ProcessPlan::new(format!("agent-{}", index + 1), "guavavane-agent")
+            .flag("listen", worker.agent)
+            .flag("advertise", advertised.unwrap_or(worker.agent))
+            .flag("http", worker.agent_http)
+            .flag("worker", worker.worker)
+            .flag("control", self.control_list());
+        with_flags(plan, &self.plan.agent_flags)
+    }
+
+    fn worker_plan(&self, index: usize) -> ProcessPlan {
+        let worker = &self.workers[index];
+        let evidence = self.evidence_path(&format!("worker-{}", index + 1));
+        let capacity = self.plan.capacity;
+        let plan = ProcessPlan::new(format!("worker-{}", index + 1), "guavavane-standin")
+            .argument("worker")
+            .flag("listen", worker.worker)
+            .flag("agent", worker.agent_http)
+            .flag("worker", &worker.name)
+            .flag("data-centre", self.plan.data_centre(index))
+            .flag("rack", self.plan.rack(index))
+            .flag("cpu-millis", capacity.cpu_millis)
+            .flag("memory-mib", capacity.memory_mib)
+            .flag("accelerators", capacity.accelerators)
+            .flag("evidence", evidence.display());
+        with_flags(plan, &self.plan.worker_flags)
+    }
+
+    fn control_list(&self) -> String {
+        let addresses = self.replicas.iter().map(|x| x.advertised.to_string());
+        addresses.collect::<Vec<_>>().join(",")
+    }
+
+    fn evidence_path(&self, name: &str) -> std::path::PathBuf {
+        self.group
+            .evidence_folder()
+            .join(format!("{name}.evidence"))
+    }
+
+    /// Health check of a process.
+    pub fn health_url(&self, name: &str) -> Result<String> {
+        let (role, number) = name.split_once('-').context("name of a process")?;
+        let index = number.parse::<usize>()? - 1;
+        Ok(match role {
+            "control" => format!("http://{}/health", self.replicas[index].http),
+            "entry" => format!("http://{}{HEALTH_PATH}", self.entries[index].caller),
+            "agent" => format!("http://{}/health", self.workers[index].agent_http),
+            "worker" => format!("http://{}/worker", self.workers[index].worker),
+            _ => bail!("{name} is not a process of the cluster"),
+        })
+    }
+
+    /// Whether the health check of a process succeeds.
+    pub fn is_healthy(&self, name: &str) -> bool {
+        let Ok(url) = self.health_url(name) else {
+            return false;
+        };
+        let answer = http_get(url).timeout(HEALTH_TIMEOUT).send();
+        answer.is_ok_and(|response| response.is_success())
+    }
+
+    /// Waits until the health check of a process succeeds.
+    pub fn wait_healthy(&mut self, name: &str) -> Result<()> {
+        wait_until(&format!("health of {name}"), READY_LIMIT, || {
+            self.is_healthy(name)
+        })
+        .with_context(|| format!("last lines of its log:\n{}", self.log_tail(name)))?;
+        Ok(())
+    }
+
+    fn log_tail(&self, name: &str) -> String {
+        let text = std::fs::read_to_string(self.group.log_path(name)).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(5)..].join("\n")
+    }
+
+    /// Kills a process and starts it again at once, without waiting for its health.
+    pub fn kill_and_restart(&mut self, name: &str) -> Result<()> {
+        self.kill(name)?;
+        self.group.restart(name)
+    }
+
+    /// Kills a process; the end of a worker goes into the evidence.
+    pub fn kill(&mut self, name: &str) -> Result<()> {
+        self.group.kill(name)?;
+        let worker = self.workers.iter().find(|x| x.name.as_str() == name);
+        if let Some(worker) = worker {
+            self.operator.append(EvidenceEvent::WorkerKilled {
+                worker: worker.name.clone(),
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Runs the operators' command line through all entries.
+    pub fn operate(&self, arguments: &[&str]) -> Result<CommandOutput> {
+        let addresses = self.entries.iter().map(|x| x.operator.to_string());
+        let list = addresses.collect::<Vec<_>>().join(",");
+        let mut all = vec!["--entries", list.as_str()];
+        all.extend(arguments);
+        self.group.run("guavavane", &all)
+    }
+
+    /// Runs an operator's command again until it succeeds.
+    pub fn operate_until_done(&self, arguments: &[&str]) -> Result<CommandOutput> {
+        let mut last = None;
+        let waited = wait_until("operator's command", READY_LIMIT, || {
+            last = self.operate(arguments).ok();
+            last.as_ref().is_some_and(|output| output.code == Some(0))
+        });
+        waited.with_context(|| format!("{arguments:?}: {last:?}"))?;
+        last.context("no output of the command")
+    }
+
+    /// Puts the plan's document in force.
+    pub fn apply_document(&self) -> Result<()> {
+        let document = self.plan.document.to_string_lossy();
+        let environment = format!("--environment={}", self.plan.environment);
+        self.operate_until_done(&["apply", &environment, &document])?;
+        Ok(())
+    }
+
+    /// Takes a data centre out; the evidence says when that was confirmed.
+    pub fn take_out(&self, data_centre: &str) -> Result<()> {
+        self.operate_until_done(&["take-out", data_centre])?;
+        self.operator.append(EvidenceEvent::DataCentreOut {
+            data_centre: DataCentreName::try_from(data_centre)?,
+        })
+    }
+
+    /// Brings a data centre back; the evidence says when that began.
+    pub fn bring_back(&self, data_centre: &str) -> Result<()> {
+        self.operator.append(EvidenceEvent::DataCentreBack {
+            data_centre: DataCentreName::try_from(data_centre)?,
+        })?;
+        self.operate_until_done(&["bring-back", data_centre])?;
+        Ok(())
+    }
+
+    /// A load through all entries.
+    pub fn caller_settings(&self, name: &str) -> CallerSettings {
+        let targets = self.entries.iter().map(|entry| entry.caller).collect();
+        let evidence = self.evidence_path(&format!("callers-{name}"));
+        let base = CallerSettings::new(targets, &self.plan.service, evidence);
+        CallerSettings {
+            name: name.to_owned(),
+            ..base
+        }
+    }
+
+    /// The evidence so far.
+    pub fn evidence(&self) -> Result<Vec<EvidenceRecord>> {
+        read_folder(&self.group.evidence_folder())
+    }
+
+    /// The judge's report on the evidence so far.
+    pub fn judge(&self, rules: &JudgeRules) -> Result<JudgeReport> {
+        Ok(judge_records(&self.evidence()?, rules))
+    }
+
+    /// Waits until every entry answers a read of the service.
+    pub fn wait_serving(&self) -> Result<()> {
+        for entry in &self.entries {
+            let url = format!("http://{}/{}/slips/probe", entry.caller, self.plan.service);
+            wait_until("an answer of the service", READY_LIMIT, || {
+                let answer = http_get(&url).timeout(HEALTH_TIMEOUT).send();
+                answer.is_ok_and(|response| response.is_success())
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Waits until so many endpoints run, by the evidence of their starts and ends.
+    pub fn wait_endpoints(&self, count: u64) -> Result<()> {
+        wait_until("endpoints that run", READY_LIMIT, || {
+            self.judge(&JudgeRules::default())
+                .is_ok_and(|report| report.running_services >= count)
+        })?;
+        Ok(())
+    }
+
+    /// Ends everything gracefully: entries, workers, agents, control replicas.
+    pub fn shut_down(&mut self) -> Result<Vec<(String, ExitStatus)>> {
+        let mut ends = Vec::new();
+        for role in ["entry", "worker", "agent", "control"] {
+            let names = self.names_of(role);
+            for name in &names {
+                self.group.ask_to_end(name)?;
+            }
+            for name in names {
+                let status = self.group.wait_for_end(&name, READY_LIMIT)?;
+                ends.push((name, status));
+            }
+        }
+        Ok(ends)
+    }
+
+    /// Names of the processes of a role that run.
+    pub fn names_of(&mut self, role: &str) -> Vec<String> {
+        let mut names = self.group.names();
+        names.retain(|name| name.starts_with(role) && self.group.is_running(name));
+        names
+    }
+}
+
+fn with_flags(plan: ProcessPlan, flags: &[String]) -> ProcessPlan {
+    flags.iter().fold(plan, ProcessPlan::argument)
+}
+
+fn replica_addresses(plan: &ClusterPlan, pool: &mut AddressPool) -> Result<ReplicaAddresses> {
+    let call = pool.take()?;
+    let relay = start_relay(plan.relay_control, call, pool)?;
+    Ok(ReplicaAddresses {
+        call,
+        advertised: relay.as_ref().map_or(call, TcpRelay::address),
+        http: pool.take()?,
+        relay,
+    })
+}
+
+fn entry_addresses(pool: &mut AddressPool) -> Result<EntryAddresses> {
+    Ok(EntryAddresses {
+        caller: pool.take()?,
+        operator: pool.take()?,
+        call: pool.take()?,
+    })
+}
+
+fn worker_addresses(
+    plan: &ClusterPlan,
+    index: usize,
+    pool: &mut AddressPool,
+) -> Result<WorkerAddresses> {
+    let agent = pool.take()?;
+    Ok(WorkerAddresses {
+        name: WorkerName::try_from(format!("worker-{}", index + 1))?,
+        worker: pool.take()?,
+        agent,
+        agent_http: pool.take()?,
+        relay: start_relay(plan.relay_agents, agent, pool)?,
+    })
+}
+
+fn start_relay(
+    wanted: bool,
+    target: SocketAddr,
+    pool: &mut AddressPool,
+) -> Result<Option<TcpRelay>> {
+    if !wanted {
+        return Ok(None);
+    }
+    let listen = pool.take()?;
+    TcpRelay::start(listen, target).map(Some)
+}
--- a/crates/guavavane_standin/src/judge.rs
+++ b/crates/guavavane_standin/src/judge.rs
@@ -70,6 +70,8 @@
     pub overruns: u64,
     /// Starts in a data centre that was out for longer than the bound.
     pub starts_in_out_data_centre: u64,
+    /// Endpoints that run at the end of the evidence.
+    pub running_services: u64,
     /// Starts of attempts.
     pub starts: u64,
     /// Starts that workers refused, by reason.
@@ -223,6 +225,8 @@
         for record in records {
             self.judge_event(record.at_us, &record.event, rules, report);
         }
+        let running = self.workers.values().flat_map(|x| &x.running);
+        report.running_services = running.filter(|task| !task.batch).count() as u64;
     }
 
     fn judge_event(
--- a/crates/guavavane_standin/src/lib.rs
+++ b/crates/guavavane_standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod clock;
 pub mod command;
+pub mod demo;
 pub mod evidence;
 pub mod harness;
 pub mod http;
@@ -24,6 +25,8 @@
     pub use crate::evidence::EvidenceFile;
     pub use crate::evidence::EvidenceRecord;
     pub use crate::harness::address::AddressPool;
+    pub use crate::harness::cluster::RunningCluster;
+    pub use crate::harness::plan::ClusterPlan;
     pub use crate::harness::process::ProcessGroup;
     pub use crate::harness::process::ProcessPlan;
     pub use crate::judge::judge_records;
