--- a/crates/guavavane_standin/src/command.rs
+++ b/crates/guavavane_standin/src/command.rs
@@ -171,7 +171,7 @@
     /// Folder of the example documents
     #[bpaf(argument("FOLDER"), fallback(PathBuf::from("examples")))]
     examples: PathBuf,
-    /// Batch tasks that the document declares
+    /// Tasks of one run of the settlement
     #[bpaf(argument("N"), fallback(40))]
     batch_tasks: u64,
     /// Keep logs and evidence
--- a/crates/guavavane_standin/src/demo.rs
+++ b/crates/guavavane_standin/src/demo.rs
@@ -26,8 +26,12 @@
 const RATE: f64 = 120.0;
 /// Longest load.
 const LOAD_LIMIT: Duration = Duration::from_secs(50);
-/// Load before the data centre is taken out.
-const BEFORE_OUT: Duration = Duration::from_secs(3);
+/// Load before a further run of the settlement is submitted.
+const BEFORE_SUBMIT: Duration = Duration::from_secs(2);
+/// Time from the submission until the data centre is taken out, with its tasks running.
+const BEFORE_OUT: Duration = Duration::from_secs(2);
+/// Runs of the settlement: the document's own and the submitted one.
+const SETTLEMENT_RUNS: u64 = 2;
 /// Time for which the data centre stays out.
 const OUT_TIME: Duration = Duration::from_secs(8);
 /// Load after the data centre was brought back.
@@ -42,7 +46,7 @@
     pub examples: PathBuf,
     /// Folder of the programs.
     pub programs: PathBuf,
-    /// Batch tasks that the document declares.
+    /// Tasks of one run of the settlement.
     pub batch_tasks: u64,
     /// Whether logs and evidence are kept.
     pub keep: bool,
@@ -99,6 +103,8 @@
     }
 
     fn run_day(&self, settings: &DemoSettings) -> Result<()> {
+        thread::sleep(BEFORE_SUBMIT);
+        self.submit_settlement()?;
         thread::sleep(BEFORE_OUT);
         self.cluster.take_out(OUT_DATA_CENTRE)?;
         self.say("bento is out");
@@ -108,13 +114,22 @@
         thread::sleep(AFTER_BACK);
         let finished = || {
             let report = self.cluster.judge(&JudgeRules::default());
-            report.is_ok_and(|report| report.batch_finished >= settings.batch_tasks)
+            report
+                .is_ok_and(|report| report.batch_finished >= settings.batch_tasks * SETTLEMENT_RUNS)
         };
         wait_until("the end of the settlement", BATCH_LIMIT, finished)?;
         self.say("the settlement has finished");
         Ok(())
     }
 
+    fn submit_settlement(&self) -> Result<()> {
+        let environment = format!("--environment={}", self.cluster.plan.environment);
+        let arguments = ["submit", &environment, "--key=week-50", "settlement"];
+        self.cluster.operate_until_done(&arguments)?;
+        self.say("a further settlement is submitted");
+        Ok(())
+    }
+
     fn finish(&mut self, summary: &LoadSummary) -> Result<JudgeReport> {
         self.say("stopping everything");
         let ends = self.cluster.shut_down()?;
