--- a/crates/guavavane_standin/src/callers/exchange.rs
+++ b/crates/guavavane_standin/src/callers/exchange.rs
@@ -12,6 +12,8 @@
 
 /// Header in which an entry says what became of a request.
 pub const OUTCOME_HEADER: &str = "x-guavavane-outcome";
+/// Header in which an entry says why.
+pub const REASON_HEADER: &str = "x-guavavane-reason";
 
 /// A request as a caller means it.
 #[derive(Clone, Debug)]
@@ -58,8 +60,26 @@
     Mismatched,
 }
 
+/// What one send led to, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SendReport {
+    /// What it led to.
+    pub result: SendResult,
+    /// The entry's reason, if it gave one.
+    pub reason: String,
+}
+
+impl From<SendResult> for SendReport {
+    fn from(result: SendResult) -> Self {
+        Self {
+            result,
+            reason: String::new(),
+        }
+    }
+}
+
 /// Sends a request once.
-pub fn send_once(target: SocketAddr, request: &CallerRequest, timeout: Duration) -> SendResult {
+pub fn send_once(target: SocketAddr, request: &CallerRequest, timeout: Duration) -> SendReport {
     let url = format!("http://{target}{}", request.path);
     let mut builder = if request.slip {
         http_post(url)
@@ -80,37 +100,32 @@
     };
     match sent {
         Ok(response) => read_answer(response, request),
-        Err(error) => classify_error(&error),
+        Err(error) => classify_error(&error).into(),
     }
 }
 
-fn read_answer(response: attohttpc::Response, request: &CallerRequest) -> SendResult {
+fn read_answer(response: attohttpc::Response, request: &CallerRequest) -> SendReport {
     let header = |name: &str| {
         let value = response.headers().get(name)?;
         value.to_str().ok().map(str::to_owned)
     };
     let outcome = header(OUTCOME_HEADER);
     let declared = header("content-length").and_then(|text| text.parse::<usize>().ok());
+    let reason = header(REASON_HEADER).unwrap_or_default();
     let success = response.is_success();
     let body = match response.bytes() {
         Ok(body) => body,
-        Err(error) => return classify_error(&error),
+        Err(error) => return classify_error(&error).into(),
     };
-    if declared.is_some_and(|declared| declared != body.len()) {
-        return SendResult::Broken;
-    }
-    match outcome.as_deref() {
-        Some("not-run") => return SendResult::NotRun,
-        Some("unknown") => return SendResult::Unknown,
-        Some("answered") | None => {}
-        Some(_) => return SendResult::Mismatched,
-    }
     let whole = EchoAnswer::belongs_to(&body, &request.caller_id, &request.body);
-    if whole && success {
-        SendResult::Answered
-    } else {
-        SendResult::Mismatched
-    }
+    let result = match outcome.as_deref() {
+        _ if declared.is_some_and(|declared| declared != body.len()) => SendResult::Broken,
+        Some("not-run") => SendResult::NotRun,
+        Some("unknown") => SendResult::Unknown,
+        Some("answered") | None if whole && success => SendResult::Answered,
+        _ => SendResult::Mismatched,
+    };
+    SendReport { result, reason }
 }
 
 fn classify_error(error: &attohttpc::Error) -> SendResult {
--- a/crates/guavavane_standin/src/callers/load.rs
+++ b/crates/guavavane_standin/src/callers/load.rs
@@ -20,6 +20,7 @@
 use crate::callers::balancer::TargetBalancer;
 use crate::callers::exchange::send_once;
 use crate::callers::exchange::CallerRequest;
+use crate::callers::exchange::SendReport;
 use crate::callers::exchange::SendResult;
 use crate::callers::settings::CallerSettings;
 use crate::clock::StopFlag;
@@ -46,6 +47,13 @@
     latency: Duration,
 }
 
+#[derive(Clone, Debug)]
+struct SettledRequest {
+    outcome: CallerOutcome,
+    sends: u32,
+    reason: String,
+}
+
 /// What a load came to.
 #[derive(Clone, Debug)]
 pub struct LoadSummary {
@@ -186,13 +194,15 @@
             method: request.method().to_owned(),
             keyed: request.key.is_some(),
         })?;
-        let (outcome, sends) = send_until_settled(settings, balancer, request);
+        let settled = send_until_settled(settings, balancer, request);
+        let outcome = settled.outcome;
         let latency = scheduled.due.elapsed();
         evidence.append(EvidenceEvent::Settled {
             caller_id: request.caller_id.clone(),
             outcome,
             latency_us: u64::try_from(latency.as_micros()).unwrap_or(u64::MAX),
-            sends,
+            sends: settled.sends,
+            reason: settled.reason,
         })?;
         // The receiver outlives all senders.
         let _ = sender.send(FinishedRequest { outcome, latency });
@@ -208,29 +218,41 @@
     settings: &CallerSettings,
     balancer: &TargetBalancer,
     request: &CallerRequest,
-) -> (CallerOutcome, u32) {
+) -> SettledRequest {
     let repeatable = request.key.is_some() || !request.slip;
     let allowed = if repeatable { settings.sends.max(1) } else { 1 };
-    let mut doubtful = None;
+    let mut outcome = None;
     let mut avoided = None;
     let mut sends = 0;
+    let mut reason = String::new();
     while sends < allowed {
-        let (result, target) = connect_and_send(settings, balancer, request, avoided);
+        let (report, target) = connect_and_send(settings, balancer, request, avoided);
         sends += 1;
         avoided = Some(target);
-        match result {
-            SendResult::Answered => return (CallerOutcome::Answered, sends),
-            SendResult::Mismatched => return (CallerOutcome::Mismatched, sends),
+        reason = report.reason;
+        match report.result {
+            SendResult::Answered => {
+                outcome = Some(CallerOutcome::Answered);
+                break;
+            }
+            SendResult::Mismatched => {
+                outcome = Some(CallerOutcome::Mismatched);
+                break;
+            }
             SendResult::NotRun | SendResult::NotConnected => {}
-            SendResult::Unknown => doubtful = Some(CallerOutcome::Unknown),
-            SendResult::TimedOut => doubtful = Some(CallerOutcome::TimedOut),
-            SendResult::Broken => doubtful = Some(CallerOutcome::Broken),
+            SendResult::Unknown => outcome = Some(CallerOutcome::Unknown),
+            SendResult::TimedOut => outcome = Some(CallerOutcome::TimedOut),
+            SendResult::Broken => outcome = Some(CallerOutcome::Broken),
         }
         if sends < allowed {
             thread::sleep(Duration::from_millis(RESEND_PAUSE_MS));
         }
     }
-    (doubtful.unwrap_or(CallerOutcome::NotRun), sends)
+    SettledRequest {
+        outcome: outcome.unwrap_or(CallerOutcome::NotRun),
+        sends,
+        reason,
+    }
 }
 
 fn connect_and_send(
@@ -238,18 +260,18 @@
     balancer: &TargetBalancer,
     request: &CallerRequest,
     avoided: Option<SocketAddr>,
-) -> (SendResult, SocketAddr) {
+) -> (SendReport, SocketAddr) {
     let mut target = balancer.choose(avoided);
-    let mut result = SendResult::NotConnected;
+    let mut report = SendReport::from(SendResult::NotConnected);
     for _ in 0..CONNECT_TRIES {
-        result = send_once(target, request, settings.timeout);
-        if result != SendResult::NotConnected {
+        report = send_once(target, request, settings.timeout);
+        if report.result != SendResult::NotConnected {
             break;
         }
         thread::sleep(Duration::from_millis(RESEND_PAUSE_MS));
         target = balancer.choose(Some(target));
     }
-    (result, target)
+    (report, target)
 }
 
 fn summarise(receiver: &Receiver<FinishedRequest>) -> Result<LoadSummary> {
--- a/crates/guavavane_standin/src/evidence.rs
+++ b/crates/guavavane_standin/src/evidence.rs
@@ -173,6 +173,8 @@
         latency_us: u64,
         /// Times it was sent.
         sends: u32,
+        /// The last reason that an entry gave.
+        reason: String,
     },
     /// An operator's command to take a data centre out was confirmed.
     DataCentreOut {
--- a/crates/guavavane_standin/src/judge.rs
+++ b/crates/guavavane_standin/src/judge.rs
@@ -76,6 +76,8 @@
     pub starts: u64,
     /// Starts that workers refused, by reason.
     pub start_refusals: IndexMap<StartRefusal, u64>,
+    /// Reasons that entries gave for requests that were not answered.
+    pub reasons: IndexMap<String, u64>,
     /// One line for each fault.
     pub faults: Vec<String>,
 }
@@ -137,8 +139,16 @@
                 caller.slip = method != "GET";
             }
             EvidenceEvent::Settled {
-                caller_id, outcome, ..
-            } => callers.entry(caller_id).or_default().outcome = Some(*outcome),
+                caller_id,
+                outcome,
+                reason,
+                ..
+            } => {
+                callers.entry(caller_id).or_default().outcome = Some(*outcome);
+                if *outcome != CallerOutcome::Answered {
+                    *report.reasons.entry(reason.clone()).or_default() += 1;
+                }
+            }
             EvidenceEvent::Executed { caller_id, .. } => {
                 *executions.entry(caller_id).or_default() += 1;
             }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -238,6 +238,7 @@
     let summary = load.end();
     let report = bench.judge(rules);
     println!("{} | {}", report.line(), summary.line());
+    println!("{:?}", report.reasons);
     assert!(report.is_good(), "{:#?}", report.faults);
     report
 }
