--- a/crates/guavavane_standin/src/command.rs
+++ b/crates/guavavane_standin/src/command.rs
@@ -5,16 +5,21 @@
 use std::time::Duration;
 
 use anyhow::bail;
+use anyhow::Context;
 use anyhow::Result;
 use bpaf::Bpaf;
 
 use crate::callers::load::run_load;
 use crate::callers::settings::CallerSettings;
 use crate::clock::StopFlag;
+use crate::demo::run_demo;
+use crate::demo::DemoSettings;
 use crate::evidence::read_folder;
 use crate::judge::judge_records;
+use crate::judge::JudgeReport;
 use crate::judge::JudgeRules;
 use crate::judge::OUT_BOUND_MS;
+use crate::relay::TcpRelay;
 use crate::worker::profile::TaskProfile;
 use crate::worker::server::WorkerServer;
 use crate::worker::settings::draw_boot;
@@ -145,6 +150,34 @@
     folder: PathBuf,
 }
 
+/// Flags of the relay.
+#[derive(Clone, Debug, Bpaf)]
+pub struct RelayFlags {
+    /// Address at which connections arrive
+    #[bpaf(argument("ADDR"))]
+    listen: SocketAddr,
+    /// Address to which they are relayed
+    #[bpaf(argument("ADDR"))]
+    target: SocketAddr,
+    /// Address that takes a mode as the body of `POST /mode`: pass, drop, drop-forward,
+    /// drop-back or close
+    #[bpaf(argument("ADDR"))]
+    control: SocketAddr,
+}
+
+/// Flags of the demo.
+#[derive(Clone, Debug, Bpaf)]
+pub struct DemoFlags {
+    /// Folder of the example documents
+    #[bpaf(argument("FOLDER"), fallback(PathBuf::from("examples")))]
+    examples: PathBuf,
+    /// Tasks of one run of the settlement
+    #[bpaf(argument("N"), fallback(40))]
+    batch_tasks: u64,
+    /// Keep logs and evidence
+    keep: bool,
+}
+
 /// Stand-ins for tests and trials of guavavane.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -155,6 +188,12 @@
     /// Sends requests at a fixed rate
     #[bpaf(command("callers"))]
     Callers(#[bpaf(external(caller_flags))] CallerFlags),
+    /// Relays TCP connections and cuts them silently on demand
+    #[bpaf(command("relay"))]
+    Relay(#[bpaf(external(relay_flags))] RelayFlags),
+    /// Runs the Cooperativa's cell through one short day; exit status 0 only if it was good
+    #[bpaf(command("demo"))]
+    Demo(#[bpaf(external(demo_flags))] DemoFlags),
     /// Counts from evidence files; exit status 0 only if nothing was broken
     #[bpaf(command("judge"))]
     Judge(#[bpaf(external(judge_flags))] JudgeFlags),
@@ -165,6 +204,8 @@
     match standin_command().run() {
         StandinCommand::Worker(flags) => run_worker(flags),
         StandinCommand::Callers(flags) => run_callers(flags),
+        StandinCommand::Relay(flags) => run_relay(&flags),
+        StandinCommand::Demo(flags) => run_demo_day(flags),
         StandinCommand::Judge(flags) => run_judge(&flags),
     }
 }
@@ -237,13 +278,36 @@
     }
 }
 
+fn run_relay(flags: &RelayFlags) -> Result<()> {
+    let stop = StopFlag::on_signals()?;
+    let relay = TcpRelay::start(flags.listen, flags.target)?;
+    relay.serve_control(flags.control)?;
+    stop.wait();
+    Ok(())
+}
+
 fn run_judge(flags: &JudgeFlags) -> Result<()> {
     let rules = JudgeRules {
         entries_killed: flags.entries_killed,
         out_bound_ms: flags.out_bound_ms,
     };
     let records = read_folder(&flags.folder)?;
-    let report = judge_records(&records, &rules);
+    print_report(&judge_records(&records, &rules))
+}
+
+fn run_demo_day(flags: DemoFlags) -> Result<()> {
+    let program = std::env::current_exe()?;
+    let programs = program.parent().context("folder of this program")?;
+    let settings = DemoSettings {
+        examples: flags.examples,
+        programs: programs.to_owned(),
+        batch_tasks: flags.batch_tasks,
+        keep: flags.keep,
+    };
+    print_report(&run_demo(&settings)?)
+}
+
+fn print_report(report: &JudgeReport) -> Result<()> {
     for fault in &report.faults {
         eprintln!("{fault}");
     }
