--- a/crates/guavavane_agent/src/worker/command.rs
+++ b/crates/guavavane_agent/src/worker/command.rs
@@ -83,10 +83,15 @@
         let Some(entry) = self.settle_command(now, key, result) else {
             return;
         };
-        if !matches!(entry.stage, TaskStage::Starting(_)) {
+        let TaskStage::Starting(pending) = &mut entry.stage else {
             return;
-        }
+        };
         match result {
+            CommandResult::Answered(OrderAnswer::Refused { .. }) if pending.doubtful => {
+                // An earlier sending may have been taken, perhaps before a reboot: a listing
+                // that is later than the permit tells.
+                pending.permit = pending.permit.min(now);
+            }
             CommandResult::Answered(OrderAnswer::Refused { reason }) => {
                 tracing::warn!(event = "start_refused", task = %key.task, attempt = %key.attempt, reason);
                 self.end_task(now, task_attempt(key), AttemptPhase::NotStarted);
@@ -97,7 +102,8 @@
                 self.hasten_poll();
             }
             // A listing that is later than the permit tells whether the worker took it.
-            CommandResult::NotSent | CommandResult::Unknown => {}
+            CommandResult::Unknown => pending.doubtful = true,
+            CommandResult::NotSent => {}
         }
     }
 
@@ -134,12 +140,10 @@
         if !matches!(entry.stage, TaskStage::Evicting(EvictionStep::Stopping(_))) {
             return;
         }
-        match result {
-            CommandResult::Answered(OrderAnswer::Refused { .. }) => entry.retry_at = retry_at,
-            CommandResult::Answered(_) => {
-                self.end_task(now, task_attempt(key), AttemptPhase::Stopped);
-            }
-            CommandResult::NotSent | CommandResult::Unknown => {}
+        entry.retry_at = retry_at;
+        if matches!(result, CommandResult::Answered(_)) {
+            // The attempt may have ended by itself before: a listing tells how it ended.
+            self.hasten_poll();
         }
     }
 
@@ -172,11 +176,14 @@
         }
         entry.stage = TaskStage::Evicting(eviction.drained());
     }
-    match &entry.stage {
-        TaskStage::Starting(pending) if now < pending.permit => Some(WorkerCommand::Start {
-            order: pending.order.clone(),
-            permit: pending.permit,
-        }),
+    match &mut entry.stage {
+        TaskStage::Starting(pending) if now < pending.permit => {
+            pending.sent = true;
+            Some(WorkerCommand::Start {
+                order: pending.order.clone(),
+                permit: pending.permit,
+            })
+        }
         TaskStage::Running => entry
             .throttle
             .map(|share_millis| WorkerCommand::Throttle(ThrottleOrder { key, share_millis })),
@@ -187,12 +194,3 @@
         | TaskStage::Ended(_) => None,
     }
 }
-
-impl WorkerControl {
-    /// Stops an attempt that runs although it was recorded as ended.
-    pub(super) fn stop_unexpected(&mut self, attempt: TaskAttempt) {
-        tracing::error!(event = "unexpected_attempt", task = %attempt.task, attempt = %attempt.attempt);
-        let command = WorkerCommand::Stop(attempt_key(attempt));
-        self.outcomes.push(WorkerOutcome::Command(command));
-    }
-}
--- a/crates/guavavane_agent/src/worker/listing.rs
+++ b/crates/guavavane_agent/src/worker/listing.rs
@@ -1,6 +1,8 @@
 //! Reconciliation with what the worker reports.
 
 use super::clock::WorkerClock;
+use super::eviction::Eviction;
+use super::eviction::EvictionStep;
 use super::task::attempt_key;
 use super::task::ended_phase;
 use super::task::task_attempt;
@@ -29,6 +31,7 @@
             self.end_turn(now, self.timing.poll_interval_min);
             return;
         }
+        self.listed = listing.asked;
         self.take_boot(now, listing);
         self.ledger.set_capacity(listing.facts.capacity);
         for status in &listing.list.attempts {
@@ -78,7 +81,13 @@
                 entry.changed = now;
             }
             (None, TaskStage::Ended(_)) if entry.changed < listing.asked => {
-                self.stop_unexpected(attempt);
+                tracing::error!(
+                    event = "unexpected_attempt",
+                    task = %attempt.task,
+                    attempt = %attempt.attempt,
+                );
+                entry.stage = TaskStage::Evicting(EvictionStep::Stopping(Eviction::stop()));
+                self.ledger.adopt(attempt, status.demand);
             }
             (None, _) => {}
         }
@@ -188,8 +197,8 @@
 }
 
 fn phase_after_boot(entry: &TaskEntry) -> AttemptPhase {
-    match entry.stage {
-        TaskStage::Starting(_) => AttemptPhase::NotStarted,
+    match &entry.stage {
+        TaskStage::Starting(pending) if !pending.sent => AttemptPhase::NotStarted,
         _ => AttemptPhase::Stopped,
     }
 }
--- a/crates/guavavane_agent/src/worker/mod.rs
+++ b/crates/guavavane_agent/src/worker/mod.rs
@@ -218,8 +218,10 @@
     stage: PollStage,
     next_poll: BootTime,
     last_poll: BootTime,
-    /// Earliest start of this run of the agent.
+    /// Earliest listing after which this run of the agent starts anything.
     starts_from: BootTime,
+    /// When the last listing was asked for.
+    listed: BootTime,
     sequence: u64,
     entries_digest: u64,
     clock: Option<WorkerClock>,
@@ -242,6 +244,7 @@
         Self {
             identity,
             starts_from: now + timing.permit_max,
+            listed: now,
             timing,
             stage: PollStage::Idle,
             next_poll: now,
--- a/crates/guavavane_agent/src/worker/order.rs
+++ b/crates/guavavane_agent/src/worker/order.rs
@@ -143,7 +143,7 @@
     fn order_start(&mut self, now: BootTime, request: StartRequest) {
         let attempt = request.attempt;
         let seen = self.tasks.contains_key(&attempt) || self.released.contains_key(&attempt);
-        let held = self.draining || now < self.starts_from;
+        let held = self.draining || self.listed < self.starts_from;
         if seen || held || self.runs_other_attempt(attempt) {
             // Control repeats the order as long as it holds.
             return;
@@ -161,6 +161,8 @@
                 entry.stage = TaskStage::Starting(PendingStart {
                     order,
                     permit: request.permit,
+                    sent: false,
+                    doubtful: false,
                 });
             }
             Err(reason) => {
--- a/crates/guavavane_agent/src/worker/task.rs
+++ b/crates/guavavane_agent/src/worker/task.rs
@@ -19,6 +19,10 @@
     pub(super) order: StartOrder,
     /// End of the permit on the agent's clock.
     pub(super) permit: BootTime,
+    /// Whether the worker may have taken it.
+    pub(super) sent: bool,
+    /// Whether an earlier sending of it has no answer.
+    pub(super) doubtful: bool,
 }
 
 /// Where an attempt is in its life.
