--- a/crates/guavavane_agent/src/worker/listing.rs
+++ b/crates/guavavane_agent/src/worker/listing.rs
@@ -101,6 +101,8 @@
         };
         let mut entry = TaskEntry::new(now, status.fence, stage);
         entry.checkpoint_ms = status.checkpoint_ms;
+        // A doubled start of the earlier run may still be on its way until then.
+        entry.permit = self.starts_from;
         if !entry.is_ended() {
             self.ledger.adopt(attempt, status.demand);
         }
--- a/crates/guavavane_agent/tests/worker_properties.rs
+++ b/crates/guavavane_agent/tests/worker_properties.rs
@@ -63,6 +63,8 @@
 struct LeaderTask {
     attempt: u32,
     start: Option<WorkerOrder>,
+    /// Whether the attempt was reported as running.
+    seen: bool,
 }
 
 /// What has happened, as seen from outside the agent.
@@ -409,6 +411,7 @@
     fn lead(&mut self, open: &OpenPoll) -> WorkerOrders {
         let lease_ms = self.random.random_range(300..4_000);
         let lease_end = open.sent + Duration::from_millis(u64::from(lease_ms));
+        self.end_unreported(&open.poll);
         let mut renewed = Vec::new();
         let mut orders = Vec::new();
         for report in &open.poll.attempts {
@@ -449,6 +452,21 @@
         }
     }
 
+    /// An attempt that was reported and is no longer has ended with its boot.
+    fn end_unreported(&mut self, poll: &WorkerPoll) {
+        for (task, leader) in &mut self.leader {
+            let attempt = TaskAttempt {
+                task: *task,
+                attempt: AttemptNumber(leader.attempt),
+            };
+            let reported = poll.attempts.iter().any(|report| report.attempt == attempt);
+            if leader.seen && !reported {
+                leader.start = None;
+            }
+            leader.seen |= reported;
+        }
+    }
+
     fn extend_lease(&mut self, attempt: TaskAttempt, end: BootTime) {
         let lease = self.witness.leases.entry(key(attempt)).or_default();
         *lease = end.max(*lease);
@@ -486,6 +504,7 @@
         let leader = self.leader.entry(task).or_default();
         if leader.start.is_none() || abandon {
             leader.attempt += 1;
+            leader.seen = false;
             self.fence += 1;
             let fence = if stale_fence { 1 } else { self.fence };
             leader.start = Some(WorkerOrder::Start {
