--- a/crates/guavavane_control/tests/lease_protocol.rs
+++ b/crates/guavavane_control/tests/lease_protocol.rs
@@ -12,7 +12,6 @@
 
 use bolero::check;
 use bolero::produce;
-use bolero::ValueGenerator;
 use indexmap::IndexMap;
 
 use crate::support::apply;
--- a/crates/guavavane_control/tests/state_properties.rs
+++ b/crates/guavavane_control/tests/state_properties.rs
@@ -7,7 +7,6 @@
 use bolero::check;
 use bolero::produce;
 use bolero::TypeGenerator;
-use bolero::ValueGenerator;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
