--- a/crates/guavavane_standin/src/harness/cluster.rs
+++ b/crates/guavavane_standin/src/harness/cluster.rs
@@ -8,6 +8,7 @@
 use anyhow::bail;
 use anyhow::Context;
 use anyhow::Result;
+use serde::Deserialize;
 
 use crate::callers::balancer::HEALTH_PATH;
 use crate::callers::settings::CallerSettings;
@@ -35,6 +36,23 @@
 /// Time-out of a health check.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// What the harness reads of an entry's status.
+#[derive(Debug, Deserialize)]
+struct EntryStatus {
+    stage: Option<StageStatus>,
+}
+
+#[derive(Debug, Deserialize)]
+struct StageStatus {
+    endpoints: Vec<EndpointStatus>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EndpointStatus {
+    live: bool,
+    ejected: bool,
+}
+
 /// Where a control replica listens.
 #[derive(Clone, Debug)]
 pub struct ReplicaAddresses {
@@ -363,6 +381,16 @@
         Ok(())
     }
 
+    /// Waits until every entry may give work to so many endpoints.
+    pub fn wait_routed(&self, count: usize) -> Result<()> {
+        for entry in &self.entries {
+            wait_until("endpoints that are routed to", READY_LIMIT, || {
+                live_endpoints(entry.operator).is_some_and(|live| live >= count)
+            })?;
+        }
+        Ok(())
+    }
+
     /// Ends everything gracefully: entries, workers, agents, control replicas.
     pub fn shut_down(&mut self) -> Result<Vec<(String, ExitStatus)>> {
         let mut ends = Vec::new();
@@ -387,6 +415,16 @@
     }
 }
 
+fn live_endpoints(operator: SocketAddr) -> Option<usize> {
+    let answer = http_get(format!("http://{operator}/status"))
+        .timeout(HEALTH_TIMEOUT)
+        .send()
+        .ok()?;
+    let status: EntryStatus = answer.json().ok()?;
+    let live = |endpoint: &&EndpointStatus| endpoint.live && !endpoint.ejected;
+    Some(status.stage?.endpoints.iter().filter(live).count())
+}
+
 fn with_flags(plan: ProcessPlan, flags: &[String]) -> ProcessPlan {
     flags.iter().fold(plan, ProcessPlan::argument)
 }
