--- a/crates/guavavane_standin/src/command.rs
+++ b/crates/guavavane_standin/src/command.rs
@@ -142,6 +142,8 @@
 pub struct JudgeFlags {
     /// Count broken connections and time-outs as unknown: processes were killed or frozen
     entries_killed: bool,
+    /// Let tasks run again whose end could not be reported before their lease was over
+    agents_silent: bool,
     /// Bound on starts after a data centre was taken out, in ms
     #[bpaf(argument("MS"), fallback(OUT_BOUND_MS))]
     out_bound_ms: u64,
@@ -289,6 +291,7 @@
 fn run_judge(flags: &JudgeFlags) -> Result<()> {
     let rules = JudgeRules {
         entries_killed: flags.entries_killed,
+        agents_silent: flags.agents_silent,
         out_bound_ms: flags.out_bound_ms,
     };
     let records = read_folder(&flags.folder)?;
--- a/crates/guavavane_standin/src/evidence.rs
+++ b/crates/guavavane_standin/src/evidence.rs
@@ -20,7 +20,6 @@
 
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootId;
-use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::DataCentreName;
 use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::RackName;
@@ -140,6 +139,8 @@
         state: AttemptState,
         /// Work done.
         progress_ms: u64,
+        /// End of its lease.
+        lease_until_ms: u64,
     },
     /// An endpoint began to run a request.
     Executed {
@@ -219,16 +220,15 @@
 
     /// Appends an event that happens now.
     pub fn append(&self, event: EvidenceEvent) -> Result<()> {
-        self.append_at(BootClock.now(), event)
+        self.append_record(&EvidenceRecord {
+            at_us: BootClock.now().as_micros(),
+            event,
+        })
     }
 
-    /// Appends an event that happened at `at`.
-    pub fn append_at(&self, at: BootTime, event: EvidenceEvent) -> Result<()> {
-        let record = EvidenceRecord {
-            at_us: at.as_micros(),
-            event,
-        };
-        let mut line = serde_json::to_vec(&record)?;
+    /// Appends a record.
+    pub fn append_record(&self, record: &EvidenceRecord) -> Result<()> {
+        let mut line = serde_json::to_vec(record)?;
         line.push(b'\n');
         let mut file = self.file.lock().unwrap_or_else(PoisonError::into_inner);
         file.write_all(&line)?;
--- a/crates/guavavane_standin/src/worker/server.rs
+++ b/crates/guavavane_standin/src/worker/server.rs
@@ -176,7 +176,7 @@
     ) -> T {
         let (result, events) = self.core.change(action);
         for event in events {
-            self.react(event);
+            self.react(event.event);
         }
         result
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -230,6 +230,7 @@
 /// Rules where processes on the callers' way are killed or frozen.
 pub const KILLED_RULES: JudgeRules = JudgeRules {
     entries_killed: true,
+    agents_silent: true,
     out_bound_ms: guavavane::standin::judge::OUT_BOUND_MS,
 };
 
