--- /dev/null
+++ b/tests/control_faults.rs
@@ -0,0 +1,137 @@
+//! Control replicas that are killed, frozen, cut off and that lose their disks.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::time::Duration;
+
+use guavavane::protocol::prelude::AcceptedVersion;
+use guavavane::standin::clock::wait_until;
+use guavavane::standin::harness::cluster::READY_LIMIT;
+use support::document;
+use support::plan;
+use support::start;
+use support::Bench;
+
+/// Documents that are applied in the long runs.
+const CHANGES: u64 = 300;
+
+/// The document of version `version`; each has other content.
+fn text_of(version: u64) -> String {
+    document(1, 0, 1_000, 3_000 + version)
+}
+
+/// Applies one document on top of `version` and checks what was accepted.
+fn change(bench: &Bench, version: u64) -> AcceptedVersion {
+    let accepted = bench.apply(version, &text_of(version + 1));
+    assert_eq!(accepted.version.0, version + 1);
+    accepted
+}
+
+/// Checks that the document in force is the last one accepted.
+fn assert_in_force(bench: &Bench, last: &AcceptedVersion) {
+    let (accepted, text) = bench.show();
+    assert_eq!(&accepted, last);
+    assert_eq!(&*text, text_of(last.version.0).as_str());
+}
+
+#[test]
+fn changes_survive_kills_and_restarts_of_replicas_in_turn() {
+    let mut bench = start(plan("control-kills", 1));
+    let mut last = change(&bench, 0);
+    for version in 1..CHANGES {
+        if version % 20 == 0 {
+            let name = format!("control-{}", version / 20 % 3 + 1);
+            bench.cluster.kill_and_restart(&name).unwrap();
+        }
+        last = change(&bench, version);
+        if version % 10 == 0 {
+            assert_in_force(&bench, &last);
+        }
+    }
+    for name in ["control-1", "control-2", "control-3"] {
+        bench.cluster.kill(name).unwrap();
+    }
+    for name in ["control-1", "control-2", "control-3"] {
+        bench.cluster.group.restart(name).unwrap();
+    }
+    assert_in_force(&bench, &last);
+    assert_eq!(last.version.0, CHANGES);
+}
+
+#[test]
+fn a_leader_frozen_past_its_lease_serves_nothing_stale() {
+    let mut bench = start(plan("control-freeze", 1));
+    let mut last = change(&bench, 0);
+    for _ in 0..4 {
+        let leader = bench.leader();
+        let name = format!("control-{}", leader + 1);
+        bench.cluster.group.freeze(&name).unwrap();
+        for _ in 0..5 {
+            last = change(&bench, last.version.0);
+        }
+        assert_ne!(bench.leader(), leader);
+        bench.cluster.group.thaw(&name).unwrap();
+        for _ in 0..20 {
+            assert_in_force(&bench, &last);
+        }
+    }
+}
+
+#[test]
+fn a_lost_disk_is_repaired_and_a_second_loss_keeps_all_changes() {
+    let mut plan = plan("control-disks", 1);
+    plan.control_flags.push("--removal-ms=2500".to_owned());
+    let mut bench = start(plan);
+    let mut last = change(&bench, 0);
+    for name in ["control-1", "control-2", "control-3"] {
+        for _ in 0..10 {
+            last = change(&bench, last.version.0);
+        }
+        bench.cluster.kill(name).unwrap();
+        std::fs::remove_dir_all(bench.cluster.group.data_folder(name)).unwrap();
+        bench.cluster.group.restart(name).unwrap();
+        for _ in 0..10 {
+            last = change(&bench, last.version.0);
+        }
+        wait_until("three voters that answer", READY_LIMIT, || {
+            let status = bench.status();
+            let voters = status.replicas.iter().filter(|replica| replica.voter);
+            let addresses: Vec<_> = voters.map(|replica| replica.address).collect();
+            let known = |replica: &guavavane::standin::harness::cluster::ReplicaAddresses| {
+                addresses
+                    .iter()
+                    .filter(|x| **x == replica.advertised)
+                    .count()
+                    == 1
+            };
+            addresses.len() == 3 && bench.cluster.replicas.iter().all(known)
+        })
+        .unwrap();
+        assert_in_force(&bench, &last);
+    }
+}
+
+#[test]
+fn a_silently_unreachable_replica_does_not_stop_changes() {
+    let mut plan = plan("control-cut", 1);
+    plan.relay_control = true;
+    let bench = start(plan);
+    let mut last = change(&bench, 0);
+    let follower = (bench.leader() + 1) % 3;
+    let relay = bench.cluster.replicas[follower].relay.clone().unwrap();
+    relay.set_mode(guavavane::standin::prelude::RelayMode::Drop);
+    for _ in 0..20 {
+        last = change(&bench, last.version.0);
+    }
+    std::thread::sleep(Duration::from_secs(5));
+    for _ in 0..20 {
+        last = change(&bench, last.version.0);
+    }
+    relay.set_mode(guavavane::standin::prelude::RelayMode::Pass);
+    for _ in 0..20 {
+        last = change(&bench, last.version.0);
+        assert_in_force(&bench, &last);
+    }
+}
