--- a/crates/guavavane_agent/src/guard/answer.rs
+++ b/crates/guavavane_agent/src/guard/answer.rs
@@ -35,6 +35,10 @@
         self.answers.len()
     }
 
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
     pub(crate) fn has_room(&self) -> bool {
         let bytes = self.held_bytes + (self.reserved + 1) * self.answer_max_bytes;
         self.answers.len() + self.reserved < self.answers_max && bytes <= self.store_max_bytes
--- a/crates/guavavane_agent/src/guard/mod.rs
+++ b/crates/guavavane_agent/src/guard/mod.rs
@@ -240,6 +240,11 @@
         self.answers.len()
     }
 
+    /// Bytes of the answers that are kept.
+    pub fn kept_bytes(&self) -> usize {
+        self.answers.held_bytes()
+    }
+
     /// When to call [`RequestGuard::step`] next if nothing happens before.
     pub fn next_wake(&self) -> Option<BootTime> {
         let queued = self
--- a/crates/guavavane_agent/tests/guard_properties.rs
+++ b/crates/guavavane_agent/tests/guard_properties.rs
@@ -48,8 +48,8 @@
         record_max: 12,
         entries_max: 2,
         record_keep: Duration::from_millis(1_500),
-        answers_max: 3,
-        answers_max_bytes: 256,
+        answers_max: 4,
+        answers_max_bytes: 200,
         answer_keep: ANSWER_KEEP,
         answer_max_bytes: ANSWER_MAX_BYTES,
         held_max_bytes: 400,
@@ -485,6 +485,7 @@
         }
         assert!(self.guard.recorded() <= limits().record_max);
         assert!(self.guard.kept() <= limits().answers_max);
+        assert!(self.guard.kept_bytes() <= limits().answers_max_bytes);
     }
 
     /// Ends every exchange and lets every wait run out: no call stays without a reply.
