--- a/crates/guavavane_agent/src/daemon/worker_loop.rs
+++ b/crates/guavavane_agent/src/daemon/worker_loop.rs
@@ -1,5 +1,7 @@
 //! Thread of the worker side.
 
+use std::time::Duration;
+
 use flume::Receiver;
 use flume::Sender;
 use serde::Serialize;
@@ -21,6 +23,12 @@
 use guavavane_platform::prelude::WorkerClient;
 use guavavane_transport::prelude::CallClient;
 
+/// Longest sleep of the worker's thread.
+const IDLE_MAX: Duration = Duration::from_millis(1_000);
+
+/// Shortest sleep, for a start that waits for room and not for time.
+const IDLE_MIN: Duration = Duration::from_millis(5);
+
 /// What arrives at the worker's thread.
 #[derive(Debug)]
 pub(super) enum WorkerEvent {
@@ -78,8 +86,8 @@
             let wait = self
                 .control
                 .next_wake()
-                .saturating_since(BootClock.now())
-                .max(std::time::Duration::from_millis(1));
+                .map_or(IDLE_MAX, |wake| wake.saturating_since(BootClock.now()))
+                .clamp(IDLE_MIN, IDLE_MAX);
             let input = match self.events.recv_timeout(wait) {
                 Ok(WorkerEvent::Input(input)) => input,
                 Ok(WorkerEvent::ServiceDrained(service)) => WorkerInput::ServiceDrained(service),
--- a/crates/guavavane_agent/src/worker/mod.rs
+++ b/crates/guavavane_agent/src/worker/mod.rs
@@ -302,12 +302,10 @@
     }
 
     /// When to call [`WorkerControl::step`] next if nothing happens before.
-    pub fn next_wake(&self) -> BootTime {
-        let retry = self.timing.retry_interval;
-        match self.stage {
-            PollStage::Idle => self.next_poll.min(self.last_poll + retry),
-            PollStage::Listing | PollStage::Polling { .. } => self.last_poll + retry,
-        }
+    pub fn next_wake(&self) -> Option<BootTime> {
+        let poll = (self.stage == PollStage::Idle).then_some(self.next_poll);
+        let commands = self.tasks.values().filter_map(TaskEntry::next_command_at);
+        poll.into_iter().chain(commands).min()
     }
 
     fn start_turn(&mut self, now: BootTime) {
--- a/crates/guavavane_agent/src/worker/task.rs
+++ b/crates/guavavane_agent/src/worker/task.rs
@@ -80,6 +80,20 @@
         matches!(self.stage, TaskStage::Ended(_))
     }
 
+    /// When the attempt needs its next command, or nothing while it needs none.
+    pub(super) fn next_command_at(&self) -> Option<BootTime> {
+        if self.in_flight {
+            return None;
+        }
+        match &self.stage {
+            TaskStage::Starting(pending) if self.retry_at < pending.permit => Some(self.retry_at),
+            TaskStage::Running => self.throttle.map(|_| self.retry_at),
+            TaskStage::Evicting(EvictionStep::Draining(drain)) => Some(drain.until()),
+            TaskStage::Evicting(_) => Some(self.retry_at),
+            TaskStage::Starting(_) | TaskStage::Ended(_) => None,
+        }
+    }
+
     /// The report to control, or nothing while the start is not confirmed.
     pub(super) fn report(&self, attempt: TaskAttempt) -> Option<AttemptReport> {
         let phase = match &self.stage {
--- a/crates/guavavane_agent/tests/worker_model/mod.rs
+++ b/crates/guavavane_agent/tests/worker_model/mod.rs
@@ -1,4 +1,5 @@
 //! A small model of the platform's worker that keeps its contract to the letter.
+#![allow(dead_code, clippy::unwrap_used)]
 
 use std::time::Duration;
 
--- a/crates/guavavane_agent/tests/worker_properties.rs
+++ b/crates/guavavane_agent/tests/worker_properties.rs
@@ -104,6 +104,7 @@
     ghosts: Vec<(WorkerCommand, u64)>,
     drains: Vec<ServiceKey>,
     agent_run: u64,
+    may_shrink: bool,
 }
 
 fn new_control(now: BootTime, incarnation: u64) -> WorkerControl {
@@ -117,9 +118,11 @@
 impl<'a> Simulation<'a> {
     fn new(random: &'a mut ChaCha8Rng) -> Self {
         let now = BootTime::from_millis(5_000);
+        let may_shrink = random.random_bool(0.5);
         Self {
             random,
             now,
+            may_shrink,
             model: WorkerModel::new(capacity()),
             control: new_control(now, 1),
             witness: Witness::default(),
@@ -555,7 +558,11 @@
         self.model.reboot(self.now, offset);
     }
 
+    /// Half of the sequences have a worker that never shrinks.
     fn resize(&mut self) {
+        if !self.may_shrink {
+            return;
+        }
         self.model.capacity = if self.model.capacity == capacity() {
             self.witness.has_shrunk = true;
             ResourceVector::new(500, 500, 0)
