--- a/crates/guavavane_standin/src/judge.rs
+++ b/crates/guavavane_standin/src/judge.rs
@@ -70,10 +70,14 @@
     pub overruns: u64,
     /// Starts in a data centre that was out for longer than the bound.
     pub starts_in_out_data_centre: u64,
+    /// Endpoints that run at the end of the evidence.
+    pub running_services: u64,
     /// Starts of attempts.
     pub starts: u64,
     /// Starts that workers refused, by reason.
     pub start_refusals: IndexMap<StartRefusal, u64>,
+    /// Reasons that entries gave for requests that were not answered.
+    pub reasons: IndexMap<String, u64>,
     /// One line for each fault.
     pub faults: Vec<String>,
 }
@@ -135,8 +139,16 @@
                 caller.slip = method != "GET";
             }
             EvidenceEvent::Settled {
-                caller_id, outcome, ..
-            } => callers.entry(caller_id).or_default().outcome = Some(*outcome),
+                caller_id,
+                outcome,
+                reason,
+                ..
+            } => {
+                callers.entry(caller_id).or_default().outcome = Some(*outcome);
+                if *outcome != CallerOutcome::Answered {
+                    *report.reasons.entry(reason.clone()).or_default() += 1;
+                }
+            }
             EvidenceEvent::Executed { caller_id, .. } => {
                 *executions.entry(caller_id).or_default() += 1;
             }
@@ -223,6 +235,8 @@
         for record in records {
             self.judge_event(record.at_us, &record.event, rules, report);
         }
+        let running = self.workers.values().flat_map(|x| &x.running);
+        report.running_services = running.filter(|task| !task.batch).count() as u64;
     }
 
     fn judge_event(
