--- a/crates/guavavane_quorum/tests/consensus.rs
+++ b/crates/guavavane_quorum/tests/consensus.rs
@@ -67,6 +67,8 @@
     Turmoil(u8),
     /// Followers crash as they sync, and the leader is cut off.
     PowerLoss(u8),
+    /// The leader is frozen until another has written, and then asked at once.
+    FrozenRead,
 }
 
 fn slot(number: u8) -> usize {
@@ -126,6 +128,7 @@
         Action::CrashAll => (0..SLOTS).for_each(|slot| network.bounce(slot)),
         Action::Turmoil(first) => turmoil(network, weather, first),
         Action::PowerLoss(doomed) => power_loss(network, weather, aimed, doomed),
+        Action::FrozenRead => frozen_read(network, weather, aimed),
     }
 }
 
@@ -151,6 +154,15 @@
     network.run(3 * ELECTION_ROUNDS, weather);
 }
 
+fn frozen_read(network: &mut CoreNetwork, weather: Weather, leader: usize) {
+    network.nodes[leader].freeze();
+    network.run(3 * ELECTION_ROUNDS, weather);
+    network.propose(aim(network, 0));
+    network.run(ELECTION_ROUNDS / 8, weather);
+    network.nodes[leader].thaw();
+    network.read(leader);
+}
+
 #[test]
 fn faults_break_no_promise_and_the_group_recovers() {
     let events = produce::<Vec<Event>>().with().len(20..120usize);
--- a/crates/guavavane_quorum/tests/network/mod.rs
+++ b/crates/guavavane_quorum/tests/network/mod.rs
@@ -1,6 +1,8 @@
 //! A few consensus cores on disks in memory, with a network that loses, doubles, delays and
 //! reorders messages. Every step checks what must always hold.
 
+#![allow(dead_code, reason = "each test drives a part")]
+
 pub(crate) mod memory_disk;
 pub(crate) mod node;
 pub(crate) mod truth;
--- a/crates/guavavane_quorum/tests/network/node.rs
+++ b/crates/guavavane_quorum/tests/network/node.rs
@@ -72,7 +72,7 @@
         voters_wanted: voters,
         removal_timeout_ms: 5_000,
         in_flight_entries: 8,
-        message_bytes_max: 300,
+        message_bytes_max: if crowded { 1 } else { 300 },
         snapshot_chunk_bytes: 24,
         trailing_entries: 3,
         promotion_lag_entries: 4,
@@ -182,6 +182,10 @@
         leads.then(|| running.core.members().clone())
     }
 
+    pub(crate) fn term(&self) -> Term {
+        self.running.as_ref().map_or(Term(0), |r| r.core.term())
+    }
+
     pub(crate) fn holds_lease(&self, now: BootTime) -> bool {
         let until = self
             .running
