--- a/crates/guavavane_quorum/src/core.rs
+++ b/crates/guavavane_quorum/src/core.rs
@@ -50,6 +50,7 @@
 use crate::message::MessageBody;
 use crate::message::OutgoingMessage;
 use crate::message::PeerMessage;
+use crate::message::SnapshotId;
 use crate::settings::CheckedSettings;
 use guavavane_model::time::BootTime;
 
@@ -82,6 +83,7 @@
     hard_state: HardState,
     log: EntryLog,
     snapshot: Option<SnapshotImage>,
+    snapshot_id: Option<SnapshotId>,
     /// Member sets with the index that each is effective from, oldest first.
     member_sets: VecDeque<(LogIndex, MemberSet)>,
     /// Highest index known to be committed; everything up to it was handed out for applying.
@@ -132,6 +134,7 @@
             persisted: log.last_index(),
             log,
             snapshot: stored.snapshot,
+            snapshot_id: None,
             member_sets,
             role: RoleState::Follower,
             leader: None,
--- a/crates/guavavane_quorum/src/core/snapshot.rs
+++ b/crates/guavavane_quorum/src/core/snapshot.rs
@@ -39,6 +39,15 @@
         self.log.drop_through(through);
         self.drop_member_sets(through);
         self.snapshot = Some(image);
+        self.snapshot_id = None;
+    }
+
+    /// Identity of the latest snapshot; its checksum is computed once.
+    fn current_snapshot_id(&mut self) -> Option<SnapshotId> {
+        let image = self.snapshot.as_ref()?;
+        let id = self.snapshot_id.unwrap_or_else(|| snapshot_id(image));
+        self.snapshot_id = Some(id);
+        Some(id)
     }
 
     /// Forgets the member sets that ended at or before `index`.
@@ -62,7 +71,8 @@
 
     /// Sends the chunk that a member needs next, unless it is under way.
     pub(super) fn send_chunk(&mut self, now: BootTime, id: ReplicaId) {
-        let Some(image) = self.snapshot.clone() else {
+        let (Some(image), Some(current)) = (self.snapshot.clone(), self.current_snapshot_id())
+        else {
             return;
         };
         let chunk_bytes = self.settings.snapshot_chunk_bytes;
@@ -94,7 +104,7 @@
         let end = start.saturating_add(chunk_bytes).min(image.bytes.len());
         let bytes: Arc<[u8]> = Arc::from(&image.bytes[start..end]);
         let chunk = SnapshotChunk {
-            id: snapshot_id(&image),
+            id: current,
             members: image.members,
             offset,
             checksum: crc32fast::hash(&bytes),
@@ -181,6 +191,7 @@
         self.commit = image.index;
         self.persisted = self.persisted.max(image.index).min(self.log.last_index());
         self.snapshot = Some(image.clone());
+        self.snapshot_id = None;
         self.outcomes
             .push(CoreOutcome::InstallSnapshot { image, keep_log });
     }
@@ -192,7 +203,7 @@
         response: SnapshotResponse,
     ) {
         self.note_now(now);
-        let current = self.snapshot.as_ref().map(snapshot_id);
+        let current = self.current_snapshot_id();
         let Some(peer) = self.peer_mut(from) else {
             return;
         };
--- a/crates/guavavane_quorum/src/plugin.rs
+++ b/crates/guavavane_quorum/src/plugin.rs
@@ -116,7 +116,8 @@
         inbox,
         queue,
         outbox,
-    );
+    )
+    .map_err(StartError::Thread)?;
     let thread = thread::Builder::new()
         .name(format!("replica-{id}"))
         .spawn(move || runner.run())
--- a/crates/guavavane_quorum/src/runner.rs
+++ b/crates/guavavane_quorum/src/runner.rs
@@ -4,13 +4,16 @@
 //! as one batch with one sync, and only then sends acknowledgements and applies entries. While
 //! a sync runs, new requests gather and share the next one.
 
+mod snapshots;
 mod waiting;
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use flume::Selector;
 
+use self::snapshots::SnapshotThread;
 use self::waiting::PendingReply;
 use self::waiting::WaitingCallers;
 use crate::core::ConsensusCore;
@@ -61,6 +64,7 @@
 pub(crate) struct ReplicaRunner<M: StateMachine, D: DiskFolder> {
     core: ConsensusCore,
     store: LogStore<D>,
+    snapshots: SnapshotThread,
     settings: CheckedSettings,
     shared: Arc<SharedState<M>>,
     inbox: flume::Receiver<PeerMessage>,
@@ -81,8 +85,9 @@
         inbox: flume::Receiver<PeerMessage>,
         requests: flume::Receiver<HandleRequest<M>>,
         outbox: flume::Sender<OutgoingMessage>,
-    ) -> Self {
-        Self {
+    ) -> io::Result<Self> {
+        Ok(Self {
+            snapshots: SnapshotThread::start(store.snapshot_writer())?,
             applied: core.commit(),
             core,
             store,
@@ -94,7 +99,7 @@
             callers: WaitingCallers::new(),
             bytes_since_snapshot: 0,
             last_now: BootTime::default(),
-        }
+        })
     }
 
     pub(crate) fn view_of(
@@ -267,6 +272,9 @@
     }
 
     fn install(&mut self, image: SnapshotImage, keep_log: bool) -> Result<(), RunnerStop> {
+        if let Some(saved) = self.snapshots.wait() {
+            self.note_saved(saved?)?;
+        }
         let restored = self.shared.lock_machine().restore(&image.bytes);
         restored.map_err(|e| RunnerStop::Machine(e.to_string()))?;
         self.store.install_snapshot(&image, keep_log)?;
@@ -277,10 +285,13 @@
     }
 
     fn snapshot_if_due(&mut self) -> Result<(), RunnerStop> {
+        if let Some(saved) = self.snapshots.poll() {
+            self.note_saved(saved?)?;
+        }
         let entries = self.applied.0 - self.core.snapshot_index().0;
         let due = entries >= self.settings.snapshot_entries
             || self.bytes_since_snapshot >= self.settings.snapshot_log_bytes;
-        if !due || entries == 0 {
+        if !due || entries == 0 || self.snapshots.is_busy() {
             return Ok(());
         }
         let term = self.core.term_at(self.applied);
@@ -290,8 +301,19 @@
             members: self.core.members_at(self.applied).clone(),
             bytes: self.shared.lock_machine().snapshot().into(),
         };
-        self.store.save_snapshot(&image)?;
+        let bytes = image.bytes.len() as u64;
+        if bytes > self.settings.snapshot_bytes_max {
+            // Other replicas refuse it; the log must not go.
+            return Err(RunnerStop::Machine(format!("snapshot of {bytes} bytes")));
+        }
         self.bytes_since_snapshot = 0;
+        self.snapshots.save(image);
+        Ok(())
+    }
+
+    /// A snapshot is durable: the log that it covers may go.
+    fn note_saved(&mut self, image: SnapshotImage) -> Result<(), RunnerStop> {
+        self.store.drop_covered(image.index)?;
         let now = self.now();
         self.core.step(now, CoreInput::SnapshotSaved(image));
         Ok(())
--- a/crates/guavavane_quorum/src/storage.rs
+++ b/crates/guavavane_quorum/src/storage.rs
@@ -29,6 +29,7 @@
 pub use self::identity::FolderIdentity;
 pub use self::identity::InitError;
 pub use self::store::LogStore;
+pub use self::store::SnapshotWriter;
 
 /// Why storage could not do its work.
 #[derive(Debug, Error)]
--- a/crates/guavavane_quorum/src/storage/disk.rs
+++ b/crates/guavavane_quorum/src/storage/disk.rs
@@ -26,7 +26,7 @@
 }
 
 /// One flat folder of files.
-pub trait DiskFolder: Send + 'static {
+pub trait DiskFolder: Send + Sync + 'static {
     /// An open file.
     type File: DiskFile;
 
--- a/crates/guavavane_quorum/src/storage/store.rs
+++ b/crates/guavavane_quorum/src/storage/store.rs
@@ -1,6 +1,7 @@
 //! The log and its snapshots on one folder.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use super::disk::DiskFolder;
 use super::identity::read_identity;
@@ -25,7 +26,7 @@
 /// Stores hard state, entries and snapshots; writes are durable once [`LogStore::sync`] returns.
 #[derive(Debug)]
 pub struct LogStore<D: DiskFolder> {
-    folder: D,
+    folder: Arc<D>,
     identity: FolderIdentity,
     segment_bytes: u64,
     segment: OpenSegment<D::File>,
@@ -53,7 +54,7 @@
         let file = reopened.map_err(StorageError::io(&name))?;
         let snapshot_term = snapshot.as_ref().map_or(Term(0), |s| s.term);
         let mut store = Self {
-            folder,
+            folder: Arc::new(folder),
             identity,
             segment_bytes,
             segment: OpenSegment {
@@ -123,10 +124,20 @@
 
     /// Stores a snapshot and removes the segments that it covers.
     pub fn save_snapshot(&mut self, image: &SnapshotImage) -> Result<(), StorageError> {
-        self.guard(|store| {
-            snapshot_file::save(&store.folder, image)?;
-            store.remove_segments(image.index)
-        })
+        self.guard(|store| snapshot_file::save(&*store.folder, image))?;
+        self.drop_covered(image.index)
+    }
+
+    /// Removes the segments that a durable snapshot at `index` covers.
+    pub fn drop_covered(&mut self, index: LogIndex) -> Result<(), StorageError> {
+        self.guard(|store| store.remove_segments(index))
+    }
+
+    /// A writer of snapshots for another thread.
+    pub fn snapshot_writer(&self) -> SnapshotWriter<D> {
+        SnapshotWriter {
+            folder: Arc::clone(&self.folder),
+        }
     }
 
     /// Writes the batch as one frame and makes it durable.
@@ -183,7 +194,7 @@
             first_members: self.first_members.clone(),
         };
         let number = self.segment.number + 1;
-        let segment = OpenSegment::create(&self.folder, number, &header)?;
+        let segment = OpenSegment::create(&*self.folder, number, &header)?;
         self.closed.push_back(ClosedSegment {
             number: self.segment.number,
             last_index: self.segment_last,
@@ -204,3 +215,16 @@
         synced.map_err(StorageError::io(self.folder.label()))
     }
 }
+
+/// Writes snapshots beside the log; one at a time, and none while one is installed.
+#[derive(Debug)]
+pub struct SnapshotWriter<D> {
+    folder: Arc<D>,
+}
+
+impl<D: DiskFolder> SnapshotWriter<D> {
+    /// Writes a snapshot, durable on return; [`LogStore::drop_covered`] comes next.
+    pub fn save(&self, image: &SnapshotImage) -> Result<(), StorageError> {
+        snapshot_file::save(&*self.folder, image)
+    }
+}
--- a/crates/guavavane_quorum/tests/replication.rs
+++ b/crates/guavavane_quorum/tests/replication.rs
@@ -2,10 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+#[path = "network/memory_disk.rs"]
+mod memory_disk;
 mod threads;
 
 use std::time::Duration;
 
+use crate::memory_disk::MemoryDisk;
 use crate::threads::address;
 use crate::threads::init_voters;
 use crate::threads::wait_for;
@@ -16,6 +19,7 @@
 use crate::threads::ScratchFolder;
 use crate::threads::TestHandle;
 use guavavane_model::identity::CellId;
+use guavavane_quorum::plugin::start_on;
 use guavavane_quorum::prelude::*;
 
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -34,12 +38,28 @@
     }
 }
 
-fn propose_all(handle: &TestHandle, values: std::ops::Range<u64>) {
+/// Appends each value exactly once, whoever leads.
+fn append_all(handles: &[&TestHandle], values: std::ops::Range<u64>) {
     for value in values {
-        handle.propose(AddValue::new(value), TIMEOUT).unwrap();
+        wait_for("a change", || {
+            let leader = handles[wait_for_leader(handles)];
+            let done = leader.read(TIMEOUT, |m| m.values.contains(&value)).ok()?;
+            if done {
+                return Some(());
+            }
+            let made = leader.propose(AddValue::new(value), TIMEOUT);
+            made.ok().map(drop)
+        });
     }
 }
 
+fn read_all(handles: &[&TestHandle]) -> Vec<u64> {
+    wait_for("a read", || {
+        let leader = wait_for_leader(handles);
+        handles[leader].read(TIMEOUT, values).ok()
+    })
+}
+
 fn values(machine: &ListMachine) -> Vec<u64> {
     machine.values.clone()
 }
@@ -53,9 +73,8 @@
     let start = |n: u16| network.start(settings(n), paths[usize::from(n)].clone());
     let mut handles: Vec<TestHandle> = (0..3).map(start).collect();
     let refs: Vec<&TestHandle> = handles.iter().collect();
-    let leader = wait_for_leader(&refs);
-    propose_all(&handles[leader], 0..250);
-    let read = handles[leader].read(TIMEOUT, values).unwrap();
+    append_all(&refs, 0..250);
+    let read = read_all(&refs);
     assert_eq!(read, (0..250).collect::<Vec<u64>>());
     for handle in &handles {
         wait_for("equal state", || {
@@ -67,8 +86,7 @@
     }
     let handles: Vec<TestHandle> = (0..3).map(start).collect();
     let refs: Vec<&TestHandle> = handles.iter().collect();
-    let leader = wait_for_leader(&refs);
-    assert_eq!(handles[leader].read(TIMEOUT, values).unwrap(), read);
+    assert_eq!(read_all(&refs), read);
     for handle in &handles {
         handle.stop();
     }
@@ -83,32 +101,37 @@
     let start = |n: u16| network.start(settings(n), paths[usize::from(n)].clone());
     let mut handles: Vec<TestHandle> = (0..3).map(start).collect();
     let refs: Vec<&TestHandle> = handles.iter().collect();
-    let leader = wait_for_leader(&refs);
-    propose_all(&handles[leader], 0..300);
-    // The third replica's VM is lost; a new one starts on an empty folder.
-    let lost = (leader + 1) % 3;
+    append_all(&refs, 0..300);
+    // One VM is lost; a new one starts on an empty folder.
+    let lost = (wait_for_leader(&refs) + 1) % 3;
     handles[lost].stop();
     let fresh = ReplicaId::random();
     let folder = LocalFolder::open(&paths[3]).unwrap();
     init_learner(&folder, CellId(0), fresh).unwrap();
     drop(folder);
     handles.push(start(3));
-    let added = handles[leader].add_learner(fresh, address(3), TIMEOUT);
-    assert_eq!(added, Ok(()));
+    let kept = [
+        &handles[(lost + 1) % 3],
+        &handles[(lost + 2) % 3],
+        &handles[3],
+    ];
     wait_for("the replacement", || {
-        let view = handles[leader].leadership();
+        let leader = kept[wait_for_leader(&kept)];
+        let view = leader.leadership();
+        if view.members.get(fresh).is_none() {
+            // A refusal is tried again.
+            let _ = leader.add_learner(fresh, address(3), TIMEOUT);
+        }
         let gone = view.members.get(members[lost].id).is_none();
         (gone && view.members.is_voter(fresh)).then_some(())
     });
-    propose_all(&handles[leader], 300..400);
+    append_all(&kept, 300..400);
     // Right after the repair the leader is lost too.
-    handles[leader].stop();
-    let second = 3 - leader - lost;
-    let left = [&handles[second], &handles[3]];
-    let next = wait_for_leader(&left);
-    propose_all(left[next], 400..410);
-    let read = left[next].read(TIMEOUT, values).unwrap();
-    assert_eq!(read, (0..410).collect::<Vec<u64>>());
+    let second = wait_for_leader(&kept);
+    kept[second].stop();
+    let left = [kept[(second + 1) % 3], kept[(second + 2) % 3]];
+    append_all(&left, 400..410);
+    assert_eq!(read_all(&left), (0..410).collect::<Vec<u64>>());
     left.iter().for_each(|h| h.stop());
 }
 
@@ -154,17 +177,16 @@
     let refs: Vec<&TestHandle> = handles.iter().collect();
     let first = wait_for_leader(&refs);
     handles[first].transfer_leadership();
-    let second = wait_for("another leader", || {
-        let leader = wait_for_leader(&refs);
-        (leader != first).then_some(leader)
+    wait_for("another leader", || {
+        (wait_for_leader(&refs) != first).then_some(())
     });
-    propose_all(&handles[second], 0..10);
+    append_all(&refs, 0..10);
+    let second = wait_for_leader(&refs);
     network.cut(address(second as u16));
     let others: Vec<&TestHandle> = (0..3)
         .filter(|n| *n != second)
         .map(|n| &handles[n])
         .collect();
-    let third = wait_for_leader(&others);
     wait_for("the lease to end", || {
         handles[second]
             .leadership()
@@ -172,7 +194,7 @@
             .is_none()
             .then_some(())
     });
-    propose_all(others[third], 10..20);
+    append_all(&others, 10..20);
     let stale = handles[second].propose(AddValue::new(99), Duration::from_millis(300));
     assert!(stale.is_err());
     network.mend(address(second as u16));
@@ -182,3 +204,35 @@
     });
     handles.iter().for_each(|h| h.stop());
 }
+
+#[test]
+fn a_full_disk_stops_the_replica_and_keeps_what_was_acknowledged() {
+    let disk = MemoryDisk::default();
+    let id = ReplicaId::random();
+    let role = MemberRole::Voter;
+    let address = address(0);
+    let members = [ReplicaMember { id, address, role }];
+    init_cluster(&disk, CellId(0), id, members.into_iter().collect()).unwrap();
+    let start = || {
+        let (sender, inbox) = flume::bounded(1);
+        let (outbox, _outgoing) = flume::bounded(1);
+        let settings = settings(0).try_into().unwrap();
+        let machine = ListMachine::default();
+        let handle = start_on(disk.clone(), settings, machine, inbox, outbox).unwrap();
+        (handle, sender)
+    };
+    let (handle, _sender) = start();
+    append_all(&[&handle], 0..20);
+    disk.fill_up(10);
+    let unsure = handle.propose(AddValue::new(20), TIMEOUT);
+    assert_eq!(unsure, Err(ProposeError::Unknown));
+    let refused = handle.propose(AddValue::new(21), TIMEOUT);
+    assert_eq!(refused, Err(ProposeError::StorageFailed));
+    let view = handle.leadership();
+    assert!(view.storage_failed && view.lease_valid_until.is_none());
+    handle.stop();
+    disk.repair();
+    let (handle, _sender) = start();
+    assert_eq!(read_all(&[&handle]), (0..20).collect::<Vec<u64>>());
+    handle.stop();
+}
