--- a/crates/guavavane_quorum/src/storage/disk.rs
+++ b/crates/guavavane_quorum/src/storage/disk.rs
@@ -4,9 +4,7 @@
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::io;
-use std::io::Seek;
-use std::io::SeekFrom;
-use std::io::Write;
+use std::os::unix::fs::FileExt;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -21,6 +19,11 @@
     /// Appends all bytes.
     fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
 
+    /// Extends the file by zeros behind the appended bytes.
+    ///
+    /// Appending to that part changes no metadata, which makes a sync much cheaper.
+    fn reserve(&mut self, bytes: u64) -> io::Result<()>;
+
     /// Makes all appended bytes durable.
     fn sync(&mut self) -> io::Result<()>;
 }
@@ -108,16 +111,23 @@
 
     fn create(&self, name: &str) -> io::Result<LocalFile> {
         let file = File::create(self.path.join(name))?;
-        Ok(LocalFile { file })
+        Ok(LocalFile {
+            file,
+            appended: 0,
+            length: 0,
+        })
     }
 
     fn reopen(&self, name: &str, length: u64) -> io::Result<LocalFile> {
         let path = self.path.join(name);
-        let mut file = OpenOptions::new().write(true).open(path)?;
+        let file = OpenOptions::new().write(true).open(path)?;
         file.set_len(length)?;
         file.sync_all()?;
-        file.seek(SeekFrom::Start(length))?;
-        Ok(LocalFile { file })
+        Ok(LocalFile {
+            file,
+            appended: length,
+            length,
+        })
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
@@ -137,11 +147,25 @@
 #[derive(Debug)]
 pub struct LocalFile {
     file: File,
+    /// End of the appended bytes.
+    appended: u64,
+    /// End of the file, behind the zeros.
+    length: u64,
 }
 
 impl DiskFile for LocalFile {
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.file.write_all(bytes)
+        self.file.write_all_at(bytes, self.appended)?;
+        self.appended += bytes.len() as u64;
+        self.length = self.length.max(self.appended);
+        Ok(())
+    }
+
+    fn reserve(&mut self, bytes: u64) -> io::Result<()> {
+        let zeros = vec![0; usize::try_from(bytes).unwrap_or(usize::MAX)];
+        self.file.write_all_at(&zeros, self.length)?;
+        self.length += bytes;
+        Ok(())
     }
 
     fn sync(&mut self) -> io::Result<()> {
--- a/crates/guavavane_quorum/src/storage/frame.rs
+++ b/crates/guavavane_quorum/src/storage/frame.rs
@@ -64,7 +64,13 @@
         return FrameRead::Torn;
     }
     let Some(length) = read_head(rest, file, offset) else {
-        return classify_damage(bytes, file, offset, bytes.len());
+        // The zeros behind the last frame were never meant to be more.
+        let written = rest
+            .iter()
+            .rposition(|b| *b != 0)
+            .map_or(0, |last| last + 1);
+        let end = offset + written.max(HEAD_BYTES);
+        return classify_damage(bytes, file, offset, end);
     };
     let next = offset + HEAD_BYTES + length + 1;
     if next > bytes.len() {
--- a/crates/guavavane_quorum/src/storage/identity.rs
+++ b/crates/guavavane_quorum/src/storage/identity.rs
@@ -113,7 +113,7 @@
         base_term: Term(0),
         first_members,
     };
-    OpenSegment::create(folder, 1, &header)?;
+    OpenSegment::create(folder, 1, &header, 0)?;
     let identity = FolderIdentity {
         version: FORMAT_VERSION,
         cell,
--- a/crates/guavavane_quorum/src/storage/segment.rs
+++ b/crates/guavavane_quorum/src/storage/segment.rs
@@ -1,5 +1,7 @@
 //! Log segments: numbered files of frames, the first of which describes the segment.
 
+use std::io;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -17,6 +19,9 @@
 /// Version of the format.
 pub(super) const FORMAT_VERSION: u16 = 1;
 
+/// Zeros that are written ahead of the log at a time.
+const RESERVE_BYTES: u64 = 1 << 20;
+
 /// First frame of a segment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct SegmentHeader {
@@ -45,25 +50,37 @@
 /// The segment that is written to.
 #[derive(Debug)]
 pub(super) struct OpenSegment<F> {
-    pub(super) file: F,
+    file: F,
     pub(super) number: u64,
+    /// End of the last frame.
     pub(super) bytes: u64,
+    /// End of the file, behind the zeros.
+    reserved: u64,
+    reserve_bytes: u64,
 }
 
 impl<F: DiskFile> OpenSegment<F> {
+    /// A segment that holds `bytes` bytes and will hold about `segment_bytes`.
+    pub(super) fn new(file: F, number: u64, bytes: u64, segment_bytes: u64) -> Self {
+        Self {
+            file,
+            number,
+            bytes,
+            reserved: bytes,
+            reserve_bytes: segment_bytes.min(RESERVE_BYTES),
+        }
+    }
+
     /// Creates a segment whose header is durable on return.
     pub(super) fn create<D: DiskFolder<File = F>>(
         folder: &D,
         number: u64,
         header: &SegmentHeader,
+        segment_bytes: u64,
     ) -> Result<Self, StorageError> {
         let name = segment_name(number);
         let file = folder.create(&name).map_err(StorageError::io(&name))?;
-        let mut segment = Self {
-            file,
-            number,
-            bytes: 0,
-        };
+        let mut segment = Self::new(file, number, 0, segment_bytes);
         segment.append(header)?;
         segment.sync()?;
         let synced = folder.sync_folder();
@@ -73,9 +90,21 @@
 
     pub(super) fn append<T: Serialize>(&mut self, value: &T) -> Result<(), StorageError> {
         let frame = encode_frame(value, self.number, self.bytes);
-        let written = self.file.append(&frame);
+        let end = self.bytes + frame.len() as u64;
+        let written = self.reserve(end).and_then(|()| self.file.append(&frame));
         written.map_err(StorageError::io(segment_name(self.number)))?;
-        self.bytes += frame.len() as u64;
+        self.bytes = end;
+        Ok(())
+    }
+
+    /// Writes zeros ahead if the file ends before `end`.
+    fn reserve(&mut self, end: u64) -> io::Result<()> {
+        if end <= self.reserved {
+            return Ok(());
+        }
+        let bytes = end - self.reserved + self.reserve_bytes;
+        self.file.reserve(bytes)?;
+        self.reserved += bytes;
         Ok(())
     }
 
--- a/crates/guavavane_quorum/src/storage/store.rs
+++ b/crates/guavavane_quorum/src/storage/store.rs
@@ -57,11 +57,7 @@
             folder: Arc::new(folder),
             identity,
             segment_bytes,
-            segment: OpenSegment {
-                file,
-                number: open.number,
-                bytes: log.tail_bytes,
-            },
+            segment: OpenSegment::new(file, open.number, log.tail_bytes, segment_bytes),
             closed: log.segments.into(),
             segment_last: open.last_index,
             hard_state: log.hard_state,
@@ -194,7 +190,7 @@
             first_members: self.first_members.clone(),
         };
         let number = self.segment.number + 1;
-        let segment = OpenSegment::create(&*self.folder, number, &header)?;
+        let segment = OpenSegment::create(&*self.folder, number, &header, self.segment_bytes)?;
         self.closed.push_back(ClosedSegment {
             number: self.segment.number,
             last_index: self.segment_last,
