Extend the fault sequences and the damage to longer segments

Damage is tried on segments of several sectors too, and in a record of zeros that is followed by another.

--- a/crates/guavavane_quorum/tests/consensus.rs
+++ b/crates/guavavane_quorum/tests/consensus.rs
@@ -19,6 +19,7 @@
 /// Rounds from a restart to the first election.
 const ELECTION_ROUNDS: u64 = 96;
 const TURMOIL_ROUNDS: u8 = 20;
+const CHURN_STEPS: u8 = 8;
 const POWER_LOSS_ROUNDS: u64 = 4;
 const SEQUENCES: u64 = 400;
 
@@ -69,6 +70,10 @@
     PowerLoss(u8),
     /// The leader is frozen until another has written, and then asked at once.
     FrozenRead,
+    /// One follower does not hear the leader, and another restarts again and again.
+    CutLink(u8),
+    /// Leaders crash soon after they have written or removed a member.
+    Churn(u8),
 }
 
 fn slot(number: u8) -> usize {
@@ -129,6 +134,8 @@
         Action::Turmoil(first) => turmoil(network, weather, first),
         Action::PowerLoss(doomed) => power_loss(network, weather, aimed, doomed),
         Action::FrozenRead => frozen_read(network, weather, aimed),
+        Action::CutLink(other) => cut_link(network, weather, aimed, slot(other)),
+        Action::Churn(pattern) => churn(network, weather, pattern),
     }
 }
 
@@ -163,6 +170,34 @@
     network.read(leader);
 }
 
+fn cut_link(network: &mut CoreNetwork, weather: Weather, leader: usize, other: usize) {
+    network.cut_links.insert((leader, other));
+    network.cut_links.insert((other, leader));
+    network.run(2 * ELECTION_ROUNDS, weather);
+    for _ in 0..TURMOIL_ROUNDS {
+        let mut thirds = (0..SLOTS).filter(|s| *s != leader && *s != other);
+        thirds.by_ref().take(2).for_each(|s| network.bounce(s));
+        network.run(ELECTION_ROUNDS / 12, weather);
+    }
+}
+
+fn churn(network: &mut CoreNetwork, weather: Weather, pattern: u8) {
+    let mut previous = None;
+    for step in 0..CHURN_STEPS {
+        let leader = aim(network, 0);
+        if pattern & (1 << step) == 0 {
+            network.propose(leader);
+        } else {
+            network.remove(leader, slot(pattern.wrapping_add(step)));
+        }
+        network.run(u64::from(step % 3), weather);
+        previous.into_iter().for_each(|slot| network.restart(slot));
+        network.crash(leader);
+        previous = Some(leader);
+        network.run(2 * ELECTION_ROUNDS + u64::from(pattern), weather);
+    }
+}
+
 #[test]
 fn faults_break_no_promise_and_the_group_recovers() {
     let events = produce::<Vec<Event>>().with().len(20..120usize);
--- a/crates/guavavane_quorum/tests/network/mod.rs
+++ b/crates/guavavane_quorum/tests/network/mod.rs
@@ -9,6 +9,7 @@
 
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use rand::seq::SliceRandom;
 use rand::Rng;
 use rand::SeedableRng;
@@ -41,6 +42,8 @@
 pub(crate) struct CoreNetwork {
     pub(crate) nodes: Vec<Node>,
     pub(crate) truth: Truth,
+    /// Pairs of slots, from and to, between which nothing passes.
+    pub(crate) cut_links: IndexSet<(usize, usize)>,
     wire: Vec<OutgoingMessage>,
     /// Messages with the round in which they go on.
     held: Vec<(u64, OutgoingMessage)>,
@@ -57,6 +60,7 @@
         let mut network = Self {
             nodes: Vec::new(),
             truth: Truth::default(),
+            cut_links: IndexSet::new(),
             wire: Vec::new(),
             held: Vec::new(),
             rounds: 0,
@@ -126,8 +130,11 @@
 
     fn arrive(&mut self, message: OutgoingMessage) {
         let sender = message.message.sender();
-        let cut = self.nodes.iter().any(|n| n.cut && n.id == Some(sender));
         let slot = usize::from(message.address.port());
+        let links = &self.cut_links;
+        let cuts = |n: &Node| n.cut || links.contains(&(n.slot, slot));
+        let mut senders = self.nodes.iter().filter(|n| n.id == Some(sender));
+        let cut = senders.any(cuts);
         let node = &mut self.nodes[slot];
         if !cut && !node.cut && node.state != NodeState::Down {
             node.inbox.push(message.message);
@@ -248,6 +255,7 @@
 
     /// Ends all cuts, freezes and crashes.
     pub(crate) fn repair(&mut self) {
+        self.cut_links.clear();
         for slot in 0..self.nodes.len() {
             self.nodes[slot].thaw();
             self.nodes[slot].cut = false;
--- a/crates/guavavane_quorum/tests/storage.rs
+++ b/crates/guavavane_quorum/tests/storage.rs
@@ -25,6 +25,8 @@
 
 const SEQUENCES: u64 = 50_000;
 const SEGMENT_BYTES: u64 = 250;
+/// Several sectors.
+const LONG_SEGMENT_BYTES: u64 = 3_000;
 
 type Opened = Result<(LogStore<MemoryDisk>, StoredState), StorageError>;
 
@@ -32,6 +34,10 @@
     LogStore::open(disk.clone(), SEGMENT_BYTES)
 }
 
+fn open_long(disk: &MemoryDisk) -> Opened {
+    LogStore::open(disk.clone(), LONG_SEGMENT_BYTES)
+}
+
 fn new_disk() -> MemoryDisk {
     let disk = MemoryDisk::default();
     let address = "127.0.0.1:1".parse().unwrap();
@@ -102,7 +108,7 @@
 }
 
 /// A small log of several segments with a snapshot, and its state after each sync.
-fn small_log() -> (MemoryDisk, Vec<ExpectedState>) {
+fn small_log(open: fn(&MemoryDisk) -> Opened) -> (MemoryDisk, Vec<ExpectedState>) {
     let disk = new_disk();
     let (mut store, _) = open(&disk).unwrap();
     let mut state = ExpectedState::default();
@@ -134,7 +140,7 @@
 
 #[test]
 fn truncation_at_every_offset_gives_a_prefix_or_a_refusal() {
-    let (disk, states) = small_log();
+    let (disk, states) = small_log(open);
     let last = last_segment(&disk);
     for name in disk.list().unwrap() {
         let bytes = disk.read(&name).unwrap();
@@ -182,7 +188,12 @@
 
 #[test]
 fn a_bit_flip_at_every_offset_is_refused() {
-    let (disk, states) = small_log();
+    flip_every_bit(open);
+    flip_every_bit(open_long);
+}
+
+fn flip_every_bit(open: fn(&MemoryDisk) -> Opened) {
+    let (disk, states) = small_log(open);
     let last = last_segment(&disk);
     for name in disk.list().unwrap() {
         let bytes = disk.read(&name).unwrap();
@@ -206,9 +217,31 @@
     }
 }
 
+#[test]
+fn damage_to_a_record_of_zeros_is_refused_if_another_follows() {
+    let disk = new_disk();
+    let (mut store, _) = open_long(&disk).unwrap();
+    for index in [LogIndex(1), LogIndex(2)] {
+        let payload = EntryPayload::Command(vec![0; 1_000].into());
+        let term = Term(1);
+        store.append(vec![LogEntry {
+            index,
+            term,
+            payload,
+        }]);
+        store.sync().unwrap();
+    }
+    let name = last_segment(&disk);
+    let mut bytes = disk.read(&name).unwrap();
+    bytes[300] ^= 1;
+    disk.put(&name, bytes);
+    let error = open_long(&disk).err().unwrap();
+    assert_refusal(&error, &name, 300);
+}
+
 #[test]
 fn a_missing_file_is_refused() {
-    let (disk, states) = small_log();
+    let (disk, states) = small_log(open);
     let last = last_segment(&disk);
     for name in disk.list().unwrap() {
         let without = disk.copy();
@@ -271,7 +304,7 @@
 fn a_store_loses_nothing_that_was_synced() {
     let events = produce::<Vec<StoreEvent>>().with().len(5..80usize);
     for_each_value(SEQUENCES, events, |seed, events| {
-        let mut run = StoreRun::new();
+        let mut run = StoreRun::new([open, open_long][seed as usize % 2]);
         for event in events {
             run.happen(event);
         }
@@ -280,6 +313,7 @@
 }
 
 struct StoreRun {
+    open: fn(&MemoryDisk) -> Opened,
     disk: MemoryDisk,
     store: LogStore<MemoryDisk>,
     /// State after the last sync that succeeded.
@@ -291,10 +325,11 @@
 }
 
 impl StoreRun {
-    fn new() -> Self {
+    fn new(open: fn(&MemoryDisk) -> Opened) -> Self {
         let disk = new_disk();
         let (store, _) = open(&disk).unwrap();
         Self {
+            open,
             disk,
             store,
             synced: ExpectedState::default(),
@@ -383,7 +418,7 @@
     fn crash(&mut self, seed: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         self.disk.crash(&mut random);
-        let (store, state) = open(&self.disk).unwrap();
+        let (store, state) = (self.open)(&self.disk).unwrap();
         let state = ExpectedState::of(state);
         let expected = state == self.synced || state == self.written;
         assert!(
