--- a/crates/guavavane_placement/examples/placement_rate.rs
+++ b/crates/guavavane_placement/examples/placement_rate.rs
@@ -193,7 +193,7 @@
         self.now = self.now + Duration::from_millis(ROUND_MS);
         self.finish(ROUND_TASKS);
         self.submit(ROUND_TASKS);
-        if number % WAVE_ROUNDS == 0 {
+        if number.is_multiple_of(WAVE_ROUNDS) {
             let wave = self.submit(WAVE_TASKS);
             let cancelled = wave.into_iter().step_by(2);
             self.step(cancelled.map(PlacementEvent::TaskCancelled).collect());
--- a/crates/guavavane_placement/src/placement_core/decide.rs
+++ b/crates/guavavane_placement/src/placement_core/decide.rs
@@ -18,6 +18,7 @@
 use crate::index::ShapeIndex;
 use crate::index::WorkerIndex;
 use crate::record::TaskAttempt;
+use crate::record::TaskClass;
 use crate::record::TaskPriority;
 use crate::shape::ShapeKey;
 use crate::shape::ShapeState;
@@ -223,11 +224,15 @@
         reason: PlaceReason,
     ) -> Option<PlacementChoice> {
         let key = self.shapes.get(request.shape).key;
+        let limit = match key.class {
+            TaskClass::LatencyCritical => self.settings.service_candidates,
+            TaskClass::Batch => self.settings.batch_candidates,
+        };
         let search = WorkerSearch {
             key,
             needed: request.needed,
             index: SearchIndex::Free,
-            limit: self.settings.candidates_per_placement,
+            limit,
         };
         let mut workers = self.find_workers(request.shape, &search);
         workers.retain(|worker| Some(*worker) != request.replaces);
--- a/crates/guavavane_placement/src/settings.rs
+++ b/crates/guavavane_placement/src/settings.rs
@@ -7,8 +7,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PlacementSettings {
-    /// Workers that are scored for one placement.
-    pub candidates_per_placement: usize,
+    /// Workers that are scored for one batch task.
+    pub batch_candidates: usize,
+    /// Workers that are scored for one service task, which is to be spread over racks.
+    pub service_candidates: usize,
     /// Workers that are looked at in the buckets that may not fit, if no other fits.
     pub boundary_probes: usize,
     /// Workers whose tasks are weighed for one preemption.
@@ -74,7 +76,8 @@
 impl Default for PlacementSettings {
     fn default() -> Self {
         Self {
-            candidates_per_placement: 12,
+            batch_candidates: 12,
+            service_candidates: 30,
             boundary_probes: 512,
             preemption_candidates: 24,
             preemption_checkpoint_ms: 1_000,
--- /dev/null
+++ b/crates/guavavane_placement/tests/queue_rules.rs
@@ -0,0 +1,291 @@
+//! Urgent work, impossible tasks, liveness, shares and caps.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+mod support;
+
+use bolero::check;
+use bolero::TypeGenerator;
+
+use crate::support::task_record;
+use crate::support::worker_name;
+use crate::support::worker_record;
+use crate::support::StateFake;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::TaskId;
+use guavavane_placement::prelude::*;
+
+/// Longest time in which urgent work must be placed.
+const URGENT_LIMIT_MS: u64 = 2_500;
+
+/// Time between two calls of a leader.
+const CALL_PERIOD_MS: u64 = 100;
+
+fn cores(count: u64) -> ResourceVector {
+    ResourceVector::new(count * 1_000, count * 1_024, 0)
+}
+
+fn new_state(workers: usize, capacity: ResourceVector) -> StateFake {
+    let mut state = StateFake::new(PlacementSettings::default(), 3);
+    for number in 0..workers {
+        state.worker_up(worker_record(number, capacity));
+    }
+    state
+}
+
+fn submit(state: &mut StateFake, id: u64, class: TaskClass, demand: ResourceVector) {
+    state.submit(task_record(id, class, demand));
+}
+
+fn placed(decisions: &[PlacementDecision]) -> Vec<TaskId> {
+    let places = decisions.iter().filter_map(|decision| match decision {
+        PlacementDecision::Place(place) => Some(place.task),
+        _ => None,
+    });
+    places.collect()
+}
+
+fn victims(
+    state: &StateFake,
+    decisions: &[PlacementDecision],
+) -> Vec<(TaskAttempt, ResourceVector)> {
+    let evictions = decisions.iter().filter_map(|decision| match decision {
+        PlacementDecision::Evict(evict) => Some(TaskAttempt {
+            task: evict.task,
+            attempt: evict.attempt,
+        }),
+        _ => None,
+    });
+    evictions
+        .map(|attempt| (attempt, state.commitments[&attempt].reserved))
+        .collect()
+}
+
+#[derive(Clone, Debug, TypeGenerator)]
+struct FilledCell {
+    sizes: Vec<u8>,
+    needed: u8,
+}
+
+/// Urgent work starts in time, and each eviction for it was needed.
+#[test]
+fn urgent_work_evicts_no_more_than_it_needs() {
+    check!()
+        .with_type::<FilledCell>()
+        .with_iterations(2_000)
+        .for_each(|cell| {
+            let mut state = new_state(4, cores(16));
+            for (id, size) in cell.sizes.iter().enumerate() {
+                let size = u64::from(size % 8) + 1;
+                submit(&mut state, id as u64, TaskClass::Batch, cores(size));
+                state.advance(CALL_PERIOD_MS);
+                state.decide(8);
+                state.deliver_all();
+            }
+            let needed = cores(u64::from(cell.needed % 16) + 1);
+            let mut urgent = task_record(9_999, TaskClass::Batch, needed);
+            urgent.priority = TaskPriority::Urgent;
+            state.submit(urgent);
+            let submitted = state.now;
+            let decisions = state.decide(64);
+            check_victims(&state, &decisions, &needed);
+            while !state.is_committed(TaskId(9_999)) {
+                state.finish_evictions();
+                state.deliver_all();
+                state.advance(CALL_PERIOD_MS);
+                state.decide(64);
+                let waited = state.now.saturating_since(submitted);
+                assert!(
+                    waited.as_millis() < URGENT_LIMIT_MS.into(),
+                    "urgent work waits"
+                );
+            }
+        });
+}
+
+fn check_victims(state: &StateFake, decisions: &[PlacementDecision], needed: &ResourceVector) {
+    let victims = victims(state, decisions);
+    let Some((first, _)) = victims.first() else {
+        return;
+    };
+    let worker = state.commitments[first].worker.clone();
+    let capacity = state.workers[&worker].capacity;
+    let mut staying = state.committed(&worker);
+    for (attempt, reserved) in &victims {
+        assert_eq!(
+            state.commitments[attempt].worker, worker,
+            "evicted from two workers"
+        );
+        staying = staying.checked_sub(reserved).unwrap();
+    }
+    assert!(
+        staying.checked_add(needed).unwrap().fits_within(&capacity),
+        "evicted too little"
+    );
+    for (_, reserved) in &victims {
+        let spared = staying.checked_add(reserved).unwrap();
+        let fits = spared.checked_add(needed).unwrap().fits_within(&capacity);
+        assert!(!fits, "evicted more than needed");
+    }
+}
+
+/// Impossible tasks are named by the first call, with what they lack, and block nobody.
+#[test]
+fn impossible_tasks_block_nobody() {
+    check!()
+        .with_type::<Vec<u8>>()
+        .with_iterations(2_000)
+        .for_each(|sizes| {
+            let mut state = new_state(64, cores(16));
+            for (id, size) in sizes.iter().take(32).enumerate() {
+                let demand = cores(u64::from(size % 24) + 1);
+                submit(&mut state, id as u64, TaskClass::Batch, demand);
+            }
+            let decisions = state.decide(64);
+            let placed = placed(&decisions);
+            for (id, size) in sizes.iter().take(32).enumerate() {
+                let id = TaskId(id as u64);
+                let needed = (u64::from(size % 24) + 1) * 1_024;
+                let expected = ResourceLack::Memory {
+                    needed,
+                    largest: 16 * 1_024,
+                };
+                let named = decisions.iter().any(|decision| match decision {
+                    PlacementDecision::ReportImpossible(report) => {
+                        report.task == id && report.lacks == expected
+                    }
+                    _ => false,
+                });
+                let impossible = needed > 16 * 1_024;
+                assert_eq!(named, impossible, "{id} needs {needed}");
+                assert_eq!(placed.contains(&id), !impossible, "{id} needs {needed}");
+            }
+        });
+}
+
+/// A task that fits one worker only is found a place in a bounded number of calls.
+#[test]
+fn feasible_tasks_are_placed_in_bounded_calls() {
+    check!()
+        .with_type::<(u16, u8, bool)>()
+        .with_iterations(200)
+        .for_each(|(free, extra, service)| {
+            let workers = 600;
+            let only = usize::from(*free) % workers;
+            let mut state = StateFake::new(
+                PlacementSettings {
+                    boundary_probes: 32,
+                    ..PlacementSettings::default()
+                },
+                u64::from(*extra),
+            );
+            // All free amounts share a level of the index; only one fits.
+            for number in 0..workers {
+                let spare = u64::from(number == only);
+                let capacity = ResourceVector::new(8_200 + spare, 8_300, 0);
+                state.worker_up(worker_record(number, capacity));
+            }
+            let class = match service {
+                true => TaskClass::LatencyCritical,
+                false => TaskClass::Batch,
+            };
+            submit(&mut state, 1, class, ResourceVector::new(8_201, 8_300, 0));
+            let calls = 200 / 32 + 2;
+            for _ in 0..calls {
+                state.decide(4);
+                state.advance(2_000);
+            }
+            assert!(state.is_committed(TaskId(1)), "a feasible task waits");
+            assert_eq!(state.commitments[0].worker, worker_name(only));
+        });
+}
+
+/// Teams with equal needs get room by weight, and a freed place goes to the poorer one.
+#[test]
+fn shares_follow_weights() {
+    check!()
+        .with_type::<(u8, u8)>()
+        .with_iterations(300)
+        .for_each(|(first, second)| {
+            let weights = [u32::from(first % 4) + 1, u32::from(second % 4) + 1];
+            let mut state = new_state(20, cores(12));
+            for (team, weight) in ["a", "b"].into_iter().zip(weights) {
+                state.set_quota(TeamQuota {
+                    team: team.try_into().unwrap(),
+                    weight,
+                    cap: None,
+                });
+            }
+            for id in 0..600 {
+                let mut record = task_record(id, TaskClass::Batch, cores(1));
+                record.team = ["a", "b"][(id % 2) as usize].try_into().unwrap();
+                state.submit(record);
+            }
+            state.decide(1_000);
+            let usage = ["a", "b"].map(|team| state.team_usage(&team.try_into().unwrap()));
+            let total = (usage[0].cpu_millis + usage[1].cpu_millis) / 1_000;
+            assert_eq!(total, 240, "room was left");
+            let fair = 240 * u64::from(weights[0]) / u64::from(weights[0] + weights[1]);
+            assert!(
+                usage[0].cpu_millis.abs_diff(fair * 1_000) <= 1_000,
+                "{usage:?} {weights:?}"
+            );
+        });
+}
+
+/// A team at its cap blocks neither the others nor its own later, smaller tasks.
+#[test]
+fn caps_are_kept_and_block_nobody() {
+    let mut state = new_state(4, cores(16));
+    state.set_quota(TeamQuota {
+        team: "a".try_into().unwrap(),
+        weight: 100,
+        cap: Some(cores(6)),
+    });
+    for (id, size) in [4, 4, 2].into_iter().enumerate() {
+        submit(&mut state, id as u64, TaskClass::Batch, cores(size));
+    }
+    let mut other = task_record(10, TaskClass::Batch, cores(4));
+    other.team = "b".try_into().unwrap();
+    state.submit(other);
+    submit(&mut state, 11, TaskClass::Batch, cores(7));
+    let decisions = state.decide(64);
+    let mut placed = placed(&decisions);
+    placed.sort();
+    assert_eq!(placed, [TaskId(0), TaskId(2), TaskId(10)]);
+    assert!(
+        state.impossible.contains(&TaskId(11)),
+        "the cap makes it impossible"
+    );
+}
+
+/// Replicas of a service go to different data centres and racks, batch packs tightly.
+#[test]
+fn services_spread_and_batch_packs() {
+    let mut state = new_state(27, cores(16));
+    for id in 0..9 {
+        submit(&mut state, id, TaskClass::LatencyCritical, cores(4));
+    }
+    state.decide(64);
+    let spread: std::collections::BTreeSet<_> = state
+        .commitments
+        .values()
+        .map(|commitment| state.workers[&commitment.worker].clone())
+        .map(|worker| (worker.data_centre, worker.rack))
+        .collect();
+    assert_eq!(spread.len(), 9, "replicas share racks: {spread:?}");
+    for id in 100..112 {
+        submit(&mut state, id, TaskClass::Batch, cores(4));
+    }
+    state.decide(64);
+    let batch = state
+        .commitments
+        .iter()
+        .filter(|(attempt, _)| attempt.task.0 >= 100);
+    let packed: std::collections::BTreeSet<_> = batch.map(|(_, c)| c.worker.clone()).collect();
+    assert!(
+        packed.len() <= 6,
+        "batch is spread over {} workers",
+        packed.len()
+    );
+}
