--- a/crates/guavavane_placement/src/decision.rs
+++ b/crates/guavavane_placement/src/decision.rs
@@ -149,6 +149,15 @@
 }
 
 impl ThrottleLevel {
+    /// The next faster level.
+    #[must_use]
+    pub fn relaxed(self) -> Self {
+        match self {
+            Self::None | Self::Half => Self::None,
+            Self::Quarter => Self::Half,
+        }
+    }
+
     /// Share of its processors that the task keeps, in thousandths.
     pub fn speed_permille(self) -> u32 {
         match self {
--- a/crates/guavavane_placement/src/interference.rs
+++ b/crates/guavavane_placement/src/interference.rs
@@ -4,6 +4,10 @@
 //! at that load, and one for each workload beside it, in proportion to the time and speed at
 //! which that ran. The parts are fitted by normalised least mean squares, one sample at a time,
 //! and fall back to a small prior with a half-life while no sample confirms them.
+//!
+//! Neighbours that always run together can't be told apart by the level of the slowdown, so each
+//! task gets an equal part of an unexplained excess. What tells them apart is change: a task
+//! came, left or was throttled, and the slowdown followed or did not.
 
 use indexmap::IndexMap;
 
@@ -20,6 +24,12 @@
 /// Step of the fit; one would follow each sample in full.
 const LEARNING_RATE: f32 = 0.3;
 
+/// Step of the fit to changes.
+const CHANGE_RATE: f32 = 0.5;
+
+/// Square of the least change of neighbours that is learnt from.
+const CHANGE_MIN: f32 = 0.05;
+
 /// Weight of a service's own part against that of one neighbour.
 const OWN_WEIGHT: f32 = 0.3;
 
@@ -109,16 +119,53 @@
         };
         let mut predicted = self.settled(now, own, 0.0);
         let mut norm = OWN_WEIGHT;
+        let direction = |neighbour: &NeighbourShare| neighbour.share.min(1.0);
         for neighbour in sample.neighbours {
             let key = own.with(neighbour.kind);
             predicted += neighbour.share * self.settled(now, key, PRIOR_EXCESS);
-            norm += neighbour.share * neighbour.share;
+            norm += neighbour.share * direction(neighbour);
         }
         let step = LEARNING_RATE * (sample.excess - predicted) / norm;
         self.adjust(now, own, 0.0, step * OWN_WEIGHT);
         for neighbour in sample.neighbours {
             let key = own.with(neighbour.kind);
-            self.adjust(now, key, PRIOR_EXCESS, step * neighbour.share);
+            self.adjust(now, key, PRIOR_EXCESS, step * direction(neighbour));
+        }
+    }
+
+    /// Fits the estimates to what changed between two samples of a task in the same band.
+    pub(crate) fn learn_change(
+        &mut self,
+        now: BootTime,
+        before: &AttributedSample<'_>,
+        after: &AttributedSample<'_>,
+    ) {
+        let band = LoadBand::of(after.load_permille as f32);
+        if band != LoadBand::of(before.load_permille as f32) {
+            return;
+        }
+        let own = PairKey {
+            service: after.service,
+            neighbour: None,
+            band,
+        };
+        let changes = share_changes(before.neighbours, after.neighbours);
+        let norm: f32 = changes
+            .iter()
+            .map(|change| change.share * change.share)
+            .sum();
+        if norm < CHANGE_MIN {
+            return;
+        }
+        let predicted = changes.iter().map(|change| {
+            let key = own.with(change.kind);
+            change.share * self.settled(now, key, PRIOR_EXCESS)
+        });
+        let error = after.excess - before.excess - predicted.sum::<f32>();
+        let step = CHANGE_RATE * error / norm.max(1.0);
+        for change in changes {
+            let key = own.with(change.kind);
+            self.adjust(now, key, PRIOR_EXCESS, step * change.share);
         }
     }
 
@@ -173,6 +220,22 @@
     }
 }
 
+/// Neighbours whose share differs between two samples, with the difference.
+fn share_changes(before: &[NeighbourShare], after: &[NeighbourShare]) -> Vec<NeighbourShare> {
+    let mut changes = after.to_vec();
+    for earlier in before {
+        let mut known = changes.iter_mut();
+        match known.find(|change| change.kind == earlier.kind) {
+            Some(change) => change.share -= earlier.share,
+            None => changes.push(NeighbourShare {
+                share: -earlier.share,
+                ..*earlier
+            }),
+        }
+    }
+    changes
+}
+
 impl PairKey {
     fn with(self, neighbour: KindIndex) -> Self {
         let neighbour = Some(neighbour);
--- a/crates/guavavane_placement/src/placement_core.rs
+++ b/crates/guavavane_placement/src/placement_core.rs
@@ -27,6 +27,7 @@
 use crate::index::RackIndex;
 use crate::index::WorkerIndex;
 use crate::interference::InterferenceEstimates;
+use crate::interference::NeighbourShare;
 use crate::record::TaskAttempt;
 use crate::record::TaskClass;
 use crate::record::WorkloadKind;
@@ -142,6 +143,16 @@
     replaces: Option<WorkerIndex>,
 }
 
+/// A sample that the next one of the same task is compared with.
+#[derive(Clone, Debug)]
+struct LastSample {
+    worker: WorkerIndex,
+    until: BootTime,
+    load_permille: u32,
+    excess: f32,
+    neighbours: Vec<NeighbourShare>,
+}
+
 /// The placement policy.
 #[derive(Debug)]
 pub struct PlacementCore {
@@ -159,6 +170,8 @@
     interference: InterferenceEstimates,
     history: ResidenceHistory,
     strains: StrainTable,
+    /// Last sample of each service task, to learn from what changed since.
+    last_samples: IndexMap<TaskId, LastSample>,
     eviction_bucket: TokenBucket,
     spread: IndexMap<SpreadKey, u32>,
     delayed: BTreeSet<DelayedTask>,
@@ -203,6 +216,7 @@
             interference,
             history: ResidenceHistory::default(),
             strains: StrainTable::default(),
+            last_samples: IndexMap::new(),
             eviction_bucket: TokenBucket::new(BootTime::default()),
             spread: IndexMap::new(),
             delayed: BTreeSet::new(),
--- a/crates/guavavane_placement/src/placement_core/measure.rs
+++ b/crates/guavavane_placement/src/placement_core/measure.rs
@@ -1,6 +1,7 @@
 //! Takes late samples in: sizes, interference, and relief for slow services.
 
 use super::IgnoredReason;
+use super::LastSample;
 use super::PlacementCore;
 use super::StepOutcome;
 use crate::decision::EvictionCause;
@@ -22,14 +23,26 @@
 use guavavane_model::prelude::TaskId;
 use guavavane_model::prelude::WorkerName;
 
+/// Service tasks whose last sample is kept at most.
+const LAST_SAMPLES_MAX: usize = 16_384;
+
 /// Predicted excess below which a batch task is not blamed.
-const BLAME_EXCESS_MIN: f32 = 0.02;
+const BLAME_EXCESS_MIN: f32 = 0.03;
+
+/// Part of a service's excess that a batch task must be predicted to cause to be blamed.
+const BLAME_PART_MIN: f32 = 0.15;
+
+/// Weight of what a service suffers already: tails grow faster than the excess.
+const CROWDING_WEIGHT: f32 = 2.0;
 
 /// Slowdown at which a task is throttled to a quarter at once, in thousandths of the limit.
 const SEVERE_PERMILLE: u32 = 1_500;
 
-/// Seconds in a minute, for budgets that are set by the minute.
-const SECONDS_PER_MINUTE: u64 = 60;
+/// Seconds in an hour, for budgets that are set by the hour.
+const SECONDS_PER_HOUR: u64 = 3_600;
+
+/// Part of an hour's budget that may be spent at once.
+const EVICTION_BURSTS_PER_HOUR: u64 = 12;
 
 /// A batch task beside a slow service.
 #[derive(Clone, Copy, Debug)]
@@ -84,6 +97,7 @@
             neighbours: &neighbours,
         };
         self.interference.learn(now, &attributed);
+        self.learn_change(now, worker, sample, &attributed);
         match self.strains.count(sample, &self.settings) {
             StrainVerdict::Wait => {}
             StrainVerdict::Relieve => self.relieve(now, worker, service, sample),
@@ -92,6 +106,41 @@
         StepOutcome::Applied
     }
 
+    /// Learns from what changed since the last sample of the same task on the same worker.
+    fn learn_change(
+        &mut self,
+        now: BootTime,
+        worker: WorkerIndex,
+        sample: &LatencySample,
+        after: &AttributedSample<'_>,
+    ) {
+        let last = self.last_samples.get(&sample.task);
+        let last = last.filter(|last| last.worker == worker);
+        if let Some(last) = last {
+            if sample.interval.until <= last.until {
+                return;
+            }
+            let before = AttributedSample {
+                service: after.service,
+                load_permille: last.load_permille,
+                excess: last.excess,
+                neighbours: &last.neighbours,
+            };
+            self.interference.learn_change(now, &before, after);
+        }
+        if self.last_samples.len() >= LAST_SAMPLES_MAX {
+            self.last_samples.swap_remove_index(0);
+        }
+        let last = LastSample {
+            worker,
+            until: sample.interval.until,
+            load_permille: after.load_permille,
+            excess: after.excess,
+            neighbours: after.neighbours.to_vec(),
+        };
+        self.last_samples.insert(sample.task, last);
+    }
+
     /// Workloads that were beside a service in the interval that a sample measured.
     fn neighbours(
         &self,
@@ -137,7 +186,11 @@
         service: KindIndex,
         sample: &LatencySample,
     ) {
-        let Some(suspect) = self.worst_suspect(now, worker, service) else {
+        let excess = sample.slowdown_permille as f32 / 1_000.0 - 1.0;
+        let blamed = (excess * BLAME_PART_MIN).max(BLAME_EXCESS_MIN);
+        self.exonerate(now, worker, service, sample.task, blamed);
+        let suspect = self.worst_suspect(now, worker, service);
+        let Some(suspect) = suspect.filter(|suspect| suspect.excess >= blamed) else {
             return;
         };
         let severe = self
@@ -178,6 +231,31 @@
         }
     }
 
+    /// Gives speed back to one task that was throttled and turned out not to matter.
+    fn exonerate(
+        &mut self,
+        now: BootTime,
+        worker: WorkerIndex,
+        service: KindIndex,
+        task: TaskId,
+        blamed: f32,
+    ) {
+        let Some(entry) = self.strains.get_mut(task) else {
+            return;
+        };
+        let slot = self.workers.get(worker);
+        let mut throttled = entry.throttled.iter().copied();
+        let innocent = throttled.find(|attempt| {
+            slot.resident(*attempt).is_some_and(|resident| {
+                let kind = self.shapes.get(resident.shape).key.kind;
+                self.interference.predict(now, service, kind) < blamed
+            })
+        });
+        if let Some(attempt) = innocent {
+            self.throttle(worker, attempt, ThrottleLevel::None, task, now);
+        }
+    }
+
     fn evict_for(
         &mut self,
         now: BootTime,
@@ -186,10 +264,10 @@
         service: TaskId,
     ) {
         let workers = self.workers.len() as u64;
-        let per_minute = self.settings.interference_evictions_per_thousand * workers / 1_000;
-        let per_minute = per_minute.max(1);
-        let rate_milli = (per_minute * 1_000 / SECONDS_PER_MINUTE).max(1);
-        self.eviction_bucket.refill(now, rate_milli, per_minute);
+        let per_hour = self.settings.interference_evictions_per_thousand * workers / 1_000;
+        let rate_milli = (per_hour * 1_000 / SECONDS_PER_HOUR).max(1);
+        let burst = (per_hour / EVICTION_BURSTS_PER_HOUR).max(1);
+        self.eviction_bucket.refill(now, rate_milli, burst);
         if !self.eviction_bucket.take() {
             return;
         }
@@ -218,8 +296,7 @@
                 cpu_millis: resident.reserved.cpu_millis,
             }
         });
-        let blamed = suspects.filter(|suspect| suspect.excess >= BLAME_EXCESS_MIN);
-        blamed.max_by(|first, second| {
+        suspects.max_by(|first, second| {
             let by_excess = first.excess.total_cmp(&second.excess);
             by_excess.then(first.cpu_millis.cmp(&second.cpu_millis))
         })
@@ -254,7 +331,7 @@
         self.outbox.push_back(PlacementDecision::Throttle(decision));
     }
 
-    /// Gives one throttled task its speed back if the service is predicted to bear it, or moves
+    /// Gives one throttled task some speed back if the service is predicted to bear it, or moves
     /// it to where it can run at full speed.
     fn relax(
         &mut self,
@@ -276,14 +353,20 @@
             return;
         };
         let kind = self.shapes.get(resident.shape).key.kind;
-        let lost = 1.0 - resident.throttle.speed_permille() as f32 / 1_000.0;
-        let added = self.interference.predict(now, service, kind) * lost * 1_000.0;
+        let level = resident.throttle.relaxed();
+        let speed = resident.throttle.speed_permille();
+        let gained = level.speed_permille().saturating_sub(speed);
+        let added = self.interference.predict(now, service, kind) * gained as f32;
         let expected = sample.slowdown_permille as f32 + added;
-        if expected < self.settings.slowdown_high_permille as f32 {
-            self.throttle(worker, attempt, ThrottleLevel::None, sample.task, now);
+        let limit = self.settings.slowdown_high_permille + self.settings.slowdown_low_permille;
+        if expected < limit as f32 / 2.0 {
+            self.throttle(worker, attempt, level, sample.task, now);
             return;
         }
-        self.evict_for(now, worker, attempt, sample.task);
+        // Fast only because the task is held back: it can run at full speed elsewhere.
+        if sample.slowdown_permille < self.settings.slowdown_low_permille {
+            self.evict_for(now, worker, attempt, sample.task);
+        }
     }
 
     /// Gives speed back to the tasks that were throttled for a service that left a worker.
@@ -309,17 +392,32 @@
         if !self.settings.interference {
             return 0;
         }
-        let mut excess = 0.0;
-        for resident in &self.workers.get(worker).residents {
+        let residents = &self.workers.get(worker).residents;
+        let mut cost = 0.0;
+        for resident in residents {
             let key = self.shapes.get(resident.shape).key;
             if key.class == TaskClass::LatencyCritical {
-                excess += self.interference.predict(now, key.kind, kind);
+                let added = self.interference.predict(now, key.kind, kind);
+                let present = self.present_excess(now, key.kind, residents);
+                cost += added * (1.0 + present * CROWDING_WEIGHT);
             }
             if class == TaskClass::LatencyCritical {
-                excess += self.interference.predict(now, kind, key.kind);
+                cost += self.interference.predict(now, kind, key.kind);
             }
         }
-        -((excess * 1_000.0) as i64 * self.settings.interference_weight_permille / 1_000)
+        -((cost * 1_000.0) as i64 * self.settings.interference_weight_permille / 1_000)
+    }
+
+    /// Excess that a service is predicted to suffer from the batch tasks beside it.
+    fn present_excess(&self, now: BootTime, service: KindIndex, residents: &[Resident]) -> f32 {
+        let batch = residents.iter().map(|resident| {
+            let key = self.shapes.get(resident.shape).key;
+            match key.class {
+                TaskClass::LatencyCritical => 0.0,
+                TaskClass::Batch => self.interference.predict(now, service, key.kind),
+            }
+        });
+        batch.sum()
     }
 }
 
--- a/crates/guavavane_placement/src/settings.rs
+++ b/crates/guavavane_placement/src/settings.rs
@@ -63,7 +63,7 @@
     pub slowdown_low_permille: u32,
     /// Samples in a row beyond a limit before the policy acts.
     pub slowdown_samples: u32,
-    /// Evictions a minute for interference, for each thousand workers, though at least one.
+    /// Evictions an hour for interference, for each thousand workers, though at least one.
     pub interference_evictions_per_thousand: u64,
     /// Time in which an estimate without samples loses half of what it learnt.
     pub estimate_half_life_ms: u64,
@@ -104,10 +104,35 @@
             slowdown_high_permille: 1_400,
             slowdown_low_permille: 1_150,
             slowdown_samples: 2,
-            interference_evictions_per_thousand: 120,
+            interference_evictions_per_thousand: 2_000,
             estimate_half_life_ms: 600_000,
             estimates_max: 65_536,
             history_spans_max: 16,
         }
     }
 }
+
+impl PlacementSettings {
+    /// Acts early on slow services, at the cost of batch throughput and evictions.
+    #[must_use]
+    pub fn favouring_latency() -> Self {
+        Self {
+            interference_weight_permille: 2_000,
+            slowdown_high_permille: 1_200,
+            slowdown_low_permille: 1_080,
+            interference_evictions_per_thousand: 8_000,
+            ..Self::default()
+        }
+    }
+
+    /// Acts late on slow services, and spares batch tasks.
+    #[must_use]
+    pub fn favouring_throughput() -> Self {
+        Self {
+            slowdown_high_permille: 2_000,
+            slowdown_low_permille: 1_500,
+            interference_evictions_per_thousand: 500,
+            ..Self::default()
+        }
+    }
+}
--- a/crates/guavavane_placement/src/strain.rs
+++ b/crates/guavavane_placement/src/strain.rs
@@ -15,7 +15,7 @@
     Wait,
     /// The service has been too slow for long enough.
     Relieve,
-    /// The service has been fast for long enough to give speed back.
+    /// The service has been fast enough for long enough to think of giving speed back.
     Relax,
 }
 
@@ -50,7 +50,6 @@
         settings: &PlacementSettings,
     ) -> StrainVerdict {
         let is_high = sample.slowdown_permille > settings.slowdown_high_permille;
-        let is_low = sample.slowdown_permille < settings.slowdown_low_permille;
         if !is_high && !self.entries.contains_key(&sample.task) {
             return StrainVerdict::Wait;
         }
@@ -61,7 +60,7 @@
         }
         entry.counted_until = interval.until;
         entry.high_samples = if is_high { entry.high_samples + 1 } else { 0 };
-        entry.low_samples = if is_low { entry.low_samples + 1 } else { 0 };
+        entry.low_samples = if is_high { 0 } else { entry.low_samples + 1 };
         if entry.high_samples >= settings.slowdown_samples {
             return StrainVerdict::Relieve;
         }
--- a/crates/guavavane_placement/tests/support/mod.rs
+++ b/crates/guavavane_placement/tests/support/mod.rs
@@ -42,6 +42,7 @@
     pub(crate) given_up: IndexSet<TaskId>,
     pub(crate) mailbox: Vec<PlacementEvent>,
     pub(crate) lost: Vec<PlacementEvent>,
+    pub(crate) levels: IndexMap<TaskId, ThrottleLevel>,
     pub(crate) reject_next: bool,
     pub(crate) settings: PlacementSettings,
     seed: u64,
@@ -96,6 +97,7 @@
             given_up: IndexSet::new(),
             mailbox: Vec::new(),
             lost: Vec::new(),
+            levels: IndexMap::new(),
             reject_next: false,
             settings,
             seed,
@@ -269,7 +271,9 @@
             PlacementDecision::ReleaseQuarantine(worker) => {
                 self.quarantined.swap_remove(worker);
             }
-            PlacementDecision::Throttle(_) => {}
+            PlacementDecision::Throttle(throttle) => {
+                self.levels.insert(throttle.task, throttle.level);
+            }
         }
     }
 
