--- /dev/null
+++ b/crates/guavavane_control/examples/state_slope.rs
@@ -0,0 +1,198 @@
+//! Measures the replicated state against the number of workers and tasks.
+//!
+//! Prints applied placements and ends a second, the cost of answering a poll, the size of a
+//! snapshot and the time to write and restore it. Run it in release mode.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use guavavane_control::orders::answer_poll;
+use guavavane_control::state::command::AttemptEnd;
+use guavavane_control::state::command::ControlCommand;
+use guavavane_control::state::command::EndCause;
+use guavavane_control::state::command::TaskPlacement;
+use guavavane_control::state::command::WorkerObservation;
+use guavavane_control::state::ControlState;
+use guavavane_model::prelude::AttemptNumber;
+use guavavane_model::prelude::BootId;
+use guavavane_model::prelude::DataCentreName;
+use guavavane_model::prelude::DocumentVersion;
+use guavavane_model::prelude::EnvironmentName;
+use guavavane_model::prelude::IncarnationId;
+use guavavane_model::prelude::RackName;
+use guavavane_model::prelude::ResourceVector;
+use guavavane_model::prelude::TaskId;
+use guavavane_model::prelude::WorkerName;
+use guavavane_protocol::operator::OperatorCommand;
+use guavavane_protocol::poll::AttemptPhase;
+use guavavane_protocol::poll::AttemptReport;
+use guavavane_protocol::poll::TaskAttempt;
+use guavavane_protocol::poll::WorkerPoll;
+use guavavane_quorum::prelude::LogIndex;
+use guavavane_quorum::prelude::StateMachine;
+
+/// Numbers of workers that are measured.
+const WORKER_COUNTS: [u64; 4] = [500, 2_000, 4_900, 34_000];
+
+/// Tasks on each worker, about what 320,000 tasks on 34,000 workers make.
+const TASKS_PER_WORKER: u64 = 9;
+
+/// Polls that are timed.
+const POLLS: u64 = 20_000;
+
+fn main() -> anyhow::Result<()> {
+    for workers in WORKER_COUNTS {
+        measure(workers)?;
+    }
+    Ok(())
+}
+
+fn measure(workers: u64) -> anyhow::Result<()> {
+    let tasks = workers * TASKS_PER_WORKER;
+    let mut state = ControlState::default();
+    declare(&mut state, tasks)?;
+    for index in 0..workers {
+        let command = ControlCommand::ObserveWorker(observation(index)?);
+        state.apply(LogIndex(0), command);
+    }
+    let started = Instant::now();
+    for task in 0..tasks {
+        place(&mut state, task, task % workers)?;
+    }
+    let place_seconds = started.elapsed().as_secs_f64();
+    let poll_micros = time_polls(&state, workers)?;
+    let started = Instant::now();
+    let snapshot = state.snapshot();
+    let snapshot_ms = started.elapsed().as_secs_f64() * 1e3;
+    let started = Instant::now();
+    let mut restored = ControlState::default();
+    restored.restore(&snapshot)?;
+    let restore_ms = started.elapsed().as_secs_f64() * 1e3;
+    let started = Instant::now();
+    for task in 0..tasks {
+        end(&mut state, task);
+    }
+    let end_seconds = started.elapsed().as_secs_f64();
+    println!(
+        "workers={workers} tasks={tasks} placements_per_second={:.0} ends_per_second={:.0} \
+         poll_answer_us={poll_micros:.2} snapshot_bytes={} bytes_per_task={:.0} \
+         snapshot_ms={snapshot_ms:.1} restore_ms={restore_ms:.1}",
+        tasks as f64 / place_seconds,
+        tasks as f64 / end_seconds,
+        snapshot.len(),
+        snapshot.len() as f64 / tasks as f64,
+    );
+    Ok(())
+}
+
+fn declare(state: &mut ControlState, tasks: u64) -> anyhow::Result<()> {
+    let environment = EnvironmentName::try_from("production")?;
+    let mut text = String::from(
+        "data_centre = [{ name = \"caxias\", region = \"serra\" }]\nteam = [{ name = \"a\" }]\n",
+    );
+    let batches = tasks.div_ceil(90_000);
+    for index in 0..batches {
+        let count = (tasks - index * 90_000).min(90_000);
+        text.push_str(&format!(
+            "[[batch]]\nname = \"b{index}\"\nteam = \"a\"\ntasks = {count}\nrun_ms = 1000\n\
+             demand = {{ cpu_millis = 100, memory_mib = 64 }}\nruns = [\"r\"]\n"
+        ));
+    }
+    let command = OperatorCommand::Apply {
+        environment,
+        replaces: DocumentVersion(0),
+        text: Arc::from(text),
+    };
+    state.apply(LogIndex(0), ControlCommand::Operate(command));
+    Ok(())
+}
+
+fn worker_name(index: u64) -> anyhow::Result<WorkerName> {
+    Ok(WorkerName::try_from(format!("worker-{index}"))?)
+}
+
+fn observation(index: u64) -> anyhow::Result<WorkerObservation> {
+    Ok(WorkerObservation {
+        worker: worker_name(index)?,
+        data_centre: DataCentreName::try_from("caxias")?,
+        rack: RackName::try_from(format!("rack-{}", index / 40))?,
+        boot: BootId(1),
+        capacity: ResourceVector::new(16_000, 61_440, 0),
+    })
+}
+
+fn attempt(task: u64) -> TaskAttempt {
+    TaskAttempt {
+        task: TaskId(task + 1),
+        attempt: AttemptNumber(1),
+    }
+}
+
+fn place(state: &mut ControlState, task: u64, worker: u64) -> anyhow::Result<()> {
+    let placement = TaskPlacement {
+        attempt: attempt(task),
+        worker: worker_name(worker)?,
+        demand: ResourceVector::ZERO,
+    };
+    state.apply(LogIndex(0), ControlCommand::PlaceTask(placement));
+    Ok(())
+}
+
+fn end(state: &mut ControlState, task: u64) {
+    let end = AttemptEnd {
+        attempt: attempt(task),
+        cause: EndCause::Finished,
+        progress_ms: 0,
+    };
+    state.apply(LogIndex(0), ControlCommand::EndAttempt(end));
+}
+
+fn time_polls(state: &ControlState, workers: u64) -> anyhow::Result<f64> {
+    let polls = (0..workers.min(POLLS))
+        .map(|index| worker_poll(state, index))
+        .collect::<anyhow::Result<Vec<_>>>()?;
+    let started = Instant::now();
+    let mut renewed = 0;
+    for poll in &polls {
+        renewed += answer_poll(state, poll, 2_000).renewed.len();
+    }
+    let micros = started.elapsed().as_secs_f64() * 1e6 / polls.len() as f64;
+    anyhow::ensure!(
+        renewed as u64 == polls.len() as u64 * TASKS_PER_WORKER,
+        "each poll renews all attempts"
+    );
+    Ok(micros)
+}
+
+fn worker_poll(state: &ControlState, index: u64) -> anyhow::Result<WorkerPoll> {
+    let seen = observation(index)?;
+    let entry = state.workers().get(&seen.worker);
+    let attempts = entry.into_iter().flat_map(|entry| entry.tasks.iter());
+    let attempts = attempts
+        .filter_map(|task| {
+            let record = state.jobs().task(*task)?;
+            Some(AttemptReport {
+                attempt: TaskAttempt {
+                    task: *task,
+                    attempt: record.attempt,
+                },
+                fence: record.commitment()?.fence,
+                phase: AttemptPhase::Running,
+                checkpoint_ms: 0,
+            })
+        })
+        .collect();
+    Ok(WorkerPoll {
+        worker: seen.worker,
+        data_centre: seen.data_centre,
+        rack: seen.rack,
+        boot: seen.boot,
+        capacity: seen.capacity,
+        address: "127.0.0.1:1".parse()?,
+        incarnation: IncarnationId(1),
+        sequence: 1,
+        attempts,
+        usage: Vec::new(),
+        entries_digest: 0,
+    })
+}
--- a/crates/guavavane_standin/src/harness/process.rs
+++ b/crates/guavavane_standin/src/harness/process.rs
@@ -180,6 +180,12 @@
         child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Process id of a process that runs.
+    pub fn process_id(&self, name: &str) -> Option<u32> {
+        let child = self.processes.get(name)?.child.as_ref();
+        child.map(Child::id)
+    }
+
     /// Kills a process with SIGKILL and waits for its end.
     pub fn kill(&mut self, name: &str) -> Result<()> {
         let process = self.process_mut(name)?;
--- /dev/null
+++ b/examples/capacity_probe.rs
@@ -0,0 +1,129 @@
+//! Measures processor time and resident memory of each role against the number of workers.
+//!
+//! Starts cells of real processes on loopback, one after the other, lets each settle with its
+//! service running and reads `/proc` at both ends of an interval. Run it in release mode:
+//! `cargo build --release --locked && cargo run --release --locked --example capacity_probe`.
+
+use std::fs;
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::Context;
+
+use guavavane::standin::prelude::ClusterPlan;
+use guavavane::standin::prelude::RunningCluster;
+
+/// Numbers of workers that are measured.
+const WORKER_COUNTS: [usize; 4] = [5, 20, 40, 80];
+
+/// Time for placements and announcements to settle.
+const SETTLE_TIME: Duration = Duration::from_secs(8);
+
+/// Length of the measured interval.
+const MEASURED_TIME: Duration = Duration::from_secs(10);
+
+/// Clock ticks a second in `/proc/PID/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// One reading of a process.
+#[derive(Clone, Copy, Debug, Default)]
+struct ProcessReading {
+    ticks: f64,
+    resident_kib: f64,
+}
+
+/// Processor share and memory of one role, summed over its processes.
+#[derive(Clone, Copy, Debug, Default)]
+struct RoleUsage {
+    processes: f64,
+    cores: f64,
+    resident_kib: f64,
+}
+
+impl RoleUsage {
+    fn print(&self, workers: usize, role: &str) {
+        println!(
+            "workers={workers} role={role} processes={} core_percent_each={:.3} resident_kib_each={:.0}",
+            self.processes,
+            self.cores * 100.0 / self.processes,
+            self.resident_kib / self.processes,
+        );
+    }
+}
+
+fn main() -> anyhow::Result<()> {
+    let program = std::env::current_exe()?;
+    let programs = program
+        .parent()
+        .and_then(Path::parent)
+        .context("the example lies two folders below the target folder")?;
+    for workers in WORKER_COUNTS {
+        measure_cell(programs, workers)?;
+    }
+    Ok(())
+}
+
+fn measure_cell(programs: &Path, workers: usize) -> anyhow::Result<()> {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples");
+    let plan = ClusterPlan {
+        name: format!("capacity-{workers}"),
+        workers,
+        ..ClusterPlan::cooperativa(&examples)
+    };
+    let mut cluster = RunningCluster::start(plan, programs)?;
+    cluster.apply_document()?;
+    cluster.wait_serving()?;
+    thread::sleep(SETTLE_TIME);
+    let names: Vec<String> = cluster.group.names();
+    let before = read_all(&cluster, &names);
+    thread::sleep(MEASURED_TIME);
+    let after = read_all(&cluster, &names);
+    for role in ["control", "entry", "agent"] {
+        role_usage(&names, &before, &after, role).print(workers, role);
+    }
+    cluster.shut_down()?;
+    Ok(())
+}
+
+fn read_all(cluster: &RunningCluster, names: &[String]) -> Vec<ProcessReading> {
+    names
+        .iter()
+        .map(|name| {
+            let process = cluster.group.process_id(name);
+            process.and_then(read_process).unwrap_or_default()
+        })
+        .collect()
+}
+
+fn read_process(process: u32) -> Option<ProcessReading> {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    // The name in parentheses may hold spaces; user and system time are fields 14 and 15.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let user: f64 = fields.get(11)?.parse().ok()?;
+    let system: f64 = fields.get(12)?.parse().ok()?;
+    let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let resident = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    Some(ProcessReading {
+        ticks: user + system,
+        resident_kib: resident.split_whitespace().nth(1)?.parse().ok()?,
+    })
+}
+
+fn role_usage(
+    names: &[String],
+    before: &[ProcessReading],
+    after: &[ProcessReading],
+    role: &str,
+) -> RoleUsage {
+    let mut usage = RoleUsage::default();
+    for (name, (before, after)) in names.iter().zip(before.iter().zip(after)) {
+        if name.starts_with(role) {
+            let seconds = (after.ticks - before.ticks) / TICKS_PER_SECOND;
+            usage.processes += 1.0;
+            usage.cores += seconds / MEASURED_TIME.as_secs_f64();
+            usage.resident_kib += after.resident_kib;
+        }
+    }
+    usage
+}
