Bound and watch the connections of callers

tiny_http, under rouille, stops listening for good when accept fails (no descriptors), has no time-outs, and its thread pool loses count: a thread that was notified counts as idle until it wakes, so that of two connections in a burst one can wait until some other connection ends.

A relay in the transport now takes callers' connections (1,024 by default, further ones are closed), closes those that are silent or slow, never one whose request is being served, and opens an empty connection every 10 ms so that a stranded one gets a thread. Ruled out: a receive time-out on the listener (its accept fails then), and counting in the handler (it cannot close a connection).

The relay is in the transport since tokio stays there. caller-threads gives way to connections, idle-ms and receive-ms.

--- a/crates/guavavane_entry/src/front.rs
+++ b/crates/guavavane_entry/src/front.rs
@@ -37,6 +37,7 @@
 use guavavane_routing::prelude::ClaimIntent;
 use guavavane_routing::prelude::RequestResult;
 use guavavane_routing::prelude::ServiceKey;
+use guavavane_transport::prelude::FlightTable;
 
 /// Header that names the service, instead of the path.
 pub const SERVICE_HEADER: &str = "x-guavavane-service";
@@ -78,6 +79,7 @@
     directory: ServiceDirectory,
     gate: DrainGate,
     stage: Sender<StageInput>,
+    flights: FlightTable,
     limits: FrontLimits,
 }
 
@@ -99,6 +101,7 @@
         directory: ServiceDirectory,
         gate: DrainGate,
         stage: Sender<StageInput>,
+        flights: FlightTable,
         limits: FrontLimits,
     ) -> Self {
         Self {
@@ -107,6 +110,7 @@
             directory,
             gate,
             stage,
+            flights,
             limits,
         }
     }
@@ -124,11 +128,14 @@
             }
             Err(GateRefusal::Full) => return refused_response(429, "overloaded"),
         };
-        let response = match self.read_request(request) {
+        let read = self.read_request(request);
+        // From here on the request is whole: the relay must not close its connection.
+        let mark = self.flights.mark(*request.remote_addr());
+        let response = match read {
             Ok(request) => self.route(request),
             Err(refusal) => refused_response(refusal.status, refusal.reason),
         };
-        guard_response(response, guard)
+        guard_response(response, guard, mark)
     }
 
     fn route(&self, request: CallerRequest) -> Response {
--- a/crates/guavavane_entry/src/options.rs
+++ b/crates/guavavane_entry/src/options.rs
@@ -39,9 +39,15 @@
     /// Largest sum of path, header names and values of a request, in bytes
     #[bpaf(env("GUAVAVANE_HEADER_BYTES"), argument("BYTES"), fallback("16384".to_owned()))]
     pub header_bytes: String,
-    /// Threads that serve callers; more than the connections that arrive at once
-    #[bpaf(env("GUAVAVANE_CALLER_THREADS"), argument("COUNT"), fallback("2048".to_owned()))]
-    pub caller_threads: String,
+    /// Connections of callers at once; each may hold a thread
+    #[bpaf(env("GUAVAVANE_CONNECTIONS"), argument("COUNT"), fallback("1024".to_owned()))]
+    pub connections: String,
+    /// Longest silence of a caller's connection without a request, in milliseconds
+    #[bpaf(env("GUAVAVANE_IDLE_MS"), argument("MS"), fallback("75000".to_owned()))]
+    pub idle_ms: String,
+    /// Longest time for a caller to send a request or to take an answer, in milliseconds
+    #[bpaf(env("GUAVAVANE_RECEIVE_MS"), argument("MS"), fallback("15000".to_owned()))]
+    pub receive_ms: String,
     /// Requests in flight at once
     #[bpaf(env("GUAVAVANE_REQUESTS"), argument("COUNT"), fallback("1024".to_owned()))]
     pub requests: String,
--- a/crates/guavavane_entry/src/process.rs
+++ b/crates/guavavane_entry/src/process.rs
@@ -1,5 +1,6 @@
 //! Wires the filters of an entry together.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
@@ -30,7 +31,13 @@
 use guavavane_routing::prelude::RoutingSettings;
 use guavavane_transport::prelude::CallClient;
 use guavavane_transport::prelude::CallServer;
+use guavavane_transport::prelude::CallerRelay;
+use guavavane_transport::prelude::FlightTable;
 use guavavane_transport::prelude::FrameIdentity;
+use guavavane_transport::prelude::RelayLimits;
+
+/// Threads beyond the connections of callers.
+const SPARE_THREADS: usize = 16;
 
 /// Threads that serve operators.
 const OPERATOR_THREADS: usize = 16;
@@ -52,7 +59,8 @@
 pub struct EntryProcess {
     gate: DrainGate,
     stage: Sender<StageInput>,
-    callers: HttpServer,
+    callers: CallerRelay,
+    _server: HttpServer,
     operators: HttpServer,
     calls: CallServer,
     drain_wait: Duration,
@@ -115,13 +123,27 @@
             header_bytes: settings.header_bytes,
             default_timeout: settings.request_timeout,
         };
-        let front = CallerFront::new(incarnation, directory, gate.clone(), stage.clone(), limits);
-        let callers = HttpServer::start(
-            settings.caller_listen,
-            settings.caller_threads,
-            move |request| front.handle(request),
-        )
-        .context("the callers' listener")?;
+        let flights = FlightTable::default();
+        let front = CallerFront::new(
+            incarnation,
+            directory,
+            gate.clone(),
+            stage.clone(),
+            flights.clone(),
+            limits,
+        );
+        // A half-sent body holds a thread, so there is one for each connection.
+        let threads = settings.connections + SPARE_THREADS;
+        let upstream = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let server = HttpServer::start(upstream, threads, move |request| front.handle(request))
+            .context("the callers' server")?;
+        let limits = RelayLimits {
+            connections: settings.connections,
+            idle: settings.idle_limit,
+            receive: settings.receive_limit,
+        };
+        let callers = CallerRelay::start(settings.caller_listen, server.address(), limits, flights)
+            .context("the callers' listener")?;
         tracing::info!(
             event = "started",
             incarnation = %incarnation,
@@ -133,6 +155,7 @@
             gate,
             stage,
             callers,
+            _server: server,
             operators,
             calls,
             drain_wait: settings.drain_wait,
--- a/crates/guavavane_entry/src/reply.rs
+++ b/crates/guavavane_entry/src/reply.rs
@@ -15,6 +15,7 @@
 use guavavane_protocol::prelude::UnknownReason;
 use guavavane_routing::prelude::NotRunReason;
 use guavavane_routing::prelude::RequestResult;
+use guavavane_transport::relay::FlightMark;
 
 /// Header that tells what became of a request.
 pub const OUTCOME_HEADER: &str = "x-guavavane-outcome";
@@ -122,6 +123,7 @@
 struct GuardedBody {
     bytes: Cursor<Vec<u8>>,
     _guard: FlightGuard,
+    _mark: FlightMark,
 }
 
 impl Read for GuardedBody {
@@ -131,7 +133,7 @@
 }
 
 /// Keeps a request in flight until its answer is written.
-pub fn guard_response(response: Response, guard: FlightGuard) -> Response {
+pub fn guard_response(response: Response, guard: FlightGuard, mark: FlightMark) -> Response {
     let (mut reader, _) = response.data.into_reader_and_size();
     let mut bytes = Vec::new();
     reader
@@ -141,6 +143,7 @@
     let body = GuardedBody {
         bytes: Cursor::new(bytes),
         _guard: guard,
+        _mark: mark,
     };
     Response {
         data: ResponseBody::from_reader_and_size(body, size),
--- a/crates/guavavane_entry/src/settings.rs
+++ b/crates/guavavane_entry/src/settings.rs
@@ -46,8 +46,12 @@
     pub body_bytes: usize,
     /// Largest head of a request, in bytes.
     pub header_bytes: usize,
-    /// Threads that serve callers.
-    pub caller_threads: usize,
+    /// Connections of callers at once.
+    pub connections: usize,
+    /// Longest silence of a caller's connection without a request.
+    pub idle_limit: Duration,
+    /// Longest time for a caller to send a request or to take an answer.
+    pub receive_limit: Duration,
     /// Requests in flight at once.
     pub requests: usize,
     /// Requests of one service that wait for an endpoint.
@@ -91,7 +95,9 @@
             metrics: parse_optional("metrics", raw.metrics.as_deref())?,
             body_bytes: parse_count("body-bytes", &raw.body_bytes, body_max)?,
             header_bytes: parse_count("header-bytes", &raw.header_bytes, FRAME_ROOM_BYTES / 2)?,
-            caller_threads: parse_count("caller-threads", &raw.caller_threads, 65_536)?,
+            connections: parse_count("connections", &raw.connections, 16_384)?,
+            idle_limit: parse_time("idle-ms", &raw.idle_ms, 100)?,
+            receive_limit: parse_time("receive-ms", &raw.receive_ms, 100)?,
             requests: parse_count("requests", &raw.requests, 65_536)?,
             queue: parse_count("queue", &raw.queue, 65_536)?,
             endpoints: parse_count("endpoints", &raw.endpoints, 1_000_000)?,
--- a/crates/guavavane_entry/tests/common/mod.rs
+++ b/crates/guavavane_entry/tests/common/mod.rs
@@ -237,7 +237,7 @@
         "--operator-listen=127.0.0.1:0",
         "--call-listen=127.0.0.1:0",
         "--control=127.0.0.1:1",
-        "--caller-threads=64",
+        "--connections=64",
         "--drain-wait-ms=200",
     ];
     let parser = guavavane_entry::options::entry_options();
@@ -246,7 +246,11 @@
 
 /// Starts an entry and waits until it is ready.
 pub fn start_entry(control: SocketAddr) -> EntryProcess {
-    let entry = EntryProcess::start(&entry_settings(control)).unwrap();
+    start_entry_with(&entry_settings(control))
+}
+
+pub fn start_entry_with(settings: &EntrySettings) -> EntryProcess {
+    let entry = EntryProcess::start(settings).unwrap();
     let url = format!("http://{}/health", entry.operator_address());
     while attohttpc::get(&url).send().unwrap().status() != 200 {
         thread::sleep(Duration::from_millis(10));
--- a/crates/guavavane_transport/src/lib.rs
+++ b/crates/guavavane_transport/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod client;
 pub mod codec;
+pub mod relay;
 mod runtime;
 pub mod server;
 
@@ -16,6 +17,9 @@
     pub use crate::client::CallError;
     pub use crate::codec::CodecError;
     pub use crate::codec::FrameIdentity;
+    pub use crate::relay::CallerRelay;
+    pub use crate::relay::FlightTable;
+    pub use crate::relay::RelayLimits;
     pub use crate::server::CallServer;
     pub use crate::server::IncomingCall;
     pub use crate::server::ReplySender;
