--- a/crates/guavavane_agent/src/daemon/guard_loop.rs
+++ b/crates/guavavane_agent/src/daemon/guard_loop.rs
@@ -30,6 +30,8 @@
 use guavavane_protocol::prelude::EndpointAnnouncement;
 use guavavane_protocol::prelude::EntryDirectory;
 use guavavane_protocol::prelude::RemoteCall;
+use guavavane_protocol::prelude::RequestAttempt;
+use guavavane_protocol::prelude::RevokeReply;
 use guavavane_protocol::prelude::RevokeRequest;
 use guavavane_transport::prelude::CallClient;
 use guavavane_transport::prelude::CallServer;
@@ -82,6 +84,12 @@
     }
 }
 
+/// A call whose reply is not decided.
+struct PendingReply {
+    sender: ReplySender,
+    attempt: RequestAttempt,
+}
+
 /// The guard and what is around it.
 pub(super) struct GuardLoop {
     settings: AgentSettings,
@@ -95,7 +103,7 @@
     guard: RequestGuard,
     plan: AnnouncementPlan,
     pool: HopPool,
-    replies: IndexMap<CallTicket, ReplySender>,
+    replies: IndexMap<CallTicket, PendingReply>,
     next_ticket: u64,
     facts: Option<WorkerFacts>,
     drain_since: Option<BootTime>,
@@ -199,22 +207,26 @@
     fn take_call(&mut self, now: BootTime, call: IncomingCall) {
         let ticket = CallTicket(self.next_ticket);
         self.next_ticket += 1;
-        let input = match call.kind {
-            CallKind::Dispatch => call
-                .decode::<DispatchRequest>()
-                .map(|request| GuardInput::Dispatch { ticket, request }),
-            CallKind::Revoke => call
-                .decode::<RevokeRequest>()
-                .map(|request| GuardInput::Revoke { ticket, request }),
+        let decoded = match call.kind {
+            CallKind::Dispatch => call.decode::<DispatchRequest>().map(|request| {
+                let attempt = request.attempt;
+                (attempt, GuardInput::Dispatch { ticket, request })
+            }),
+            CallKind::Revoke => call.decode::<RevokeRequest>().map(|request| {
+                let attempt = request.attempt;
+                (attempt, GuardInput::Revoke { ticket, request })
+            }),
             kind => {
                 // Dropping the reply fails the call at the caller.
                 tracing::warn!(event = "call_refused", ?kind, remote = %call.remote);
                 return;
             }
         };
-        match input {
-            Ok(input) => {
-                self.replies.insert(ticket, call.reply);
+        match decoded {
+            Ok((attempt, input)) => {
+                let sender = call.reply;
+                let pending = PendingReply { sender, attempt };
+                self.replies.insert(ticket, pending);
                 self.step(now, input);
             }
             Err(error) => tracing::warn!(event = "call_refused", remote = %call.remote, %error),
@@ -236,14 +248,16 @@
             }
             GuardOutcome::Reply { ticket, reply } => {
                 self.metrics.count(reply_metric(&reply), 1);
-                if let Some(sender) = self.replies.swap_remove(&ticket) {
-                    send_reply::<DispatchRequest>(sender, &reply);
+                if let Some(pending) = self.replies.swap_remove(&ticket) {
+                    log_reply(&pending.attempt, &reply);
+                    send_reply::<DispatchRequest>(pending.sender, &reply);
                 }
             }
             GuardOutcome::RevokeReply { ticket, reply } => {
                 self.metrics.count("revocations", 1);
-                if let Some(sender) = self.replies.swap_remove(&ticket) {
-                    send_reply::<RevokeRequest>(sender, &reply);
+                if let Some(pending) = self.replies.swap_remove(&ticket) {
+                    log_revocation(&pending.attempt, &reply);
+                    send_reply::<RevokeRequest>(pending.sender, &reply);
                 }
             }
             GuardOutcome::Announce => self.plan.hasten(now),
@@ -318,6 +332,32 @@
     }
 }
 
+/// One line for each request that was not answered; answers are logged at debug level.
+fn log_reply(attempt: &RequestAttempt, reply: &DispatchReply) {
+    let (request, attempt) = (attempt.request, attempt.attempt);
+    match reply {
+        DispatchReply::Answered(answer) => {
+            tracing::debug!(event = "request_answered", %request, attempt, status = answer.status);
+        }
+        DispatchReply::Refused(reason) => {
+            tracing::info!(event = "request_refused", %request, attempt, ?reason);
+        }
+        DispatchReply::Unknown(reason) => {
+            tracing::warn!(event = "request_unknown", %request, attempt, ?reason);
+        }
+    }
+}
+
+fn log_revocation(attempt: &RequestAttempt, reply: &RevokeReply) {
+    let (request, attempt) = (attempt.request, attempt.attempt);
+    let outcome = match reply {
+        RevokeReply::NotRun => "not-run",
+        RevokeReply::Answered(_) => "answered",
+        RevokeReply::Unknown(_) => "unknown",
+    };
+    tracing::info!(event = "request_revoked", %request, attempt, outcome);
+}
+
 fn reply_metric(reply: &DispatchReply) -> &'static str {
     match reply {
         DispatchReply::Answered(_) => "requests_answered",
