--- a/crates/guavavane_agent/tests/worker_properties.rs
+++ b/crates/guavavane_agent/tests/worker_properties.rs
@@ -43,7 +43,7 @@
 use guavavane_protocol::prelude::WorkerPoll;
 
 const STEPS: usize = 400;
-const SEEDS: u64 = 2_000;
+const SEEDS: u64 = 15_000;
 const TASKS: u64 = 4;
 const PERMIT_MAX: Duration = Duration::from_millis(2_000);
 
