--- a/tests/control_faults.rs
+++ b/tests/control_faults.rs
@@ -36,6 +36,23 @@
     assert_eq!(&*text, text_of(last.version.0).as_str());
 }
 
+fn voter_identities(bench: &Bench) -> Vec<u64> {
+    let replicas = bench.status().replicas;
+    let voters = replicas.iter().filter(|replica| replica.voter);
+    voters.map(|replica| replica.replica).collect()
+}
+
+/// Identity of the voter that runs as the process `name`.
+fn identity(bench: &Bench, name: &str) -> u64 {
+    let names = ["control-1", "control-2", "control-3"];
+    let index = names.iter().position(|other| *other == name).unwrap();
+    let address = bench.cluster.replicas[index].advertised;
+    let replicas = bench.status().replicas;
+    let mut voters = replicas.iter().filter(|replica| replica.voter);
+    let voter = voters.find(|replica| replica.address == address);
+    voter.unwrap().replica
+}
+
 #[test]
 fn changes_survive_kills_and_restarts_of_replicas_in_turn() {
     let mut bench = start(plan("control-kills", 1));
@@ -89,25 +106,21 @@
         for _ in 0..10 {
             last = change(&bench, last.version.0);
         }
+        let lost = identity(&bench, name);
         bench.cluster.kill(name).unwrap();
         std::fs::remove_dir_all(bench.cluster.group.data_folder(name)).unwrap();
         bench.cluster.group.restart(name).unwrap();
         for _ in 0..10 {
             last = change(&bench, last.version.0);
         }
-        wait_until("three voters that answer", READY_LIMIT, || {
-            let status = bench.status();
-            let voters = status.replicas.iter().filter(|replica| replica.voter);
-            let addresses: Vec<_> = voters.map(|replica| replica.address).collect();
-            let known = |replica: &guavavane::standin::harness::cluster::ReplicaAddresses| {
-                addresses
-                    .iter()
-                    .filter(|x| **x == replica.advertised)
-                    .count()
-                    == 1
-            };
-            addresses.len() == 3 && bench.cluster.replicas.iter().all(known)
-        })
+        wait_until(
+            "three voters without the lost identity",
+            READY_LIMIT,
+            || {
+                let voters = voter_identities(&bench);
+                voters.len() == 3 && !voters.contains(&lost)
+            },
+        )
         .unwrap();
         assert_in_force(&bench, &last);
     }
