--- a/tests/control_faults.rs
+++ b/tests/control_faults.rs
@@ -6,13 +6,13 @@
 
 use std::time::Duration;
 
+use crate::support::document;
+use crate::support::plan;
+use crate::support::start;
+use crate::support::Bench;
 use guavavane::protocol::prelude::AcceptedVersion;
 use guavavane::standin::clock::wait_until;
 use guavavane::standin::harness::cluster::READY_LIMIT;
-use support::document;
-use support::plan;
-use support::start;
-use support::Bench;
 
 /// Documents that are applied in the long runs.
 const CHANGES: u64 = 300;
--- a/tests/placement_faults.rs
+++ b/tests/placement_faults.rs
@@ -4,18 +4,18 @@
 
 mod support;
 
+use crate::support::assert_good;
+use crate::support::document;
+use crate::support::plan;
+use crate::support::run_on;
+use crate::support::start;
+use crate::support::Bench;
+use crate::support::RunningLoad;
+use crate::support::KILLED_RULES;
 use guavavane::platform::prelude::StartProgram;
 use guavavane::standin::prelude::EvidenceEvent;
 use guavavane::standin::prelude::JudgeReport;
 use guavavane::standin::prelude::JudgeRules;
-use support::assert_good;
-use support::document;
-use support::plan;
-use support::run_on;
-use support::start;
-use support::Bench;
-use support::RunningLoad;
-use support::KILLED_RULES;
 
 const WORKERS: usize = 4;
 
--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -8,16 +8,16 @@
 
 use std::time::Duration;
 
+use crate::support::assert_good;
+use crate::support::document;
+use crate::support::plan;
+use crate::support::run_on;
+use crate::support::start;
+use crate::support::RunningLoad;
+use crate::support::KILLED_RULES;
 use guavavane::standin::prelude::CallerOutcome;
 use guavavane::standin::prelude::JudgeRules;
 use guavavane::standin::prelude::RelayMode;
-use support::assert_good;
-use support::document;
-use support::plan;
-use support::run_on;
-use support::start;
-use support::RunningLoad;
-use support::KILLED_RULES;
 
 const WORKERS: usize = 4;
 
