--- a/tests/request_faults.rs
+++ b/tests/request_faults.rs
@@ -17,6 +17,7 @@
 use crate::support::KILLED_RULES;
 use guavavane::standin::prelude::CallerOutcome;
 use guavavane::standin::prelude::JudgeRules;
+use guavavane::standin::prelude::Misbehaviour;
 use guavavane::standin::prelude::RelayMode;
 
 const WORKERS: usize = 4;
@@ -121,3 +122,28 @@
     let report = assert_good(&bench, load, &KILLED_RULES);
     assert!(report.answered > report.requests / 2);
 }
+
+#[test]
+fn answers_that_are_late_crossed_short_or_double_reach_no_caller() {
+    let bench = start(plan("answers", WORKERS));
+    bench.serve(&document(WORKERS, 0, 1_000, 3_000), WORKERS as u64);
+    let load = RunningLoad::start(bench.load("answers"));
+    for mode in [
+        Misbehaviour::ShortAnswer,
+        Misbehaviour::CrossedId,
+        Misbehaviour::DoubleAnswer,
+        Misbehaviour::LateAnswer,
+        Misbehaviour::Slow,
+        Misbehaviour::Freeze,
+    ] {
+        for index in 0..WORKERS {
+            bench.misbehave(index, mode, 300);
+        }
+        run_on(1_500);
+    }
+    for index in 0..WORKERS {
+        bench.misbehave(index, Misbehaviour::None, 0);
+    }
+    run_on(4_000);
+    assert_good(&bench, load, &KILLED_RULES);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -26,7 +26,9 @@
 use guavavane::standin::prelude::JudgeReport;
 use guavavane::standin::prelude::JudgeRules;
 use guavavane::standin::prelude::LoadSummary;
+use guavavane::standin::prelude::Misbehaviour;
 use guavavane::standin::prelude::RunningCluster;
+use guavavane::standin::worker::misbehaviour::ControlOrder;
 
 /// Environment of all test documents.
 pub const ENVIRONMENT: &str = "production";
@@ -216,6 +218,16 @@
         }
     }
 
+    /// Sets the misbehaviour of all endpoints of a worker, for a share of the requests.
+    pub fn misbehave(&self, index: usize, mode: Misbehaviour, share_millis: u64) {
+        let worker = self.cluster.workers[index].worker;
+        let sent = http_post(format!("http://{worker}/control"))
+            .json(&ControlOrder { mode, share_millis })
+            .unwrap()
+            .send();
+        assert!(sent.unwrap().is_success());
+    }
+
     /// What the judge finds so far.
     pub fn judge(&self, rules: &JudgeRules) -> JudgeReport {
         self.cluster.judge(rules).unwrap()
