--- a/crates/guavavane_standin/src/harness/cluster.rs
+++ b/crates/guavavane_standin/src/harness/cluster.rs
@@ -26,6 +26,7 @@
 use crate::judge::judge_records;
 use crate::judge::JudgeReport;
 use crate::judge::JudgeRules;
+use crate::relay::RelayMode;
 use crate::relay::TcpRelay;
 use guavavane_model::prelude::DataCentreName;
 use guavavane_model::prelude::WorkerName;
@@ -294,6 +295,30 @@
         Ok(())
     }
 
+    /// Cuts a control replica off silently, in both directions, until [`Self::heal_replicas`];
+    /// needs relays before the control replicas.
+    pub fn isolate_replica(&self, index: usize) {
+        let process = self.group.id(&format!("control-{}", index + 1));
+        for (other, replica) in self.replicas.iter().enumerate() {
+            let Some(relay) = &replica.relay else {
+                continue;
+            };
+            if other == index {
+                relay.set_mode(RelayMode::Drop);
+            } else {
+                relay.cut_process(process);
+            }
+        }
+    }
+
+    /// Ends all cuts of control replicas.
+    pub fn heal_replicas(&self) {
+        for relay in self.replicas.iter().filter_map(|x| x.relay.as_ref()) {
+            relay.set_mode(RelayMode::Pass);
+            relay.cut_process(None);
+        }
+    }
+
     /// Runs the operators' command line through all entries.
     pub fn operate(&self, arguments: &[&str]) -> Result<CommandOutput> {
         let addresses = self.entries.iter().map(|x| x.operator.to_string());
--- a/crates/guavavane_standin/src/harness/process.rs
+++ b/crates/guavavane_standin/src/harness/process.rs
@@ -174,6 +174,12 @@
         self.processes.keys().cloned().collect()
     }
 
+    /// Process id of a process that runs.
+    pub fn id(&self, name: &str) -> Option<u32> {
+        let child = self.processes.get(name)?.child.as_ref();
+        child.map(Child::id)
+    }
+
     /// Whether a process of this name runs.
     pub fn is_running(&mut self, name: &str) -> bool {
         let child = self.processes.get_mut(name).and_then(|x| x.child.as_mut());
--- a/crates/guavavane_standin/src/relay.rs
+++ b/crates/guavavane_standin/src/relay.rs
@@ -23,6 +23,8 @@
 use rouille::Request;
 use rouille::Response;
 
+use crate::socket_owner::SocketInode;
+
 /// Time between two looks at the mode.
 const LOOK_INTERVAL_MS: u64 = 5;
 /// Bytes that are passed on at once.
@@ -71,7 +73,20 @@
 #[derive(Clone, Debug)]
 pub struct TcpRelay {
     address: SocketAddr,
-    mode: Arc<Mutex<RelayMode>>,
+    state: Arc<Mutex<RelayState>>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RelayState {
+    mode: RelayMode,
+    cut_process: Option<u32>,
+}
+
+/// One relayed connection.
+#[derive(Clone, Debug)]
+struct RelayedConnection {
+    relay: TcpRelay,
+    caller: Option<SocketInode>,
 }
 
 impl TcpRelay {
@@ -81,7 +96,7 @@
             .with_context(|| format!("relay cannot listen on {listen}"))?;
         let relay = Self {
             address: listener.local_addr()?,
-            mode: Arc::new(Mutex::new(RelayMode::Pass)),
+            state: Arc::default(),
         };
         let accepting = relay.clone();
         thread::spawn(move || accepting.accept(&listener, target));
@@ -95,12 +110,25 @@
 
     /// What it does with bytes now.
     pub fn mode(&self) -> RelayMode {
-        *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state().mode
     }
 
     /// Changes what it does with bytes.
     pub fn set_mode(&self, mode: RelayMode) {
-        *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+        self.change(|state| state.mode = mode);
+    }
+
+    /// Passes nothing in either direction on connections that this process opened.
+    pub fn cut_process(&self, process: Option<u32>) {
+        self.change(|state| state.cut_process = process);
+    }
+
+    fn state(&self) -> RelayState {
+        *self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change(&self, action: impl FnOnce(&mut RelayState)) {
+        action(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
     /// Takes modes as `POST /mode` at `listen`, for relays in a process of their own.
@@ -136,11 +164,19 @@
                 continue;
             }
             let relay = self.clone();
-            thread::spawn(move || relay.join(arrival, target));
+            thread::spawn(move || RelayedConnection::join(relay, arrival, target));
         }
     }
+}
+
+impl RelayedConnection {
+    fn join(relay: TcpRelay, near: TcpStream, target: SocketAddr) {
+        let caller = match (near.peer_addr(), near.local_addr()) {
+            (Ok(peer), Ok(local)) => SocketInode::find(peer, local),
+            _ => None,
+        };
+        let connection = Self { relay, caller };
 
-    fn join(&self, near: TcpStream, target: SocketAddr) {
         let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let Ok(far) = TcpStream::connect_timeout(&target, timeout) else {
             return;
@@ -150,9 +186,9 @@
         };
         let _ = near.set_nodelay(true);
         let _ = far.set_nodelay(true);
-        let forward = self.clone();
+        let forward = connection.clone();
         thread::spawn(move || forward.pump(near_reader, far, RelayDirection::Forward));
-        self.pump(far_reader, near, RelayDirection::Back);
+        connection.pump(far_reader, near, RelayDirection::Back);
     }
 
     fn pump(&self, mut from: TcpStream, mut to: TcpStream, direction: RelayDirection) {
@@ -162,13 +198,12 @@
         }
         let mut chunk = vec![0; CHUNK_BYTES];
         loop {
-            let mode = self.mode();
-            if mode == RelayMode::Close {
+            if self.relay.mode() == RelayMode::Close {
                 let _ = from.shutdown(Shutdown::Both);
                 let _ = to.shutdown(Shutdown::Both);
                 return;
             }
-            if drops(mode, direction) {
+            if self.drops(direction) {
                 thread::sleep(interval);
                 continue;
             }
@@ -184,11 +219,20 @@
 
     /// Passes a chunk on, once the direction is open: a cut may have come while it was read.
     fn forward(&self, to: &mut TcpStream, chunk: &[u8], direction: RelayDirection) -> bool {
-        while drops(self.mode(), direction) {
+        while self.drops(direction) {
             thread::sleep(Duration::from_millis(LOOK_INTERVAL_MS));
         }
         to.write_all(chunk).is_ok()
     }
+
+    fn drops(&self, direction: RelayDirection) -> bool {
+        let state = self.relay.state();
+        let cut = || {
+            let process = state.cut_process?;
+            Some(self.caller?.is_open_in(process))
+        };
+        drops(state.mode, direction) || cut().unwrap_or(false)
+    }
 }
 
 fn drops(mode: RelayMode, direction: RelayDirection) -> bool {
--- a/crates/guavavane_standin/tests/relay_and_group.rs
+++ b/crates/guavavane_standin/tests/relay_and_group.rs
@@ -84,3 +84,26 @@
     assert_ne!(first.take().unwrap(), first.take().unwrap());
     TcpListener::bind(second.take().unwrap()).unwrap();
 }
+
+#[test]
+fn a_cut_of_one_process_leaves_the_others_connected() {
+    let relay = TcpRelay::start("127.0.0.1:0".parse().unwrap(), echo_server()).unwrap();
+    let mut stream = TcpStream::connect(relay.address()).unwrap();
+    let mut echo = [0; 4];
+    for (process, silent) in [
+        (None, false),
+        (Some(std::process::id()), true),
+        (Some(1), false),
+    ] {
+        relay.cut_process(process);
+        stream.write_all(b"slip").unwrap();
+        let wait = if silent { SILENCE } else { LIMIT };
+        stream.set_read_timeout(Some(wait)).unwrap();
+        assert_eq!(stream.read_exact(&mut echo).is_err(), silent);
+        if silent {
+            relay.cut_process(None);
+            stream.set_read_timeout(Some(LIMIT)).unwrap();
+            stream.read_exact(&mut echo).unwrap();
+        }
+    }
+}
--- a/tests/control_faults.rs
+++ b/tests/control_faults.rs
@@ -4,10 +4,9 @@
 
 mod support;
 
-use std::time::Duration;
-
 use crate::support::document;
 use crate::support::plan;
+use crate::support::run_on;
 use crate::support::start;
 use crate::support::Bench;
 use guavavane::protocol::prelude::AcceptedVersion;
@@ -127,24 +126,24 @@
 }
 
 #[test]
-fn a_silently_unreachable_replica_does_not_stop_changes() {
+fn a_replica_that_is_cut_off_silently_stops_no_changes_and_serves_nothing_stale() {
     let mut plan = plan("control-cut", 1);
     plan.relay_control = true;
     let bench = start(plan);
     let mut last = change(&bench, 0);
-    let follower = (bench.leader() + 1) % 3;
-    let relay = bench.cluster.replicas[follower].relay.clone().unwrap();
-    relay.set_mode(guavavane::standin::prelude::RelayMode::Drop);
-    for _ in 0..20 {
-        last = change(&bench, last.version.0);
-    }
-    std::thread::sleep(Duration::from_secs(5));
-    for _ in 0..20 {
+    for step in [1, 0, 0] {
+        let cut = (bench.leader() + step) % 3;
+        bench.cluster.isolate_replica(cut);
+        for _ in 0..20 {
+            last = change(&bench, last.version.0);
+        }
+        assert_ne!(bench.leader(), cut);
+        run_on(4_000);
         last = change(&bench, last.version.0);
-    }
-    relay.set_mode(guavavane::standin::prelude::RelayMode::Pass);
-    for _ in 0..20 {
+        bench.cluster.heal_replicas();
+        for _ in 0..20 {
+            assert_in_force(&bench, &last);
+        }
         last = change(&bench, last.version.0);
-        assert_in_force(&bench, &last);
     }
 }
