Cut a record that was torn at any alignment

A head that straddles two sectors, of which only the first was written, is a torn write; the alignment test fails without counting the head whole. The inbox of a replica closes when its storage fails.

--- a/crates/guavavane_quorum/src/plugin.rs
+++ b/crates/guavavane_quorum/src/plugin.rs
@@ -60,7 +60,8 @@
 impl<M: StateMachine> QuorumPlugin<M> {
     /// Starts the replica on its own thread.
     ///
-    /// Messages that do not fit into `outbox` are dropped; they are sent again when due.
+    /// Messages that do not fit into `outbox` are dropped; they are sent again when due. The
+    /// `inbox` closes when the replica stops or its storage fails.
     pub fn start(
         self,
         inbox: flume::Receiver<PeerMessage>,
--- a/crates/guavavane_quorum/src/runner.rs
+++ b/crates/guavavane_quorum/src/runner.rs
@@ -142,6 +142,8 @@
                 tracing::error!(event = "machine_failed", replica = %self.core.id(), %error);
             }
         }
+        // A transport that waits for room in the inbox must not wait for ever.
+        self.inbox = flume::bounded(0).1;
         self.refuse_until_stopped();
     }
 
--- a/crates/guavavane_quorum/tests/storage.rs
+++ b/crates/guavavane_quorum/tests/storage.rs
@@ -288,6 +288,32 @@
     }
 }
 
+#[test]
+fn a_record_torn_at_any_alignment_is_cut() {
+    for padding in 0..512 {
+        let disk = new_disk();
+        let (mut store, _) = open_long(&disk).unwrap();
+        let mut entry = LogEntry {
+            index: LogIndex(1),
+            term: Term(1),
+            payload: EntryPayload::Command(vec![1; padding].into()),
+        };
+        store.append(vec![entry.clone()]);
+        store.sync().unwrap();
+        let name = last_segment(&disk);
+        let start = written_bytes(&disk.read(&name).unwrap());
+        entry.index = LogIndex(2);
+        entry.payload = EntryPayload::Command(vec![2; 600].into());
+        store.append(vec![entry]);
+        store.sync().unwrap();
+        let mut bytes = disk.read(&name).unwrap();
+        bytes[(start / 512 + 1) * 512..].fill(0);
+        disk.put(&name, bytes);
+        let (_, state) = open_long(&disk).unwrap();
+        assert_eq!(state.entries.len(), 1, "padding {padding}");
+    }
+}
+
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum StoreEvent {
     Append(#[generator(0..6)] u8, #[generator(0..4)] u8),
