Test hysteresis where one sample alone would blame a task

Cause: in a trial, acting on one sample went unnoticed: beside three quiet tasks no single one was blamed enough.

--- a/crates/guavavane_placement/tests/measured_policy.rs
+++ b/crates/guavavane_placement/tests/measured_policy.rs
@@ -116,6 +116,8 @@
 fn noisy_tasks_are_throttled_and_then_moved() {
     let mut state = new_state(&[QUIET, NOISY, QUIET, QUIET]);
     assert!(report(&mut state, 4_000).is_empty(), "acted on one sample");
+    let mut alone = new_state(&[NOISY]);
+    assert!(report(&mut alone, 4_000).is_empty(), "acted on one sample");
     let noisy = TaskId(11);
     let mut all = Vec::new();
     for _ in 0..40 {
