Generate the same test values in each run

Ruled out: BOLERO_RANDOM_SEED, which adds one case and fixes none of the others. Bolero's exhaustive engine goes through a range of seeds instead, and its generators draw from a source that the seed determines.

--- a/crates/guavavane_control/tests/lease_protocol.rs
+++ b/crates/guavavane_control/tests/lease_protocol.rs
@@ -10,7 +10,6 @@
 
 use std::time::Duration;
 
-use bolero::check;
 use bolero::produce;
 use indexmap::IndexMap;
 
@@ -40,6 +39,7 @@
 use guavavane_protocol::poll::TaskAttempt;
 use guavavane_protocol::poll::WorkerOrder;
 use guavavane_protocol::poll::WorkerPoll;
+use guavavane_testing::for_each_value;
 
 const LEASE_MS: u64 = 600;
 const MARGIN_MS: u64 = 50;
@@ -389,13 +389,14 @@
 
 #[test]
 fn no_task_runs_in_two_places_and_none_starts_late() {
-    check!()
-        .with_generator(produce::<Vec<(u8, u8, u8)>>().with().len(60usize..240))
-        .with_iterations(4_000)
-        .for_each(|draws| {
+    for_each_value(
+        4_000,
+        produce::<Vec<(u8, u8, u8)>>().with().len(60usize..240),
+        |draws| {
             let mut cell = CellModel::new();
             for draw in draws {
                 cell.step(operation(*draw));
             }
-        });
+        },
+    );
 }
--- a/crates/guavavane_control/tests/operator_races.rs
+++ b/crates/guavavane_control/tests/operator_races.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use bolero::check;
+use bolero::produce;
 
 use crate::support::apply;
 use crate::support::apply_document;
@@ -15,24 +15,21 @@
 use guavavane_control::state::ControlState;
 use guavavane_protocol::operator::OperatorCommand;
 use guavavane_protocol::operator::OperatorOutcome;
+use guavavane_testing::for_each_value;
 
 #[test]
 fn equal_numbers_have_one_winner_and_resends_get_the_first_answer() {
-    check!()
-        .with_type::<Vec<(u8, u8)>>()
-        .with_iterations(800)
-        .for_each(|sends| {
-            let mut state = ControlState::default();
-            let mut winners: Vec<(u64, u8)> = Vec::new();
-            for (replaces, content) in sends {
-                let current = winners.len() as u64;
-                let replaces = u64::from(*replaces) % (current + 2);
-                let content = content % 5 + 1;
-                let outcome =
-                    apply_document(&mut state, replaces, &document(u32::from(content), 1));
-                check_answer(&mut winners, replaces, content, &outcome);
-            }
-        });
+    for_each_value(800, produce::<Vec<(u8, u8)>>(), |sends| {
+        let mut state = ControlState::default();
+        let mut winners: Vec<(u64, u8)> = Vec::new();
+        for (replaces, content) in sends {
+            let current = winners.len() as u64;
+            let replaces = u64::from(*replaces) % (current + 2);
+            let content = content % 5 + 1;
+            let outcome = apply_document(&mut state, replaces, &document(u32::from(content), 1));
+            check_answer(&mut winners, replaces, content, &outcome);
+        }
+    });
 }
 
 fn check_answer(
--- a/crates/guavavane_control/tests/state_properties.rs
+++ b/crates/guavavane_control/tests/state_properties.rs
@@ -4,7 +4,6 @@
 
 mod support;
 
-use bolero::check;
 use bolero::produce;
 use bolero::TypeGenerator;
 use indexmap::IndexMap;
@@ -34,6 +33,7 @@
 use guavavane_protocol::operator::OperatorCommand;
 use guavavane_protocol::poll::TaskAttempt;
 use guavavane_quorum::prelude::StateMachine;
+use guavavane_testing::for_each_value;
 
 /// Largest capacity that the generated workers have.
 const LARGEST_CPU_MILLIS: u64 = 8_000;
@@ -234,10 +234,10 @@
 
 #[test]
 fn ledger_attempts_fences_and_documents_hold() {
-    check!()
-        .with_generator(produce::<Vec<Operation>>().with().len(40usize..160))
-        .with_iterations(1_500)
-        .for_each(|operations| {
+    for_each_value(
+        1_500,
+        produce::<Vec<Operation>>().with().len(40usize..160),
+        |operations| {
             let mut state = ControlState::default();
             apply_document(&mut state, 0, &document(3, 6));
             let mut seen = SeenState::default();
@@ -245,18 +245,19 @@
                 step(&mut state, *operation);
                 seen.check(&state);
             }
-        });
+        },
+    );
 }
 
 #[test]
 fn replicas_that_apply_the_same_commands_are_equal() {
-    check!()
-        .with_generator((
+    for_each_value(
+        600,
+        (
             produce::<Vec<Operation>>().with().len(40usize..160),
             produce::<u8>(),
-        ))
-        .with_iterations(600)
-        .for_each(|(operations, restore_at)| {
+        ),
+        |(operations, restore_at)| {
             let mut first = ControlState::default();
             let mut second = ControlState::default();
             for (index, operation) in operations.iter().enumerate() {
@@ -269,7 +270,8 @@
                 }
             }
             assert_eq!(first.snapshot(), second.snapshot());
-        });
+        },
+    );
 }
 
 #[test]
--- a/crates/guavavane_model/tests/documents.rs
+++ b/crates/guavavane_model/tests/documents.rs
@@ -1,8 +1,9 @@
 //! Documents are accepted whole or refused with all their faults.
 
-use bolero::check;
+use bolero::produce;
 
 use guavavane_model::prelude::EnvironmentDocument;
+use guavavane_testing::for_each_value;
 
 const VALID: &str = r#"
 data_centre = [{ name = "caxias", region = "serra" }]
@@ -64,7 +65,7 @@
 
 #[test]
 fn never_panics_on_any_text() {
-    check!().with_iterations(2_000).for_each(|bytes: &[u8]| {
+    for_each_value(2_000, produce::<Vec<u8>>(), |bytes| {
         let text = String::from_utf8_lossy(bytes);
         let _ = EnvironmentDocument::parse(&text);
         let cut = bytes.first().map_or(0, |byte| usize::from(*byte) * 2);
--- a/crates/guavavane_placement/tests/generated_sequences.rs
+++ b/crates/guavavane_placement/tests/generated_sequences.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use bolero::check;
+use bolero::produce;
 use bolero::TypeGenerator;
 
 use crate::support::worker_name;
@@ -15,6 +15,7 @@
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::TaskId;
 use guavavane_placement::prelude::*;
+use guavavane_testing::for_each_value;
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum Operation {
@@ -144,35 +145,27 @@
 /// preemption of urgent work, impossible tasks and the cap on quarantines.
 #[test]
 fn decisions_keep_every_rule() {
-    check!()
-        .with_type::<Vec<Operation>>()
-        .with_iterations(4_000)
-        .with_max_len(1_024)
-        .for_each(|operations| {
-            let mut state = new_state(7);
-            for operation in operations {
-                run(&mut state, operation);
-                state.decide(4);
-            }
-            state.deliver_all();
-            state.decide(64);
-        });
+    for_each_value(4_000, produce::<Vec<Operation>>(), |operations| {
+        let mut state = new_state(7);
+        for operation in operations {
+            run(&mut state, operation);
+            state.decide(4);
+        }
+        state.deliver_all();
+        state.decide(64);
+    });
 }
 
 /// The same seed, events and times give the same decisions.
 #[test]
 fn decisions_repeat_for_a_seed() {
-    check!()
-        .with_type::<Vec<Operation>>()
-        .with_iterations(500)
-        .with_max_len(1_024)
-        .for_each(|operations| {
-            let mut first = new_state(11);
-            let mut second = new_state(11);
-            for operation in operations {
-                run(&mut first, operation);
-                run(&mut second, operation);
-                assert_eq!(first.decide(8), second.decide(8));
-            }
-        });
+    for_each_value(500, produce::<Vec<Operation>>(), |operations| {
+        let mut first = new_state(11);
+        let mut second = new_state(11);
+        for operation in operations {
+            run(&mut first, operation);
+            run(&mut second, operation);
+            assert_eq!(first.decide(8), second.decide(8));
+        }
+    });
 }
--- a/crates/guavavane_placement/tests/measured_policy.rs
+++ b/crates/guavavane_placement/tests/measured_policy.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use bolero::check;
+use bolero::produce;
 
 use crate::support::task_record;
 use crate::support::worker_name;
@@ -14,6 +14,7 @@
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::TaskId;
 use guavavane_placement::prelude::*;
+use guavavane_testing::for_each_value;
 
 const NOISY: &str = "settlement";
 const QUIET: &str = "index";
@@ -226,26 +227,23 @@
 /// beyond a worker.
 #[test]
 fn reservations_follow_measured_sizes() {
-    check!()
-        .with_type::<(u16, u8)>()
-        .with_iterations(500)
-        .for_each(|(permille, size)| {
-            let mut state = StateFake::new(PlacementSettings::default(), 17);
-            state.worker_up(worker_record(0, cores(16)));
-            let demand = cores(u64::from(size % 16) + 1);
-            state.submit(task_record(1, TaskClass::Batch, demand));
-            settle(&mut state);
-            state.sample_usage(0, u64::from(*permille));
-            let (attempt, _) = commitment(&state, 1);
-            state.release(attempt, ReleaseCause::LeaseExpired);
-            settle(&mut state);
-            settle(&mut state);
-            let reserved = state.committed(&worker_name(0));
-            let raised = demand.cpu_millis * u64::from(*permille).clamp(1_000, 2_000) / 1_000;
-            let expected = match raised <= 16_000 {
-                true => raised,
-                false => demand.cpu_millis,
-            };
-            assert_eq!(reserved.cpu_millis, expected);
-        });
+    for_each_value(500, produce::<(u16, u8)>(), |(permille, size)| {
+        let mut state = StateFake::new(PlacementSettings::default(), 17);
+        state.worker_up(worker_record(0, cores(16)));
+        let demand = cores(u64::from(size % 16) + 1);
+        state.submit(task_record(1, TaskClass::Batch, demand));
+        settle(&mut state);
+        state.sample_usage(0, u64::from(*permille));
+        let (attempt, _) = commitment(&state, 1);
+        state.release(attempt, ReleaseCause::LeaseExpired);
+        settle(&mut state);
+        settle(&mut state);
+        let reserved = state.committed(&worker_name(0));
+        let raised = demand.cpu_millis * u64::from(*permille).clamp(1_000, 2_000) / 1_000;
+        let expected = match raised <= 16_000 {
+            true => raised,
+            false => demand.cpu_millis,
+        };
+        assert_eq!(reserved.cpu_millis, expected);
+    });
 }
--- a/crates/guavavane_placement/tests/movement.rs
+++ b/crates/guavavane_placement/tests/movement.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use bolero::check;
+use bolero::produce;
 
 use crate::support::task_record;
 use crate::support::worker_name;
@@ -15,6 +15,7 @@
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::TaskId;
 use guavavane_placement::prelude::*;
+use guavavane_testing::for_each_value;
 
 fn cores(count: u64) -> ResourceVector {
     ResourceVector::new(count * 1_000, count * 1_024, 0)
@@ -56,44 +57,41 @@
 /// given up, and neither is taken for the other.
 #[test]
 fn failures_are_charged_to_who_is_at_fault() {
-    check!()
-        .with_type::<(u8, u8)>()
-        .with_iterations(200)
-        .for_each(|(bad_workers, seed)| {
-            let settings = PlacementSettings::default();
-            let mut state = StateFake::new(settings, u64::from(*seed));
-            for number in 0..12 {
-                state.worker_up(worker_record(number, cores(16)));
-            }
-            // One data centre has four workers, so that one of them may be quarantined.
-            let bad_worker = usize::from(bad_workers % 12);
-            let bad_name = worker_name(bad_worker);
-            for id in 0..80 {
-                let mut record = task_record(id, TaskClass::Batch, cores(2));
-                record.job = JobId(id / 10);
-                state.submit(record);
-            }
-            let bad_job = |task: TaskId| task.0 < 10;
-            run(&mut state, 60, |state| {
-                fail_where(state, |attempt, worker| {
-                    worker == bad_name.as_str() || bad_job(attempt.task)
-                });
+    for_each_value(200, produce::<(u8, u8)>(), |(bad_workers, seed)| {
+        let settings = PlacementSettings::default();
+        let mut state = StateFake::new(settings, u64::from(*seed));
+        for number in 0..12 {
+            state.worker_up(worker_record(number, cores(16)));
+        }
+        // One data centre has four workers, so that one of them may be quarantined.
+        let bad_worker = usize::from(bad_workers % 12);
+        let bad_name = worker_name(bad_worker);
+        for id in 0..80 {
+            let mut record = task_record(id, TaskClass::Batch, cores(2));
+            record.job = JobId(id / 10);
+            state.submit(record);
+        }
+        let bad_job = |task: TaskId| task.0 < 10;
+        run(&mut state, 60, |state| {
+            fail_where(state, |attempt, worker| {
+                worker == bad_name.as_str() || bad_job(attempt.task)
             });
-            let quarantined: Vec<_> = state.quarantined.iter().cloned().collect();
-            assert!(
-                quarantined.iter().all(|name| *name == bad_name),
-                "{quarantined:?}"
-            );
-            assert!(
-                state.given_up.iter().all(|task| bad_job(*task)),
-                "{:?}",
-                state.given_up
-            );
-            assert!(!state.given_up.is_empty(), "the bad job is never given up");
-            let good = (10..80).map(TaskId);
-            let waiting = good.filter(|task| !state.is_committed(*task)).count();
-            assert_eq!(waiting, 0, "good tasks wait");
         });
+        let quarantined: Vec<_> = state.quarantined.iter().cloned().collect();
+        assert!(
+            quarantined.iter().all(|name| *name == bad_name),
+            "{quarantined:?}"
+        );
+        assert!(
+            state.given_up.iter().all(|task| bad_job(*task)),
+            "{:?}",
+            state.given_up
+        );
+        assert!(!state.given_up.is_empty(), "the bad job is never given up");
+        let good = (10..80).map(TaskId);
+        let waiting = good.filter(|task| !state.is_committed(*task)).count();
+        assert_eq!(waiting, 0, "good tasks wait");
+    });
 }
 
 /// However many workers fail, no more than the cap are quarantined.
@@ -204,33 +202,30 @@
 /// A worker that shrinks gets nothing new, and what no longer fits is evicted, batch first.
 #[test]
 fn a_worker_that_shrinks_is_relieved() {
-    check!()
-        .with_type::<(u8, u8)>()
-        .with_iterations(300)
-        .for_each(|(left, sizes)| {
-            let mut state = new_state(1);
-            for id in 0..8 {
-                let class = match sizes >> id & 1 {
-                    0 => TaskClass::Batch,
-                    _ => TaskClass::LatencyCritical,
-                };
-                state.submit(task_record(id, class, cores(2)));
-            }
-            run(&mut state, 2, |_| {});
-            assert_eq!(state.commitments.len(), 8);
-            let capacity = cores(u64::from(left % 17));
-            state.worker_up(worker_record(0, capacity));
-            run(&mut state, 3, |state| state.finish_evictions());
-            assert!(
-                state.committed(&worker_name(0)).fits_within(&capacity),
-                "still too much"
-            );
-            let places = usize::from(left % 17) / 2;
-            let services = sizes.count_ones() as usize;
-            let kept = state.commitments.keys();
-            let kept = kept
-                .filter(|attempt| sizes >> attempt.task.0 & 1 == 1)
-                .count();
-            assert_eq!(kept, services.min(places), "services evicted before batch");
-        });
+    for_each_value(300, produce::<(u8, u8)>(), |(left, sizes)| {
+        let mut state = new_state(1);
+        for id in 0..8 {
+            let class = match sizes >> id & 1 {
+                0 => TaskClass::Batch,
+                _ => TaskClass::LatencyCritical,
+            };
+            state.submit(task_record(id, class, cores(2)));
+        }
+        run(&mut state, 2, |_| {});
+        assert_eq!(state.commitments.len(), 8);
+        let capacity = cores(u64::from(left % 17));
+        state.worker_up(worker_record(0, capacity));
+        run(&mut state, 3, |state| state.finish_evictions());
+        assert!(
+            state.committed(&worker_name(0)).fits_within(&capacity),
+            "still too much"
+        );
+        let places = usize::from(left % 17) / 2;
+        let services = sizes.count_ones() as usize;
+        let kept = state.commitments.keys();
+        let kept = kept
+            .filter(|attempt| sizes >> attempt.task.0 & 1 == 1)
+            .count();
+        assert_eq!(kept, services.min(places), "services evicted before batch");
+    });
 }
--- a/crates/guavavane_placement/tests/queue_rules.rs
+++ b/crates/guavavane_placement/tests/queue_rules.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use bolero::check;
+use bolero::produce;
 use bolero::TypeGenerator;
 
 use crate::support::task_record;
@@ -14,6 +14,7 @@
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::TaskId;
 use guavavane_placement::prelude::*;
+use guavavane_testing::for_each_value;
 
 /// Longest time in which urgent work must be placed.
 const URGENT_LIMIT_MS: u64 = 2_500;
@@ -70,39 +71,36 @@
 /// Urgent work starts in time, and each eviction for it was needed.
 #[test]
 fn urgent_work_evicts_no_more_than_it_needs() {
-    check!()
-        .with_type::<FilledCell>()
-        .with_iterations(2_000)
-        .for_each(|cell| {
-            let mut state = new_state(4, cores(16));
-            for (id, size) in cell.sizes.iter().enumerate() {
-                let size = u64::from(size % 8) + 1;
-                submit(&mut state, id as u64, TaskClass::Batch, cores(size));
-                state.advance(CALL_PERIOD_MS);
-                state.decide(8);
-                state.deliver_all();
-            }
-            let needed = cores(u64::from(cell.needed % 16) + 1);
-            let mut urgent = task_record(9_999, TaskClass::Batch, needed);
-            urgent.priority = TaskPriority::Urgent;
-            state.submit(urgent);
-            let submitted = state.now;
+    for_each_value(2_000, produce::<FilledCell>(), |cell| {
+        let mut state = new_state(4, cores(16));
+        for (id, size) in cell.sizes.iter().enumerate() {
+            let size = u64::from(size % 8) + 1;
+            submit(&mut state, id as u64, TaskClass::Batch, cores(size));
+            state.advance(CALL_PERIOD_MS);
+            state.decide(8);
+            state.deliver_all();
+        }
+        let needed = cores(u64::from(cell.needed % 16) + 1);
+        let mut urgent = task_record(9_999, TaskClass::Batch, needed);
+        urgent.priority = TaskPriority::Urgent;
+        state.submit(urgent);
+        let submitted = state.now;
+        let decisions = state.decide(64);
+        check_victims(&state, &decisions, &needed);
+        while !state.is_committed(TaskId(9_999)) {
+            // One task leaves at a time, while others wait for the room it leaves.
+            state.finish_one_eviction();
+            state.deliver_all();
+            state.advance(CALL_PERIOD_MS);
             let decisions = state.decide(64);
-            check_victims(&state, &decisions, &needed);
-            while !state.is_committed(TaskId(9_999)) {
-                // One task leaves at a time, while others wait for the room it leaves.
-                state.finish_one_eviction();
-                state.deliver_all();
-                state.advance(CALL_PERIOD_MS);
-                let decisions = state.decide(64);
-                assert!(victims(&state, &decisions).is_empty(), "room was not kept");
-                let waited = state.now.saturating_since(submitted);
-                assert!(
-                    waited.as_millis() < URGENT_LIMIT_MS.into(),
-                    "urgent work waits"
-                );
-            }
-        });
+            assert!(victims(&state, &decisions).is_empty(), "room was not kept");
+            let waited = state.now.saturating_since(submitted);
+            assert!(
+                waited.as_millis() < URGENT_LIMIT_MS.into(),
+                "urgent work waits"
+            );
+        }
+    });
 }
 
 fn check_victims(state: &StateFake, decisions: &[PlacementDecision], needed: &ResourceVector) {
@@ -134,44 +132,41 @@
 /// Impossible tasks are named by the first call, with what they lack, and block nobody.
 #[test]
 fn impossible_tasks_block_nobody() {
-    check!()
-        .with_type::<Vec<u8>>()
-        .with_iterations(2_000)
-        .for_each(|sizes| {
-            let mut state = new_state(64, cores(16));
-            for (id, size) in sizes.iter().take(32).enumerate() {
-                let demand = cores(u64::from(size % 24) + 1);
-                submit(&mut state, id as u64, TaskClass::Batch, demand);
-            }
-            let decisions = state.decide(64);
-            let placed = placed(&decisions);
-            for (id, size) in sizes.iter().take(32).enumerate() {
-                let id = TaskId(id as u64);
-                let needed = (u64::from(size % 24) + 1) * 1_024;
-                let expected = ResourceLack::Memory {
-                    needed,
-                    largest: 16 * 1_024,
-                };
-                let named = decisions.iter().any(|decision| match decision {
-                    PlacementDecision::ReportImpossible(report) => {
-                        report.task == id && report.lacks == expected
-                    }
-                    _ => false,
-                });
-                let impossible = needed > 16 * 1_024;
-                assert_eq!(named, impossible, "{id} needs {needed}");
-                assert_eq!(placed.contains(&id), !impossible, "{id} needs {needed}");
-            }
-        });
+    for_each_value(2_000, produce::<Vec<u8>>(), |sizes| {
+        let mut state = new_state(64, cores(16));
+        for (id, size) in sizes.iter().take(32).enumerate() {
+            let demand = cores(u64::from(size % 24) + 1);
+            submit(&mut state, id as u64, TaskClass::Batch, demand);
+        }
+        let decisions = state.decide(64);
+        let placed = placed(&decisions);
+        for (id, size) in sizes.iter().take(32).enumerate() {
+            let id = TaskId(id as u64);
+            let needed = (u64::from(size % 24) + 1) * 1_024;
+            let expected = ResourceLack::Memory {
+                needed,
+                largest: 16 * 1_024,
+            };
+            let named = decisions.iter().any(|decision| match decision {
+                PlacementDecision::ReportImpossible(report) => {
+                    report.task == id && report.lacks == expected
+                }
+                _ => false,
+            });
+            let impossible = needed > 16 * 1_024;
+            assert_eq!(named, impossible, "{id} needs {needed}");
+            assert_eq!(placed.contains(&id), !impossible, "{id} needs {needed}");
+        }
+    });
 }
 
 /// A task that fits one worker only is found a place in a bounded number of calls.
 #[test]
 fn feasible_tasks_are_placed_in_bounded_calls() {
-    check!()
-        .with_type::<(u16, u8, bool)>()
-        .with_iterations(200)
-        .for_each(|(free, extra, service)| {
+    for_each_value(
+        200,
+        produce::<(u16, u8, bool)>(),
+        |(free, extra, service)| {
             let workers = 600;
             let only = usize::from(*free) % workers;
             let mut state = StateFake::new(
@@ -199,40 +194,38 @@
             }
             assert!(state.is_committed(TaskId(1)), "a feasible task waits");
             assert_eq!(state.commitments[0].worker, worker_name(only));
-        });
+        },
+    );
 }
 
 /// Teams with equal needs get room by weight, and a freed place goes to the poorer one.
 #[test]
 fn shares_follow_weights() {
-    check!()
-        .with_type::<(u8, u8)>()
-        .with_iterations(300)
-        .for_each(|(first, second)| {
-            let weights = [u32::from(first % 4) + 1, u32::from(second % 4) + 1];
-            let mut state = new_state(20, cores(12));
-            for (team, weight) in ["a", "b"].into_iter().zip(weights) {
-                state.set_quota(TeamQuota {
-                    team: team.try_into().unwrap(),
-                    weight,
-                    cap: None,
-                });
-            }
-            for id in 0..600 {
-                let mut record = task_record(id, TaskClass::Batch, cores(1));
-                record.team = ["a", "b"][(id % 2) as usize].try_into().unwrap();
-                state.submit(record);
-            }
-            state.decide(1_000);
-            let usage = ["a", "b"].map(|team| state.team_usage(&team.try_into().unwrap()));
-            let total = (usage[0].cpu_millis + usage[1].cpu_millis) / 1_000;
-            assert_eq!(total, 240, "room was left");
-            let fair = 240 * u64::from(weights[0]) / u64::from(weights[0] + weights[1]);
-            assert!(
-                usage[0].cpu_millis.abs_diff(fair * 1_000) <= 1_000,
-                "{usage:?} {weights:?}"
-            );
-        });
+    for_each_value(300, produce::<(u8, u8)>(), |(first, second)| {
+        let weights = [u32::from(first % 4) + 1, u32::from(second % 4) + 1];
+        let mut state = new_state(20, cores(12));
+        for (team, weight) in ["a", "b"].into_iter().zip(weights) {
+            state.set_quota(TeamQuota {
+                team: team.try_into().unwrap(),
+                weight,
+                cap: None,
+            });
+        }
+        for id in 0..600 {
+            let mut record = task_record(id, TaskClass::Batch, cores(1));
+            record.team = ["a", "b"][(id % 2) as usize].try_into().unwrap();
+            state.submit(record);
+        }
+        state.decide(1_000);
+        let usage = ["a", "b"].map(|team| state.team_usage(&team.try_into().unwrap()));
+        let total = (usage[0].cpu_millis + usage[1].cpu_millis) / 1_000;
+        assert_eq!(total, 240, "room was left");
+        let fair = 240 * u64::from(weights[0]) / u64::from(weights[0] + weights[1]);
+        assert!(
+            usage[0].cpu_millis.abs_diff(fair * 1_000) <= 1_000,
+            "{usage:?} {weights:?}"
+        );
+    });
 }
 
 /// A team at its cap blocks neither the others nor its own later, smaller tasks.
--- a/crates/guavavane_routing/tests/endpoints.rs
+++ b/crates/guavavane_routing/tests/endpoints.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use bolero::check;
 use bolero::produce;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -12,6 +11,7 @@
 use guavavane_model::prelude::*;
 use guavavane_protocol::prelude::*;
 use guavavane_routing::prelude::*;
+use guavavane_testing::for_each_value;
 
 const WORKERS: u8 = 5;
 const SLOTS: u16 = 2;
@@ -299,25 +299,24 @@
 
 #[test]
 fn work_goes_only_to_live_endpoints_within_bounds() {
-    check!()
-        .with_iterations(400)
-        .with_max_len(8_192)
-        .with_generator(produce::<Vec<[u8; 2]>>().with().len(20_usize..500))
-        .for_each(|actions| {
+    for_each_value(
+        400,
+        produce::<Vec<[u8; 2]>>().with().len(20_usize..500),
+        |actions| {
             let mut bench = Bench::new();
             for action in actions {
                 bench.act(*action);
             }
-        });
+        },
+    );
 }
 
 #[test]
 fn retries_and_hedges_stay_within_their_budgets() {
-    check!()
-        .with_iterations(200)
-        .with_max_len(8_192)
-        .with_generator(produce::<Vec<[u8; 2]>>().with().len(100_usize..500))
-        .for_each(|actions| {
+    for_each_value(
+        200,
+        produce::<Vec<[u8; 2]>>().with().len(100_usize..500),
+        |actions| {
             let mut bench = Bench::new();
             bench.losing = true;
             for [action, argument] in actions {
@@ -330,5 +329,6 @@
                 }
                 bench.check();
             }
-        });
+        },
+    );
 }
--- a/crates/guavavane_routing/tests/requests.rs
+++ b/crates/guavavane_routing/tests/requests.rs
@@ -4,13 +4,13 @@
 
 mod world;
 
-use bolero::check;
 use bolero::produce;
 
 use crate::world::key_of;
 use crate::world::RequestKind;
 use crate::world::World;
 use guavavane_routing::prelude::*;
+use guavavane_testing::for_each_value;
 
 /// Longest generated sequence.
 const ACTIONS_MAX: usize = 400;
@@ -66,9 +66,9 @@
 
 #[test]
 fn requests_run_at_most_once_and_refusals_are_true() {
-    check!()
-        .with_iterations(400)
-        .with_max_len(8_192)
-        .with_generator(produce::<Vec<[u8; 2]>>().with().len(20..ACTIONS_MAX))
-        .for_each(|actions| check_world(&play(actions)));
+    for_each_value(
+        400,
+        produce::<Vec<[u8; 2]>>().with().len(20..ACTIONS_MAX),
+        |actions| check_world(&play(actions)),
+    );
 }
--- a/crates/guavavane_standin/tests/worker_machine.rs
+++ b/crates/guavavane_standin/tests/worker_machine.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use bolero::check;
+use bolero::produce;
 use bolero::TypeGenerator;
 use indexmap::IndexMap;
 
@@ -23,6 +23,7 @@
 use guavavane_standin::prelude::WorkerMachine;
 use guavavane_standin::worker::machine::UsageSettings;
 use guavavane_standin::worker::profile::TaskProfile;
+use guavavane_testing::for_each_value;
 
 const USAGE: UsageSettings = UsageSettings {
     interval_ms: 100,
@@ -147,32 +148,29 @@
 
 #[test]
 fn commitment_and_ends_hold_over_generated_orders() {
-    check!()
-        .with_iterations(2_000)
-        .with_type::<Vec<Step>>()
-        .for_each(|steps| {
-            let mut machine = machine(TaskProfile::default());
-            let mut now = 1_000;
-            let mut ended: IndexMap<AttemptKey, AttemptState> = IndexMap::new();
-            for step in steps {
-                let answer = run_step(&mut machine, &mut now, step);
-                if let (Step::Start { task, attempt, .. }, OrderAnswer::Done) = (step, answer) {
-                    assert!(machine.program(&key(*task, *attempt)).is_some());
-                }
-                let list = machine.attempts(BootTime::from_millis(now));
-                let mut sum = ResourceVector::ZERO;
-                for status in &list.attempts {
-                    if status.state == AttemptState::Running {
-                        sum = sum.checked_add(&status.demand).unwrap();
-                        assert!(!ended.contains_key(&status.key), "revived {status:?}");
-                    } else {
-                        let first = *ended.entry(status.key).or_insert(status.state);
-                        assert_eq!(first, status.state, "end changed");
-                    }
+    for_each_value(2_000, produce::<Vec<Step>>(), |steps| {
+        let mut machine = machine(TaskProfile::default());
+        let mut now = 1_000;
+        let mut ended: IndexMap<AttemptKey, AttemptState> = IndexMap::new();
+        for step in steps {
+            let answer = run_step(&mut machine, &mut now, step);
+            if let (Step::Start { task, attempt, .. }, OrderAnswer::Done) = (step, answer) {
+                assert!(machine.program(&key(*task, *attempt)).is_some());
+            }
+            let list = machine.attempts(BootTime::from_millis(now));
+            let mut sum = ResourceVector::ZERO;
+            for status in &list.attempts {
+                if status.state == AttemptState::Running {
+                    sum = sum.checked_add(&status.demand).unwrap();
+                    assert!(!ended.contains_key(&status.key), "revived {status:?}");
+                } else {
+                    let first = *ended.entry(status.key).or_insert(status.state);
+                    assert_eq!(first, status.state, "end changed");
                 }
-                assert!(sum.fits_within(&machine.facts().capacity));
             }
-        });
+            assert!(sum.fits_within(&machine.facts().capacity));
+        }
+    });
 }
 
 #[test]
