Restore running tasks in the policy at an election; call off lost attempts

Cause: the policy's events for a rebuild are restores, not placements of tasks that it believes waiting; and an attempt that a worker reported once and no longer has would have been started again under the same attempt. Change: TaskRestored at an election with a fresh seed; an attempt that a poll reported as running and a later one does not is stopped, reported as not started and requeued with the attempt raised. All generated checks now share guavavane_testing.

--- a/crates/guavavane_agent/tests/guard_properties.rs
+++ b/crates/guavavane_agent/tests/guard_properties.rs
@@ -2,8 +2,6 @@
 //! that come and go, pauses and restarts of the agent.
 #![allow(clippy::unwrap_used)]
 
-mod sequence;
-
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -12,7 +10,6 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::sequence::for_each_seed;
 use guavavane_agent::guard::CallTicket;
 use guavavane_agent::guard::GuardInput;
 use guavavane_agent::guard::GuardLimits;
@@ -35,6 +32,7 @@
 use guavavane_protocol::prelude::RequestAttempt;
 use guavavane_protocol::prelude::RevokeReply;
 use guavavane_protocol::prelude::RevokeRequest;
+use guavavane_testing::for_each_seed;
 
 const SLOTS: u16 = 2;
 const CONNECTIONS: u16 = 4;
@@ -505,5 +503,5 @@
 
 #[test]
 fn guard_holds_its_promises_over_generated_sequences() {
-    for_each_seed(SEEDS, |random| Simulation::new(random).run());
+    for_each_seed(SEEDS, |_, random| Simulation::new(random).run());
 }
--- a/crates/guavavane_agent/tests/worker_properties.rs
+++ b/crates/guavavane_agent/tests/worker_properties.rs
@@ -2,7 +2,6 @@
 //! restarts of the agent, reboots of the worker and late reports.
 #![allow(clippy::unwrap_used)]
 
-mod sequence;
 mod worker_model;
 
 use std::time::Duration;
@@ -13,7 +12,6 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::sequence::for_each_seed;
 use crate::worker_model::WorkerModel;
 use guavavane_agent::guard::ServiceKey;
 use guavavane_agent::worker::AgentIdentity;
@@ -41,6 +39,7 @@
 use guavavane_protocol::prelude::WorkerOrder;
 use guavavane_protocol::prelude::WorkerOrders;
 use guavavane_protocol::prelude::WorkerPoll;
+use guavavane_testing::for_each_seed;
 
 const STEPS: usize = 400;
 const SEEDS: u64 = 15_000;
@@ -651,5 +650,5 @@
 
 #[test]
 fn worker_side_holds_its_promises_over_generated_sequences() {
-    for_each_seed(SEEDS, |random| Simulation::new(random).run());
+    for_each_seed(SEEDS, |_, random| Simulation::new(random).run());
 }
--- a/crates/guavavane_agent/tests/worker_times.rs
+++ b/crates/guavavane_agent/tests/worker_times.rs
@@ -1,13 +1,10 @@
 //! Leases and clock readings: nothing is counted later than it is.
 #![allow(clippy::unwrap_used)]
 
-mod sequence;
-
 use std::time::Duration;
 
 use rand::Rng;
 
-use crate::sequence::for_each_seed;
 use guavavane_agent::worker::clock::WorkerClock;
 use guavavane_agent::worker::lease::LeaseTable;
 use guavavane_model::prelude::AttemptNumber;
@@ -15,6 +12,7 @@
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::TaskId;
 use guavavane_protocol::prelude::TaskAttempt;
+use guavavane_testing::for_each_seed;
 
 const ATTEMPT: TaskAttempt = TaskAttempt {
     task: TaskId(1),
@@ -23,7 +21,7 @@
 
 #[test]
 fn dead_lease_is_not_revived_and_none_is_shortened() {
-    for_each_seed(2_000, |random| {
+    for_each_seed(2_000, |_, random| {
         let mut table = LeaseTable::default();
         let mut now = BootTime::from_millis(1);
         let mut end: Option<BootTime> = None;
@@ -47,7 +45,7 @@
 /// The worker's clock runs up to half a thousandth fast or slow against the agent's.
 #[test]
 fn time_on_the_worker_is_never_after_the_moment_it_stands_for() {
-    for_each_seed(5_000, |random| {
+    for_each_seed(5_000, |_, random| {
         let rate = 1.0 + random.random_range(-0.000_5..0.000_5);
         let offset = random.random_range(0.0..1e9);
         let worker_ms = |at: BootTime| offset + at.as_micros() as f64 / 1_000.0 * rate;
--- a/crates/guavavane_control/src/orders.rs
+++ b/crates/guavavane_control/src/orders.rs
@@ -80,7 +80,15 @@
 }
 
 /// Answers a poll from a state that has the poll's observation and ends.
-pub fn answer_poll(state: &ControlState, poll: &WorkerPoll, permit_ms: u32) -> PollAnswer {
+///
+/// An attempt that `was_running` says an earlier poll reported, and that this one does not, has
+/// ended without a report. It is called off and not started again: it could run twice.
+pub fn answer_poll(
+    state: &ControlState,
+    poll: &WorkerPoll,
+    permit_ms: u32,
+    was_running: impl Fn(TaskAttempt) -> bool,
+) -> PollAnswer {
     let mut answer = PollAnswer::default();
     let Some(worker) = state.workers().get(&poll.worker) else {
         return answer;
@@ -108,7 +116,8 @@
         if reports.contains_key(&attempt) {
             context.answer_running(&mut answer);
         } else {
-            context.answer_unreported(out, permit_ms, &mut answer);
+            let barred = out || was_running(attempt);
+            context.answer_unreported(barred, permit_ms, &mut answer);
         }
     }
     for report in &poll.attempts {
@@ -131,14 +140,14 @@
         answer.orders.extend(self.eviction_order());
     }
 
-    /// An attempt that the agent does not report has not started there.
-    fn answer_unreported(&self, out: bool, permit_ms: u32, answer: &mut PollAnswer) {
+    /// An attempt that the agent does not report is started, unless that is barred.
+    fn answer_unreported(&self, barred: bool, permit_ms: u32, answer: &mut PollAnswer) {
         // An order to end an attempt that never started makes the agent refuse its start for
         // good, and report that.
         let attempt = self.attempt;
         let order = match self.eviction_order() {
             Some(order) => order,
-            None if out => WorkerOrder::Stop { attempt },
+            None if barred => WorkerOrder::Stop { attempt },
             None => WorkerOrder::Start {
                 attempt,
                 fence: self.held.fence,
--- a/crates/guavavane_control/src/scheduler/feed.rs
+++ b/crates/guavavane_control/src/scheduler/feed.rs
@@ -44,18 +44,18 @@
 
 /// Describes the whole state to a new policy.
 pub(super) fn state_image(state: &ControlState) -> StateImage {
-    let mut events = team_events(state);
+    let mut events = Vec::new();
     for (name, _) in state.workers().iter() {
         events.extend(worker_event(state, name));
     }
+    events.extend(team_events(state));
     for status in state.data_centres().statuses() {
         if status.out {
             events.push(PlacementEvent::DataCentreOut(status.name));
         }
     }
     for (task, record) in state.jobs().tasks() {
-        events.extend(submitted_event(state, task, record));
-        events.extend(running_event(task, record));
+        events.extend(restored_event(state, task, record));
     }
     StateImage {
         cursor: state.feed().end(),
@@ -159,6 +159,22 @@
     }))
 }
 
+/// Describes a task that waits or is committed to a policy that does not know it.
+fn restored_event(
+    state: &ControlState,
+    task: TaskId,
+    record: &TaskRecord,
+) -> Option<PlacementEvent> {
+    if record.has_ended() {
+        return None;
+    }
+    let job = state.jobs().job(record.job)?;
+    Some(PlacementEvent::TaskRestored(placement::TaskRestore {
+        record: policy_task(task, record, job),
+        placements: task_placement(task, record).into_iter().collect(),
+    }))
+}
+
 fn submitted_event(
     state: &ControlState,
     task: TaskId,
@@ -207,15 +223,19 @@
 }
 
 fn running_event(task: TaskId, record: &TaskRecord) -> Option<PlacementEvent> {
+    task_placement(task, record).map(PlacementEvent::TaskRunning)
+}
+
+fn task_placement(task: TaskId, record: &TaskRecord) -> Option<placement::TaskPlacement> {
     let held = record.commitment()?;
-    Some(PlacementEvent::TaskRunning(placement::TaskPlacement {
+    Some(placement::TaskPlacement {
         task,
         attempt: record.attempt,
         worker: held.worker.clone(),
         reserved: held.demand,
         evicting: held.evicting.is_some(),
         ran_ms: record.progress_ms,
-    }))
+    })
 }
 
 /// Shares of all teams; a team of several environments has the sum of its caps.
--- a/crates/guavavane_control/src/scheduler/mod.rs
+++ b/crates/guavavane_control/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 use crate::scheduler::worker_watch::WorkerWatch;
 use crate::state::change::FeedCursor;
 use crate::state::change::FeedRead;
+use guavavane_daemon::prelude::draw_incarnation;
 use guavavane_daemon::prelude::ShutdownSignal;
 use guavavane_model::prelude::BootTime;
 use guavavane_placement::prelude::PlacementCore;
@@ -97,7 +98,7 @@
             .read(feed::state_image)
             .map_err(|_| RoundBreak::NotLeader)?;
         let now = context.now();
-        let mut core = PlacementCore::new(PlacementSettings::default(), term.0);
+        let mut core = PlacementCore::new(PlacementSettings::default(), draw_incarnation().0);
         let events = image.events.len();
         for event in image.events {
             core.step(now, event);
--- a/crates/guavavane_control/src/serve/worker.rs
+++ b/crates/guavavane_control/src/serve/worker.rs
@@ -4,6 +4,8 @@
 //! committed, the answer is built from a read that has all of it, and the leadership is checked
 //! once more before the answer leaves.
 
+use indexmap::IndexSet;
+
 use crate::context::ArrivedSample;
 use crate::context::ControlContext;
 use crate::context::LeaderMemory;
@@ -15,9 +17,11 @@
 use crate::orders::PollAnswer;
 use crate::state::command::AttemptEnd;
 use crate::state::command::ControlCommand;
+use crate::state::job_record::task_attempt;
 use crate::state::ControlState;
 use guavavane_model::prelude::BootTime;
 use guavavane_protocol::poll::AttemptPhase;
+use guavavane_protocol::poll::TaskAttempt;
 use guavavane_protocol::poll::WorkerOrder;
 use guavavane_protocol::poll::WorkerOrders;
 use guavavane_protocol::poll::WorkerPoll;
@@ -42,10 +46,11 @@
     if news.outdated {
         return Err(ControlRefusal::Unavailable);
     }
-    grant_lease(context, poll)?;
+    let seen_running = grant_lease(context, poll)?;
     commit_news(context, poll, news)?;
     let permit_ms = millis(context.settings.permit);
-    let answer = context.read(|state| answer_poll(state, poll, permit_ms))?;
+    let was_running = |attempt| seen_running.contains(&attempt);
+    let answer = context.read(|state| answer_poll(state, poll, permit_ms, was_running))?;
     finish_answer(context, poll, answer)
 }
 
@@ -68,7 +73,12 @@
     }
 }
 
-fn grant_lease(context: &ControlContext, poll: &WorkerPoll) -> Result<(), ControlRefusal> {
+/// Renews the worker's lease and returns the attempts that earlier polls reported as running.
+fn grant_lease(
+    context: &ControlContext,
+    poll: &WorkerPoll,
+) -> Result<IndexSet<TaskAttempt>, ControlRefusal> {
+    let held = context.read(|state| held_attempts(state, poll))?;
     let now = context.now();
     let identity = PollIdentity {
         incarnation: poll.incarnation,
@@ -79,15 +89,25 @@
         if grant == LeaseGrant::Granted {
             remember_reports(memory, now, poll);
         }
-        grant
+        let running = held.iter().copied();
+        let running = running.filter(|attempt| memory.running.contains_key(attempt));
+        (grant, running.collect())
     });
     match grant {
-        Some(LeaseGrant::Granted) => Ok(()),
-        Some(LeaseGrant::Closed | LeaseGrant::Outdated) => Err(ControlRefusal::Unavailable),
+        Some((LeaseGrant::Granted, running)) => Ok(running),
+        Some((LeaseGrant::Closed | LeaseGrant::Outdated, _)) => Err(ControlRefusal::Unavailable),
         None => Err(context.not_leader()),
     }
 }
 
+fn held_attempts(state: &ControlState, poll: &WorkerPoll) -> Vec<TaskAttempt> {
+    let worker = state.workers().get(&poll.worker);
+    let tasks = worker.into_iter().flat_map(|worker| worker.tasks.iter());
+    tasks
+        .filter_map(|task| Some(task_attempt(*task, state.jobs().task(*task)?)))
+        .collect()
+}
+
 fn remember_reports(memory: &mut LeaderMemory, now: BootTime, poll: &WorkerPoll) {
     for report in &poll.attempts {
         let runs = matches!(
--- a/crates/guavavane_control/tests/lease_protocol.rs
+++ b/crates/guavavane_control/tests/lease_protocol.rs
@@ -212,7 +212,7 @@
         self.workers[index].answers.push(SentPoll {
             sent: self.now,
             sequence: poll.sequence,
-            answer: answer_poll(&self.state, &poll, permit),
+            answer: answer_poll(&self.state, &poll, permit, |_| false),
         });
     }
 
--- a/crates/guavavane_quorum/tests/availability.rs
+++ b/crates/guavavane_quorum/tests/availability.rs
@@ -3,7 +3,6 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod network;
-mod sequences;
 
 use bolero::generator::TypeGenerator;
 use bolero::produce;
@@ -11,9 +10,9 @@
 use crate::network::node::Node;
 use crate::network::CoreNetwork;
 use crate::network::Weather;
-use crate::sequences::for_each_value;
 use guavavane_quorum::core::CoreInput;
 use guavavane_quorum::prelude::*;
+use guavavane_testing::for_each_seeded_value;
 
 const SEQUENCES: u64 = 150;
 const ROUNDS_A_SECOND: u64 = 100;
@@ -82,7 +81,7 @@
 
 #[test]
 fn a_replaced_vm_restores_the_tolerance_of_a_second_loss() {
-    for_each_value(
+    for_each_seeded_value(
         SEQUENCES,
         produce::<Situation>(),
         |seed, situation: Situation| {
@@ -111,7 +110,7 @@
 
 #[test]
 fn a_replica_that_was_cut_off_does_not_depose_the_leader() {
-    for_each_value(
+    for_each_seeded_value(
         SEQUENCES,
         produce::<Situation>(),
         |seed, situation: Situation| {
@@ -134,7 +133,7 @@
 
 #[test]
 fn a_leader_without_a_quorum_steps_down() {
-    for_each_value(
+    for_each_seeded_value(
         SEQUENCES,
         produce::<Situation>(),
         |seed, situation: Situation| {
@@ -151,7 +150,7 @@
 
 #[test]
 fn a_handover_takes_no_election_timeout() {
-    for_each_value(
+    for_each_seeded_value(
         SEQUENCES,
         produce::<Situation>(),
         |seed, situation: Situation| {
@@ -170,7 +169,7 @@
 
 #[test]
 fn a_restart_after_hundreds_of_changes_gives_the_same_state() {
-    for_each_value(
+    for_each_seeded_value(
         SEQUENCES / 5,
         produce::<Situation>(),
         |seed, situation: Situation| {
@@ -192,7 +191,7 @@
 
 #[test]
 fn a_sole_voter_grows_to_the_wanted_number() {
-    for_each_value(
+    for_each_seeded_value(
         SEQUENCES / 5,
         produce::<Situation>(),
         |seed, situation: Situation| {
--- a/crates/guavavane_quorum/tests/consensus.rs
+++ b/crates/guavavane_quorum/tests/consensus.rs
@@ -3,7 +3,6 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod network;
-mod sequences;
 
 use bolero::generator::TypeGenerator;
 use bolero::produce;
@@ -11,8 +10,8 @@
 use crate::network::node::Node;
 use crate::network::CoreNetwork;
 use crate::network::Weather;
-use crate::sequences::for_each_value;
 use guavavane_quorum::core::CoreInput;
+use guavavane_testing::for_each_seeded_value;
 
 const SLOTS: usize = 6;
 const REPAIRED: u8 = 110;
@@ -201,7 +200,7 @@
 #[test]
 fn faults_break_no_promise_and_the_group_recovers() {
     let events = produce::<Vec<Event>>().with().len(20..120usize);
-    for_each_value(SEQUENCES, events, |seed, events| {
+    for_each_seeded_value(SEQUENCES, events, |seed, events| {
         let voters = [1, 3, 3, 5][seed as usize % 4];
         let mut network = CoreNetwork::new(voters, SLOTS, seed);
         network.run(300, Weather::default());
--- a/crates/guavavane_quorum/tests/storage.rs
+++ b/crates/guavavane_quorum/tests/storage.rs
@@ -4,7 +4,6 @@
 
 #[path = "network/memory_disk.rs"]
 mod memory_disk;
-mod sequences;
 
 use bolero::generator::TypeGenerator;
 use bolero::produce;
@@ -12,7 +11,6 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::memory_disk::MemoryDisk;
-use crate::sequences::for_each_value;
 use guavavane_model::identity::CellId;
 use guavavane_quorum::core::StoredState;
 use guavavane_quorum::entry::EntryPayload;
@@ -22,6 +20,7 @@
 use guavavane_quorum::prelude::*;
 use guavavane_quorum::storage::DiskFolder;
 use guavavane_quorum::storage::LogStore;
+use guavavane_testing::for_each_seeded_value;
 
 const SEQUENCES: u64 = 50_000;
 const SEGMENT_BYTES: u64 = 250;
@@ -329,7 +328,7 @@
 #[test]
 fn a_store_loses_nothing_that_was_synced() {
     let events = produce::<Vec<StoreEvent>>().with().len(5..80usize);
-    for_each_value(SEQUENCES, events, |seed, events| {
+    for_each_seeded_value(SEQUENCES, events, |seed, events| {
         let mut run = StoreRun::new([open, open_long][seed as usize % 2]);
         for event in events {
             run.happen(event);
--- a/crates/guavavane_testing/src/lib.rs
+++ b/crates/guavavane_testing/src/lib.rs
@@ -43,15 +43,27 @@
         });
 }
 
-/// Runs `run` on `count` generated values; a failure names the seed.
-pub fn for_each_value<G>(count: u64, generator: G, run: impl Fn(&G::Output) + RefUnwindSafe)
-where
+/// Runs `run` on `count` generated values and the seed of each; a failure names the seed.
+pub fn for_each_seeded_value<G>(
+    count: u64,
+    generator: G,
+    run: impl Fn(u64, G::Output) + RefUnwindSafe,
+) where
     G: ValueGenerator + RefUnwindSafe,
     G::Output: Debug,
 {
-    for_each_seed(count, |_, random| {
+    for_each_seed(count, |seed, random| {
         let mut driver = Rng::new(random, &Options::default());
         let value = generator.generate(&mut driver);
-        run(&value.expect("the generator always gives a value"));
+        run(seed, value.expect("the generator always gives a value"));
     });
 }
+
+/// Runs `run` on `count` generated values; a failure names the seed.
+pub fn for_each_value<G>(count: u64, generator: G, run: impl Fn(&G::Output) + RefUnwindSafe)
+where
+    G: ValueGenerator + RefUnwindSafe,
+    G::Output: Debug,
+{
+    for_each_seeded_value(count, generator, |_, value| run(&value));
+}
