--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -164,8 +164,12 @@
         }
     }
 
-    /// Applies the first document and waits until all entries serve.
+    /// Applies the first document once all workers are known, and waits until all entries serve.
     pub fn serve(&self, text: &str, endpoints: u64) {
+        wait_until("all workers in the status", READY_LIMIT, || {
+            self.status().workers.len() == self.cluster.workers.len()
+        })
+        .unwrap();
         self.apply(0, text);
         self.cluster.wait_endpoints(endpoints).unwrap();
         self.cluster.wait_serving().unwrap();
