Take the end of an attempt that was called off before it started

Cause: an agent that is told to end an attempt it never saw reports it as stopped, without the fencing number; control dropped that end, ordered the report to be forgotten, and the task stayed committed for ever. Ruled out: mending only the agent; task and attempt already name one placement, so the comparison proved nothing. Two new tests hold the rule.

--- a/crates/guavavane_control/src/orders.rs
+++ b/crates/guavavane_control/src/orders.rs
@@ -13,9 +13,6 @@
 use crate::state::job_record::TaskCommitment;
 use crate::state::job_record::TaskRecord;
 use crate::state::ControlState;
-use guavavane_model::prelude::BootId;
-use guavavane_model::prelude::FenceNumber;
-use guavavane_model::prelude::TaskId;
 use guavavane_protocol::poll::AttemptPhase;
 use guavavane_protocol::poll::AttemptReport;
 use guavavane_protocol::poll::TaskAttempt;
@@ -48,10 +45,9 @@
         .current(report.attempt)
         .and_then(TaskRecord::commitment)
         .is_some_and(|held| {
-            // An attempt that never started may not have brought its fencing number there.
-            let same_placement =
-                held.fence == report.fence || report.phase == AttemptPhase::NotStarted;
-            held.worker == poll.worker && held.boot == poll.boot && same_placement
+            // The fencing number is not compared: task and attempt name one placement, and an
+            // agent that was told to end an attempt which never started does not know it.
+            held.worker == poll.worker && held.boot == poll.boot
         })
 }
 
@@ -121,7 +117,7 @@
         }
     }
     for report in &poll.attempts {
-        if !is_held_by(state, poll.boot, &worker.tasks, report) {
+        if !is_held_here(state, poll, report) {
             answer.orders.push(unheld_order(report));
         }
     }
@@ -169,23 +165,6 @@
     }
 }
 
-fn is_held_by(
-    state: &ControlState,
-    boot: BootId,
-    tasks: &indexmap::IndexSet<TaskId>,
-    report: &AttemptReport,
-) -> bool {
-    let held = state
-        .jobs()
-        .current(report.attempt)
-        .and_then(TaskRecord::commitment);
-    tasks.contains(&report.attempt.task) && held.is_some_and(|held| holds(held, boot, report.fence))
-}
-
-fn holds(held: &TaskCommitment, boot: BootId, fence: FenceNumber) -> bool {
-    held.boot == boot && held.fence == fence
-}
-
 /// The order for an attempt that the worker has and the state does not hold there.
 fn unheld_order(report: &AttemptReport) -> WorkerOrder {
     let attempt = report.attempt;
--- a/crates/guavavane_control/src/scheduler/mod.rs
+++ b/crates/guavavane_control/src/scheduler/mod.rs
@@ -34,6 +34,9 @@
 /// Most decisions of a round.
 const ROUND_BUDGET: usize = 1_024;
 
+/// Evictions a second out of a data centre that is out, for each thousand workers.
+const DRAIN_PER_THOUSAND: u64 = 1_000;
+
 /// What the scheduler of one leadership keeps.
 struct SchedulerState {
     term: Term,
@@ -44,6 +47,14 @@
     retention: ClaimRetention,
 }
 
+/// The policy's settings: work first, and a data centre that is out empties within seconds.
+fn policy_settings() -> PlacementSettings {
+    PlacementSettings {
+        drain_per_thousand: DRAIN_PER_THOUSAND,
+        ..PlacementSettings::favouring_throughput()
+    }
+}
+
 /// Why a round ended early.
 enum RoundBreak {
     /// The state of the scheduler may differ from the replicated state.
@@ -98,7 +109,7 @@
             .read(feed::state_image)
             .map_err(|_| RoundBreak::NotLeader)?;
         let now = context.now();
-        let mut core = PlacementCore::new(PlacementSettings::default(), draw_incarnation().0);
+        let mut core = PlacementCore::new(policy_settings(), draw_incarnation().0);
         let events = image.events.len();
         for event in image.events {
             core.step(now, event);
--- a/crates/guavavane_control/src/serve/worker.rs
+++ b/crates/guavavane_control/src/serve/worker.rs
@@ -28,6 +28,9 @@
 use guavavane_protocol::poll::WorkerPollReply;
 use guavavane_protocol::replica::ControlRefusal;
 
+/// A worker with orders polls again after this fraction of the interval.
+const BUSY_POLL_DIVISOR: u32 = 4;
+
 /// Most samples that wait for the scheduler.
 const SAMPLES_MAX: usize = 65_536;
 
@@ -166,13 +169,19 @@
         return Err(context.not_leader());
     };
     let mut orders = answer.orders;
+    // What was just ordered is worth a report soon, so that freed room is filled at once.
+    let next_poll = if orders.is_empty() {
+        context.settings.poll
+    } else {
+        context.settings.poll / BUSY_POLL_DIVISOR
+    };
     orders.extend(throttles);
     Ok(WorkerOrders {
         lease_ms: millis(context.settings.lease),
         renewed: answer.renewed,
         orders,
         entries,
-        next_poll_ms: millis(context.settings.poll),
+        next_poll_ms: millis(next_poll),
     })
 }
 
--- a/crates/guavavane_control/tests/lease_protocol.rs
+++ b/crates/guavavane_control/tests/lease_protocol.rs
@@ -30,7 +30,9 @@
 use guavavane_control::state::command::ControlCommand;
 use guavavane_control::state::command::EndCause;
 use guavavane_control::state::ControlState;
+use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::IncarnationId;
 use guavavane_model::prelude::TaskId;
 use guavavane_protocol::operator::OperatorCommand;
@@ -387,6 +389,43 @@
     }
 }
 
+/// A poll of worker 0 that reports these attempts.
+fn poll_of(reports: Vec<AttemptReport>) -> WorkerPoll {
+    let mut poll = WorkerModel::default().next_poll(0, BootTime::from_millis(1));
+    poll.attempts = reports;
+    poll
+}
+
+#[test]
+fn an_attempt_called_off_before_it_started_is_requeued() {
+    let mut cell = CellModel::new();
+    place(&mut cell.state, TaskId(1), 0);
+    let attempt = TaskAttempt {
+        task: TaskId(1),
+        attempt: AttemptNumber(1),
+    };
+    for phase in [AttemptPhase::Stopped, AttemptPhase::NotStarted] {
+        let report = AttemptReport {
+            attempt,
+            fence: FenceNumber(0),
+            phase,
+            checkpoint_ms: 0,
+        };
+        let ends = reported_ends(&cell.state, &poll_of(vec![report]));
+        assert_eq!(ends.len(), 1, "the end of {phase:?} is not taken");
+    }
+}
+
+#[test]
+fn an_attempt_that_a_worker_lost_is_not_started_again() {
+    let mut cell = CellModel::new();
+    place(&mut cell.state, TaskId(1), 0);
+    let fresh = answer_poll(&cell.state, &poll_of(Vec::new()), 200, |_| false);
+    assert!(matches!(fresh.orders[..], [WorkerOrder::Start { .. }]));
+    let lost = answer_poll(&cell.state, &poll_of(Vec::new()), 200, |_| true);
+    assert!(matches!(lost.orders[..], [WorkerOrder::Stop { .. }]));
+}
+
 #[test]
 fn no_task_runs_in_two_places_and_none_starts_late() {
     for_each_value(
