--- a/crates/guavavane_control/src/scheduler/mod.rs
+++ b/crates/guavavane_control/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod feed;
 mod propose;
 mod replacement;
+pub mod spread;
 mod worker_watch;
 
 use std::sync::Arc;
--- a/crates/guavavane_control/src/scheduler/replacement.rs
+++ b/crates/guavavane_control/src/scheduler/replacement.rs
@@ -2,7 +2,8 @@
 //!
 //! Tasks leave a data centre that is out as fast as the policy says. A changed spec is rolled
 //! out one task at a time for each service. An old task is evicted without a successor running
-//! only after a limit, since operators have taken its data centre out.
+//! only after a limit, since operators have taken its data centre out. Tasks of a service that
+//! share a worker, because there were few when they were placed, are spread one at a time.
 
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 
 use crate::context::ControlContext;
 use crate::scheduler::feed::running_for;
+use crate::scheduler::spread::crowded_attempts;
 use crate::scheduler::RoundBreak;
 use crate::state::command::ControlCommand;
 use crate::state::command::EvictionCause;
@@ -29,6 +31,9 @@
 /// Longest wait for a successor out of a data centre that is out.
 const SUCCESSOR_LIMIT: Duration = Duration::from_millis(20_000);
 
+/// Time between two looks at the spread of services.
+const SPREAD_INTERVAL: Duration = Duration::from_millis(5_000);
+
 /// Replacements under way.
 #[derive(Debug, Default)]
 pub(super) struct ReplacementPlan {
@@ -36,6 +41,8 @@
     replaced: IndexMap<TaskAttempt, Option<BootTime>>,
     /// Services whose tasks may run an older spec.
     revised: IndexSet<JobId>,
+    /// When the spread of services was last looked at.
+    spread_at: Option<BootTime>,
 }
 
 impl ReplacementPlan {
@@ -53,7 +60,11 @@
             .filter(|(_, job)| job.origin.is_service() && job.revision > 0)
             .map(|(id, _)| id)
             .collect();
-        Self { replaced, revised }
+        Self {
+            replaced,
+            revised,
+            spread_at: None,
+        }
     }
 
     /// Takes note of services whose spec changed.
@@ -73,7 +84,26 @@
         now: BootTime,
     ) -> Result<(), RoundBreak> {
         self.evict_replaced(context, now)?;
-        self.roll_revised(context, now)
+        self.roll_revised(context, now)?;
+        self.spread_services(context, now)
+    }
+
+    fn spread_services(
+        &mut self,
+        context: &ControlContext,
+        now: BootTime,
+    ) -> Result<(), RoundBreak> {
+        let last = *self.spread_at.get_or_insert(now);
+        if now.saturating_since(last) < SPREAD_INTERVAL {
+            return Ok(());
+        }
+        self.spread_at = Some(now);
+        for attempt in context.quorum.local(crowded_attempts) {
+            tracing::info!(event = "task_replaced", task = %attempt.task, reason = "shared-worker");
+            propose(context, ControlCommand::ReplaceTask(attempt))?;
+            self.expect_successor(now, attempt);
+        }
+        Ok(())
     }
 
     fn evict_replaced(
