--- /dev/null
+++ b/crates/guavavane_transport/tests/frames.rs
@@ -0,0 +1,121 @@
+//! Frames and calls: what is malformed is refused, and a failed call says what is proven.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+use std::time::Duration;
+
+use bolero::produce;
+
+use guavavane_model::prelude::CellId;
+use guavavane_model::prelude::IncarnationId;
+use guavavane_protocol::call::CallKind;
+use guavavane_protocol::call::FRAME_MAX_BYTES;
+use guavavane_protocol::replica::JoinReply;
+use guavavane_protocol::replica::JoinRequest;
+use guavavane_testing::for_each_value;
+use guavavane_transport::codec::check_frame;
+use guavavane_transport::codec::decode_message;
+use guavavane_transport::codec::encode_message;
+use guavavane_transport::codec::frame_message;
+use guavavane_transport::prelude::CallClient;
+use guavavane_transport::prelude::CallServer;
+use guavavane_transport::prelude::CodecError;
+use guavavane_transport::prelude::FrameIdentity;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn identity(cell: u16) -> FrameIdentity {
+    FrameIdentity {
+        cell: CellId(cell),
+        incarnation: IncarnationId(7),
+    }
+}
+
+fn join() -> JoinRequest {
+    JoinRequest {
+        replica: 3,
+        address: "127.0.0.1:9".parse().unwrap(),
+    }
+}
+
+#[test]
+fn damaged_frames_never_pass_as_another_message() {
+    let message = encode_message(&join()).unwrap();
+    let frame = frame_message(identity(1), CallKind::Join, &message).unwrap();
+    for_each_value(
+        5_000,
+        produce::<(u16, u8, bool)>(),
+        |(position, bits, cut)| {
+            let mut damaged = frame.clone();
+            let position = usize::from(*position) % damaged.len();
+            if *cut {
+                damaged.truncate(position);
+            } else {
+                damaged[position] ^= bits;
+            }
+            let checked = check_frame(identity(1), &damaged);
+            if *cut {
+                assert!(checked.is_err(), "a frame cut at {position} passed");
+            }
+            if let Ok(checked) = checked {
+                assert_eq!(checked.message.len(), message.len());
+                let _ = decode_message::<JoinRequest>(&checked.message);
+            }
+        },
+    );
+}
+
+#[test]
+fn other_cells_and_oversized_messages_are_refused() {
+    let message = encode_message(&join()).unwrap();
+    let frame = frame_message(identity(2), CallKind::Join, &message).unwrap();
+    let error = check_frame(identity(1), &frame).unwrap_err();
+    assert_eq!(error, CodecError::Cell(CellId(2)));
+    let large = vec![0; FRAME_MAX_BYTES + 1];
+    let error = frame_message(identity(1), CallKind::Join, &large).unwrap_err();
+    assert_eq!(error, CodecError::Oversized(FRAME_MAX_BYTES + 1));
+}
+
+#[test]
+fn a_call_gets_its_reply_and_a_dropped_one_is_not_proven_unseen() {
+    let server = CallServer::start("127.0.0.1:0".parse().unwrap(), identity(1), 8).unwrap();
+    let address = server.address();
+    let calls = server.calls().clone();
+    let handler = std::thread::spawn(move || {
+        let call = calls.recv().unwrap();
+        assert_eq!(call.decode::<JoinRequest>().unwrap(), join());
+        call.reply
+            .send::<JoinRequest>(&JoinReply::Accepted)
+            .unwrap();
+        drop(calls.recv().unwrap());
+    });
+    let client = CallClient::new(identity(1));
+    assert_eq!(
+        client.call(address, &join(), LIMIT),
+        Ok(JoinReply::Accepted)
+    );
+    let dropped = client.call(address, &join(), LIMIT).unwrap_err();
+    assert!(!dropped.is_unseen(), "a handler saw the call: {dropped}");
+    handler.join().unwrap();
+}
+
+#[test]
+fn a_call_of_another_cell_or_to_nobody_is_proven_unseen() {
+    let server = CallServer::start("127.0.0.1:0".parse().unwrap(), identity(1), 8).unwrap();
+    let stranger = CallClient::new(identity(2));
+    let refused = stranger.call(server.address(), &join(), LIMIT).unwrap_err();
+    assert!(refused.is_unseen(), "{refused}");
+    let address = server.address();
+    drop(server);
+    let client = CallClient::new(identity(1));
+    let mut failed = client.call(address, &join(), LIMIT).unwrap_err();
+    // The listener closes on the transport's thread, shortly after the drop.
+    for _ in 0..200 {
+        if failed.is_unseen() {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+        failed = client.call(address, &join(), LIMIT).unwrap_err();
+    }
+    assert!(failed.is_unseen(), "{failed}");
+}
