Serve a quiet poll with one read; look at all workers four times a second

Change: the lease is granted first, then one read answers a poll that says nothing new; lost attempts are called off on the finished answer. Ruled out: reading before the grant, since a worker could be closed, ended and reopened in between.

--- a/crates/guavavane_control/examples/state_slope.rs
+++ b/crates/guavavane_control/examples/state_slope.rs
@@ -154,7 +154,7 @@
     let started = Instant::now();
     let mut renewed = 0;
     for poll in &polls {
-        renewed += answer_poll(state, poll, 2_000, |_| false).renewed.len();
+        renewed += answer_poll(state, poll, 2_000).renewed.len();
     }
     let micros = started.elapsed().as_secs_f64() * 1e6 / polls.len() as f64;
     anyhow::ensure!(
--- a/crates/guavavane_control/src/orders.rs
+++ b/crates/guavavane_control/src/orders.rs
@@ -76,15 +76,7 @@
 }
 
 /// Answers a poll from a state that has the poll's observation and ends.
-///
-/// An attempt that `was_running` says an earlier poll reported, and that this one does not, has
-/// ended without a report. It is called off and not started again: it could run twice.
-pub fn answer_poll(
-    state: &ControlState,
-    poll: &WorkerPoll,
-    permit_ms: u32,
-    was_running: impl Fn(TaskAttempt) -> bool,
-) -> PollAnswer {
+pub fn answer_poll(state: &ControlState, poll: &WorkerPoll, permit_ms: u32) -> PollAnswer {
     let mut answer = PollAnswer::default();
     let Some(worker) = state.workers().get(&poll.worker) else {
         return answer;
@@ -112,8 +104,7 @@
         if reports.contains_key(&attempt) {
             context.answer_running(&mut answer);
         } else {
-            let barred = out || was_running(attempt);
-            context.answer_unreported(barred, permit_ms, &mut answer);
+            context.answer_unreported(out, permit_ms, &mut answer);
         }
     }
     for report in &poll.attempts {
@@ -124,6 +115,20 @@
     answer
 }
 
+/// Calls off the starts of attempts that an earlier poll reported as running.
+///
+/// Such an attempt has ended without a report; started again, it could run twice.
+pub fn call_off_lost(orders: &mut [WorkerOrder], was_running: impl Fn(TaskAttempt) -> bool) {
+    for order in orders {
+        if let WorkerOrder::Start { attempt, .. } = order {
+            let attempt = *attempt;
+            if was_running(attempt) {
+                *order = WorkerOrder::Stop { attempt };
+            }
+        }
+    }
+}
+
 struct HeldAttempt<'a> {
     attempt: TaskAttempt,
     record: &'a TaskRecord,
@@ -136,14 +141,14 @@
         answer.orders.extend(self.eviction_order());
     }
 
-    /// An attempt that the agent does not report is started, unless that is barred.
-    fn answer_unreported(&self, barred: bool, permit_ms: u32, answer: &mut PollAnswer) {
+    /// An attempt that the agent does not report has not started there.
+    fn answer_unreported(&self, out: bool, permit_ms: u32, answer: &mut PollAnswer) {
         // An order to end an attempt that never started makes the agent refuse its start for
         // good, and report that.
         let attempt = self.attempt;
         let order = match self.eviction_order() {
             Some(order) => order,
-            None if barred => WorkerOrder::Stop { attempt },
+            None if out => WorkerOrder::Stop { attempt },
             None => WorkerOrder::Start {
                 attempt,
                 fence: self.held.fence,
--- a/crates/guavavane_control/src/scheduler/worker_watch.rs
+++ b/crates/guavavane_control/src/scheduler/worker_watch.rs
@@ -27,10 +27,14 @@
 /// Silence after which a worker without attempts is forgotten.
 const FORGET_AFTER: Duration = Duration::from_millis(60_000);
 
+/// Time between two looks at all workers.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Workers that are silent.
 #[derive(Debug, Default)]
 pub(super) struct WorkerWatch {
     silent: IndexSet<WorkerName>,
+    followed_at: Option<BootTime>,
 }
 
 /// One worker as the watch sees it.
@@ -47,6 +51,11 @@
         now: BootTime,
         core: &mut PlacementCore,
     ) -> Result<(), RoundBreak> {
+        let followed = self.followed_at;
+        if followed.is_some_and(|at| now.saturating_since(at) < WATCH_INTERVAL) {
+            return Ok(());
+        }
+        self.followed_at = Some(now);
         let workers = context.quorum.local(watched_workers);
         let silence_limit = context.settings.poll * MISSED_POLLS;
         for worker in workers {
--- a/crates/guavavane_control/src/serve/worker.rs
+++ b/crates/guavavane_control/src/serve/worker.rs
@@ -1,10 +1,8 @@
 //! Polls of agents.
 //!
-//! A poll is served in four steps: its lease is granted, what it observes and reports is
-//! committed, the answer is built from a read that has all of it, and the leadership is checked
-//! once more before the answer leaves.
-
-use indexmap::IndexSet;
+//! A poll is served in steps: its lease is granted, what it observes and reports is committed if
+//! that is new, the answer is built from a read that has all of it, and the leadership is checked
+//! once more before the answer leaves. Most polls say nothing new and need one read.
 
 use crate::context::ArrivedSample;
 use crate::context::ControlContext;
@@ -12,15 +10,14 @@
 use crate::lease::LeaseGrant;
 use crate::lease::PollIdentity;
 use crate::orders::answer_poll;
+use crate::orders::call_off_lost;
 use crate::orders::poll_observation;
 use crate::orders::reported_ends;
 use crate::orders::PollAnswer;
 use crate::state::command::AttemptEnd;
 use crate::state::command::ControlCommand;
-use crate::state::job_record::task_attempt;
 use crate::state::ControlState;
 use guavavane_model::prelude::BootTime;
-use guavavane_protocol::poll::AttemptPhase;
 use guavavane_protocol::poll::TaskAttempt;
 use guavavane_protocol::poll::WorkerOrder;
 use guavavane_protocol::poll::WorkerOrders;
@@ -45,83 +42,74 @@
     context: &ControlContext,
     poll: &WorkerPoll,
 ) -> Result<WorkerOrders, ControlRefusal> {
-    let news = context.read(|state| poll_news(state, poll))?;
-    if news.outdated {
-        return Err(ControlRefusal::Unavailable);
-    }
-    let seen_running = grant_lease(context, poll)?;
-    commit_news(context, poll, news)?;
+    grant_lease(context, poll)?;
     let permit_ms = millis(context.settings.permit);
-    let was_running = |attempt| seen_running.contains(&attempt);
-    let answer = context.read(|state| answer_poll(state, poll, permit_ms, was_running))?;
+    let answer = match context.read(|state| look_at_poll(state, poll, permit_ms))? {
+        PollLook::Outdated => return Err(ControlRefusal::Unavailable),
+        PollLook::Known(answer) => answer,
+        PollLook::News(news) => {
+            commit_news(context, poll, news)?;
+            context.read(|state| answer_poll(state, poll, permit_ms))?
+        }
+    };
     finish_answer(context, poll, answer)
 }
 
 /// What a poll says that the state does not have.
 struct PollNews {
-    outdated: bool,
     observed: bool,
     ends: Vec<AttemptEnd>,
 }
 
-fn poll_news(state: &ControlState, poll: &WorkerPoll) -> PollNews {
-    let outdated = state
-        .workers()
-        .get(&poll.worker)
-        .is_some_and(|worker| worker.is_earlier_boot(poll.boot));
-    PollNews {
-        outdated,
+/// A first look at a poll; most say nothing new and are answered from it.
+enum PollLook {
+    /// It comes from an earlier boot of its worker.
+    Outdated,
+    /// The state has all of it.
+    Known(PollAnswer),
+    /// Something is to be committed first.
+    News(PollNews),
+}
+
+fn look_at_poll(state: &ControlState, poll: &WorkerPoll, permit_ms: u32) -> PollLook {
+    let worker = state.workers().get(&poll.worker);
+    if worker.is_some_and(|worker| worker.is_earlier_boot(poll.boot)) {
+        return PollLook::Outdated;
+    }
+    let news = PollNews {
         observed: state.workers().is_news(&poll_observation(poll)),
         ends: reported_ends(state, poll),
+    };
+    if news.observed || !news.ends.is_empty() {
+        return PollLook::News(news);
     }
+    PollLook::Known(answer_poll(state, poll, permit_ms))
 }
 
-/// Renews the worker's lease and returns the attempts that earlier polls reported as running.
-fn grant_lease(
-    context: &ControlContext,
-    poll: &WorkerPoll,
-) -> Result<IndexSet<TaskAttempt>, ControlRefusal> {
-    let held = context.read(|state| held_attempts(state, poll))?;
+/// Renews the worker's lease, before the state is read: attempts that are ended in between
+/// belong to a worker that is closed by then.
+fn grant_lease(context: &ControlContext, poll: &WorkerPoll) -> Result<(), ControlRefusal> {
     let now = context.now();
     let identity = PollIdentity {
         incarnation: poll.incarnation,
         sequence: poll.sequence,
     };
-    let grant = context.with_memory(|memory| {
-        let grant = memory.leases.grant(now, &poll.worker, identity);
-        if grant == LeaseGrant::Granted {
-            remember_reports(memory, now, poll);
-        }
-        let running = held.iter().copied();
-        let running = running.filter(|attempt| memory.running.contains_key(attempt));
-        (grant, running.collect())
-    });
+    let grant = context.with_memory(|memory| memory.leases.grant(now, &poll.worker, identity));
     match grant {
-        Some((LeaseGrant::Granted, running)) => Ok(running),
-        Some((LeaseGrant::Closed | LeaseGrant::Outdated, _)) => Err(ControlRefusal::Unavailable),
+        Some(LeaseGrant::Granted) => Ok(()),
+        Some(LeaseGrant::Closed | LeaseGrant::Outdated) => Err(ControlRefusal::Unavailable),
         None => Err(context.not_leader()),
     }
 }
 
-fn held_attempts(state: &ControlState, poll: &WorkerPoll) -> Vec<TaskAttempt> {
-    let worker = state.workers().get(&poll.worker);
-    let tasks = worker.into_iter().flat_map(|worker| worker.tasks.iter());
-    tasks
-        .filter_map(|task| Some(task_attempt(*task, state.jobs().task(*task)?)))
-        .collect()
-}
-
-fn remember_reports(memory: &mut LeaderMemory, now: BootTime, poll: &WorkerPoll) {
-    for report in &poll.attempts {
-        let runs = matches!(
-            report.phase,
-            AttemptPhase::Running | AttemptPhase::Checkpointed
-        );
-        if runs {
-            memory.running.entry(report.attempt).or_insert(now);
-        } else {
-            memory.running.swap_remove(&report.attempt);
-        }
+fn remember_reports(
+    memory: &mut LeaderMemory,
+    now: BootTime,
+    poll: &WorkerPoll,
+    renewed: &[TaskAttempt],
+) {
+    for attempt in renewed {
+        memory.running.entry(*attempt).or_insert(now);
     }
     let room = SAMPLES_MAX.saturating_sub(memory.samples.len());
     let samples = poll.usage.iter().take(room).map(|report| ArrivedSample {
@@ -159,8 +147,13 @@
     answer: PollAnswer,
 ) -> Result<WorkerOrders, ControlRefusal> {
     let now = context.now();
+    let mut answer = answer;
     let parts = context.with_memory(|memory| {
         let entries = memory.entries.directory(now, poll.entries_digest);
+        call_off_lost(&mut answer.orders, |attempt| {
+            memory.running.contains_key(&attempt)
+        });
+        remember_reports(memory, now, poll, &answer.renewed);
         let throttles = throttle_orders(memory, &answer);
         (entries, throttles)
     });
--- a/crates/guavavane_control/tests/lease_protocol.rs
+++ b/crates/guavavane_control/tests/lease_protocol.rs
@@ -25,6 +25,7 @@
 use guavavane_control::lease::LeaseTable;
 use guavavane_control::lease::PollIdentity;
 use guavavane_control::orders::answer_poll;
+use guavavane_control::orders::call_off_lost;
 use guavavane_control::orders::reported_ends;
 use guavavane_control::orders::PollAnswer;
 use guavavane_control::state::command::ControlCommand;
@@ -214,7 +215,7 @@
         self.workers[index].answers.push(SentPoll {
             sent: self.now,
             sequence: poll.sequence,
-            answer: answer_poll(&self.state, &poll, permit, |_| false),
+            answer: answer_poll(&self.state, &poll, permit),
         });
     }
 
@@ -420,10 +421,11 @@
 fn an_attempt_that_a_worker_lost_is_not_started_again() {
     let mut cell = CellModel::new();
     place(&mut cell.state, TaskId(1), 0);
-    let fresh = answer_poll(&cell.state, &poll_of(Vec::new()), 200, |_| false);
-    assert!(matches!(fresh.orders[..], [WorkerOrder::Start { .. }]));
-    let lost = answer_poll(&cell.state, &poll_of(Vec::new()), 200, |_| true);
-    assert!(matches!(lost.orders[..], [WorkerOrder::Stop { .. }]));
+    let mut orders = answer_poll(&cell.state, &poll_of(Vec::new()), 200).orders;
+    call_off_lost(&mut orders, |_| false);
+    assert!(matches!(orders[..], [WorkerOrder::Start { .. }]));
+    call_off_lost(&mut orders, |_| true);
+    assert!(matches!(orders[..], [WorkerOrder::Stop { .. }]));
 }
 
 #[test]
--- a/examples/request_probe.rs
+++ b/examples/request_probe.rs
@@ -44,7 +44,10 @@
 const LATENCY_SERVICE_MS: u64 = 5;
 
 /// Time of a request on its endpoint under overload.
-const OVERLOAD_SERVICE_MS: u64 = 50;
+const OVERLOAD_SERVICE_MS: u64 = 200;
+
+/// Endpoints that the document declares.
+const ENDPOINTS: usize = 11;
 
 /// Workers under overload.
 const OVERLOAD_WORKERS: usize = 3;
@@ -119,7 +122,7 @@
 
 fn overload(programs: &Path) -> anyhow::Result<()> {
     let mut cluster = cell(programs, OVERLOAD_WORKERS, OVERLOAD_SERVICE_MS)?;
-    let slots = OVERLOAD_WORKERS as f64 * f64::from(SLOTS);
+    let slots = ENDPOINTS as f64 * f64::from(SLOTS);
     let capacity = slots * 1_000.0 / OVERLOAD_SERVICE_MS as f64;
     for factor in OVERLOAD_FACTORS {
         let callers = CallerSettings {
