Commit the scheduler's own changes through one function; test the directory of entries

Cause: three modules of the scheduler had the same function, and the rule that a new leader gives agents no directory before all entries could poll had no test. Ruled out: leaving the tests for later; an incomplete directory silences agents towards live entries.

--- a/crates/guavavane_control/src/scheduler/claim_retention.rs
+++ b/crates/guavavane_control/src/scheduler/claim_retention.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::context::ControlContext;
+use crate::scheduler::commit_change;
 use crate::scheduler::RoundBreak;
 use crate::state::command::ControlCommand;
 use guavavane_model::prelude::BootTime;
@@ -46,10 +47,7 @@
             }
         }
         match self.pop_ended(now, context.settings.claim_retention) {
-            Some(through) => context
-                .propose(ControlCommand::DropClaims { through })
-                .map(drop)
-                .map_err(|_| RoundBreak::Rebuild),
+            Some(through) => commit_change(context, ControlCommand::DropClaims { through }),
             None => Ok(()),
         }
     }
--- a/crates/guavavane_control/src/scheduler/mod.rs
+++ b/crates/guavavane_control/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 use crate::scheduler::worker_watch::WorkerWatch;
 use crate::state::change::FeedCursor;
 use crate::state::change::FeedRead;
+use crate::state::command::ControlCommand;
 use guavavane_daemon::prelude::draw_incarnation;
 use guavavane_daemon::prelude::ShutdownSignal;
 use guavavane_model::prelude::BootTime;
@@ -48,6 +49,14 @@
     retention: ClaimRetention,
 }
 
+/// Commits a change of the scheduler's own; if that fails, its view may be wrong.
+fn commit_change(context: &ControlContext, command: ControlCommand) -> Result<(), RoundBreak> {
+    context
+        .propose(command)
+        .map(drop)
+        .map_err(|_| RoundBreak::Rebuild)
+}
+
 /// The policy's settings: work first, and a data centre that is out empties within seconds.
 fn policy_settings() -> PlacementSettings {
     PlacementSettings {
--- a/crates/guavavane_control/src/scheduler/propose.rs
+++ b/crates/guavavane_control/src/scheduler/propose.rs
@@ -9,6 +9,7 @@
 use crate::state::command::EvictionCause;
 use crate::state::command::TaskEviction;
 use crate::state::command::TaskPlacement;
+use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::TaskId;
 use guavavane_placement::prelude as placement;
@@ -110,7 +111,7 @@
     }
 }
 
-fn task_attempt(task: TaskId, attempt: guavavane_model::prelude::AttemptNumber) -> TaskAttempt {
+fn task_attempt(task: TaskId, attempt: AttemptNumber) -> TaskAttempt {
     TaskAttempt { task, attempt }
 }
 
--- a/crates/guavavane_control/src/scheduler/replacement.rs
+++ b/crates/guavavane_control/src/scheduler/replacement.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexSet;
 
 use crate::context::ControlContext;
+use crate::scheduler::commit_change;
 use crate::scheduler::feed::running_for;
 use crate::scheduler::spread::crowded_attempts;
 use crate::scheduler::RoundBreak;
@@ -100,7 +101,7 @@
         self.spread_at = Some(now);
         for attempt in context.quorum.local(crowded_attempts) {
             tracing::info!(event = "task_replaced", task = %attempt.task, reason = "shared-worker");
-            propose(context, ControlCommand::ReplaceTask(attempt))?;
+            commit_change(context, ControlCommand::ReplaceTask(attempt))?;
             self.expect_successor(now, attempt);
         }
         Ok(())
@@ -124,7 +125,7 @@
                         attempt,
                         cause: EvictionCause::Replaced,
                     };
-                    propose(context, ControlCommand::EvictTask(eviction))?;
+                    commit_change(context, ControlCommand::EvictTask(eviction))?;
                     self.replaced.swap_remove(&attempt);
                 }
             }
@@ -164,7 +165,7 @@
                 NextOutdated::Busy => {}
                 NextOutdated::Task(attempt) => {
                     tracing::info!(event = "task_replaced", task = %attempt.task, %job, reason = "spec-changed");
-                    propose(context, ControlCommand::ReplaceTask(attempt))?;
+                    commit_change(context, ControlCommand::ReplaceTask(attempt))?;
                     self.expect_successor(now, attempt);
                 }
             }
@@ -239,10 +240,3 @@
         .commitment()
         .and_then(|held: &TaskCommitment| held.successor)
 }
-
-fn propose(context: &ControlContext, command: ControlCommand) -> Result<(), RoundBreak> {
-    context
-        .propose(command)
-        .map(drop)
-        .map_err(|_| RoundBreak::Rebuild)
-}
--- a/crates/guavavane_control/src/scheduler/worker_watch.rs
+++ b/crates/guavavane_control/src/scheduler/worker_watch.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexSet;
 
 use crate::context::ControlContext;
+use crate::scheduler::commit_change;
 use crate::scheduler::RoundBreak;
 use crate::state::command::AttemptEnd;
 use crate::state::command::ControlCommand;
@@ -101,7 +102,7 @@
     }
 
     fn forget(&mut self, context: &ControlContext, name: &WorkerName) -> Result<(), RoundBreak> {
-        propose(context, ControlCommand::ForgetWorker(name.clone()))?;
+        commit_change(context, ControlCommand::ForgetWorker(name.clone()))?;
         self.silent.swap_remove(name);
         context.with_memory(|memory| memory.leases.forget(name));
         tracing::info!(event = "worker_forgotten", worker = %name);
@@ -161,14 +162,7 @@
             task = %end.attempt.task,
             attempt = %end.attempt.attempt,
         );
-        propose(context, ControlCommand::EndAttempt(end))?;
+        commit_change(context, ControlCommand::EndAttempt(end))?;
     }
     Ok(())
 }
-
-fn propose(context: &ControlContext, command: ControlCommand) -> Result<(), RoundBreak> {
-    context
-        .propose(command)
-        .map(drop)
-        .map_err(|_| RoundBreak::Rebuild)
-}
--- /dev/null
+++ b/crates/guavavane_control/tests/entry_registry.rs
@@ -0,0 +1,69 @@
+//! The directory of entries: nothing too early, expiry, leaving, and no repeats.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+use std::time::Duration;
+
+use guavavane_control::entry_registry::EntryRegistry;
+use guavavane_model::prelude::BootTime;
+use guavavane_model::prelude::IncarnationId;
+use guavavane_protocol::poll::EntryPoll;
+
+const EXPIRY_MS: u64 = 3_000;
+
+fn moment(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+fn poll(port: u16, leaving: bool) -> EntryPoll {
+    EntryPoll {
+        address: format!("127.0.0.1:{port}").parse().unwrap(),
+        incarnation: IncarnationId(1),
+        documents: Vec::new(),
+        leaving,
+    }
+}
+
+fn ports(registry: &mut EntryRegistry, millis: u64) -> Vec<u16> {
+    let directory = registry.directory(moment(millis), 0).unwrap();
+    directory
+        .addresses
+        .iter()
+        .map(|address| address.port())
+        .collect()
+}
+
+#[test]
+fn a_new_leader_gives_no_directory_before_all_entries_could_poll() {
+    let mut registry = EntryRegistry::new(moment(0), Duration::from_millis(EXPIRY_MS));
+    registry.observe(moment(10), &poll(1, false));
+    assert!(registry.directory(moment(EXPIRY_MS - 1), 0).is_none());
+    registry.observe(moment(EXPIRY_MS), &poll(2, false));
+    assert_eq!(ports(&mut registry, EXPIRY_MS), [1, 2]);
+}
+
+#[test]
+fn entries_that_leave_or_fall_silent_are_dropped() {
+    let mut registry = EntryRegistry::new(moment(0), Duration::from_millis(EXPIRY_MS));
+    for port in [1, 2, 3] {
+        registry.observe(moment(4_000), &poll(port, false));
+    }
+    registry.observe(moment(5_000), &poll(1, true));
+    assert_eq!(ports(&mut registry, 5_000), [2, 3]);
+    registry.observe(moment(6_000), &poll(3, false));
+    assert_eq!(ports(&mut registry, 4_001 + EXPIRY_MS), [3]);
+}
+
+#[test]
+fn a_directory_that_the_agent_has_is_not_sent_again() {
+    let mut registry = EntryRegistry::new(moment(0), Duration::from_millis(EXPIRY_MS));
+    registry.observe(moment(4_000), &poll(1, false));
+    let directory = registry.directory(moment(4_000), 0).unwrap();
+    assert!(registry
+        .directory(moment(4_001), directory.digest)
+        .is_none());
+    registry.observe(moment(4_002), &poll(2, false));
+    assert!(registry
+        .directory(moment(4_003), directory.digest)
+        .is_some());
+}
