Describe an open task to the policy in one place

Cause: a restore at an election and a submission repeated the same check that a task has not ended and the same look-up of its job. Ruled out: joining the number types of the model and of the log, and the threads that daemons start; they are alike in shape, not in meaning.

--- a/crates/guavavane_control/src/scheduler/feed.rs
+++ b/crates/guavavane_control/src/scheduler/feed.rs
@@ -165,12 +165,8 @@
     task: TaskId,
     record: &TaskRecord,
 ) -> Option<PlacementEvent> {
-    if record.has_ended() {
-        return None;
-    }
-    let job = state.jobs().job(record.job)?;
     Some(PlacementEvent::TaskRestored(placement::TaskRestore {
-        record: policy_task(task, record, job),
+        record: open_task(state, task, record)?,
         placements: task_placement(task, record).into_iter().collect(),
     }))
 }
@@ -180,13 +176,20 @@
     task: TaskId,
     record: &TaskRecord,
 ) -> Option<PlacementEvent> {
+    open_task(state, task, record).map(PlacementEvent::TaskSubmitted)
+}
+
+/// The task as the policy knows it, unless it has ended.
+fn open_task(
+    state: &ControlState,
+    task: TaskId,
+    record: &TaskRecord,
+) -> Option<placement::TaskRecord> {
     if record.has_ended() {
         return None;
     }
     let job = state.jobs().job(record.job)?;
-    Some(PlacementEvent::TaskSubmitted(policy_task(
-        task, record, job,
-    )))
+    Some(policy_task(task, record, job))
 }
 
 fn policy_task(task: TaskId, record: &TaskRecord, job: &JobRecord) -> placement::TaskRecord {
