--- /dev/null
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -0,0 +1,74 @@
+//! Leases as an agent sees them: its own, and that of its worker.
+
+use std::time::Duration;
+
+use crate::timing::LeaseTiming;
+use guavavane_model::prelude::BootTime;
+
+/// Least part of a lease that is worth a call.
+const LEASE_LEAST: Duration = Duration::from_millis(200);
+
+/// The leader's lease, the worker's clock and the worker's lease.
+#[derive(Clone, Debug)]
+pub(super) struct LeaseState {
+    timing: LeaseTiming,
+    /// Until when the leader's grant holds.
+    granted_until: BootTime,
+    /// Latest reading of the worker's clock, with the moment of its arrival.
+    clock: Option<(BootTime, u64)>,
+    /// When everything on the worker has surely lapsed.
+    lapsed_at: BootTime,
+}
+
+impl LeaseState {
+    pub(super) fn new(timing: LeaseTiming) -> Self {
+        Self {
+            timing,
+            granted_until: BootTime::default(),
+            clock: None,
+            lapsed_at: BootTime::default(),
+        }
+    }
+
+    /// The leader answered a ping that was sent at `sent_at`.
+    pub(super) fn grant(&mut self, sent_at: BootTime) {
+        let until = sent_at + self.timing.agent_lease;
+        self.granted_until = self.granted_until.max(until);
+    }
+
+    /// Whether the grant holds at `now`.
+    pub(super) fn is_granted(&self, now: BootTime) -> bool {
+        now < self.granted_until
+    }
+
+    /// Another incarnation speaks: its clock starts anew.
+    pub(super) fn forget_clock(&mut self) {
+        self.clock = None;
+        self.lapsed_at = BootTime::default();
+    }
+
+    /// The worker's clock, as it arrived at `now`.
+    pub(super) fn note_clock(&mut self, now: BootTime, clock_ms: u64) {
+        self.clock = Some((now, clock_ms));
+    }
+
+    /// The deadline to give at `now`, on the worker's clock, within the leader's grant.
+    pub(super) fn next_deadline(&mut self, now: BootTime) -> Option<u64> {
+        let (read_at, clock_ms) = self.clock?;
+        let granted = self.granted_until.saturating_since(now);
+        let lease = self.timing.worker_lease.min(granted);
+        if lease < LEASE_LEAST {
+            return None;
+        }
+        let passed = now.saturating_since(read_at);
+        let ahead = u64::try_from((passed + lease).as_millis()).ok()?;
+        let over = now + self.timing.surely_over(passed + lease);
+        self.lapsed_at = self.lapsed_at.max(over);
+        Some(clock_ms + ahead)
+    }
+
+    /// Whether everything on the worker has surely lapsed at `now`.
+    pub(super) fn is_lapsed(&self, now: BootTime) -> bool {
+        now > self.lapsed_at
+    }
+}
--- /dev/null
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -0,0 +1,134 @@
+//! The worker that an agent speaks for.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::port::RunRow;
+use guavavane_jobs::plan::pace::PaceControl;
+use guavavane_jobs::plan::pace::PaceRole;
+use guavavane_jobs::plan::pace::PacedTask;
+use guavavane_jobs::prelude::RunEnd;
+use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::TaskKey;
+use guavavane_jobs::prelude::WorkerFacts;
+use guavavane_jobs::prelude::WorkerKey;
+
+/// What the agent knows of a run besides what the worker lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct RunTraits {
+    pub(super) latency_target_ms: Option<u64>,
+    pub(super) filling: bool,
+}
+
+/// One incarnation of the worker.
+#[derive(Debug)]
+pub(super) struct LocalWorker {
+    pub(super) key: WorkerKey,
+    pub(super) facts: WorkerFacts,
+    pub(super) draining: bool,
+    pub(super) sequence: u64,
+    /// Highest end that the leader has noted.
+    pub(super) noted_end: u64,
+    /// Highest end that was passed to the leader in this session.
+    pub(super) passed_end: u64,
+    /// Ends that are not noted.
+    pub(super) ends: Vec<RunEnd>,
+    pub(super) running: Vec<RunRow>,
+    /// Whether `running` and `ends` come from the worker.
+    pub(super) listed: bool,
+    pub(super) traits: IndexMap<(TaskKey, RunNumber), RunTraits>,
+    pub(super) saved: IndexMap<TaskKey, Arc<str>>,
+    pub(super) pace: PaceControl,
+}
+
+impl LocalWorker {
+    pub(super) fn new(key: WorkerKey, facts: WorkerFacts) -> Self {
+        Self {
+            key,
+            facts,
+            draining: false,
+            sequence: 0,
+            noted_end: 0,
+            passed_end: 0,
+            ends: Vec::new(),
+            running: Vec::new(),
+            listed: false,
+            traits: IndexMap::new(),
+            saved: IndexMap::new(),
+            pace: PaceControl::default(),
+        }
+    }
+
+    pub(super) fn is_running(&self, task: TaskKey, run: RunNumber) -> bool {
+        self.running.iter().any(|row| row.task == task && row.run == run)
+    }
+
+    pub(super) fn has_ended(&self, task: TaskKey, run: RunNumber) -> bool {
+        self.ends.iter().any(|end| end.task == task && end.run == run)
+    }
+
+    /// Takes a fresh list and returns the ends that are new.
+    pub(super) fn take_lists(&mut self, running: Vec<RunRow>, ends: Vec<RunEnd>) -> Vec<RunEnd> {
+        self.running = running;
+        let noted = self.noted_end;
+        self.ends = ends.into_iter().filter(|end| end.number > noted).collect();
+        self.listed = true;
+        let passed = self.passed_end;
+        let fresh: Vec<RunEnd> = self
+            .ends
+            .iter()
+            .filter(|end| end.number > passed)
+            .cloned()
+            .collect();
+        self.passed_end = fresh.last().map_or(passed, |end| end.number);
+        let running = &self.running;
+        let is_there = |key: &(TaskKey, RunNumber)| {
+            running.iter().any(|row| row.task == key.0 && row.run == key.1)
+        };
+        if self.traits.len() > 2 * running.len() + 16 {
+            self.traits.retain(|key, _| is_there(key));
+        }
+        fresh
+    }
+
+    /// Progress that changed since the last call.
+    pub(super) fn fresh_progress(&mut self) -> Vec<(TaskKey, Arc<str>)> {
+        let mut fresh = Vec::new();
+        let mut current = IndexMap::new();
+        for row in self.running.iter().filter(|row| !row.saved.is_empty()) {
+            if self.saved.get(&row.task) != Some(&row.saved) {
+                fresh.push((row.task, Arc::clone(&row.saved)));
+            }
+            current.insert(row.task, Arc::clone(&row.saved));
+        }
+        self.saved = current;
+        fresh
+    }
+
+    /// Pace orders that the latest list calls for.
+    pub(super) fn pace_orders(&mut self) -> Vec<(TaskKey, RunNumber, u32)> {
+        let tasks: Vec<PacedTask> = self.running.iter().map(|row| self.paced(row)).collect();
+        self.pace.observe(&tasks)
+    }
+
+    fn paced(&self, row: &RunRow) -> PacedTask {
+        let traits = self.traits.get(&(row.task, row.run));
+        let role = match traits {
+            Some(RunTraits {
+                latency_target_ms: Some(target_ms),
+                ..
+            }) => PaceRole::Serving {
+                tail_ms: row.figure,
+                target_ms: *target_ms,
+            },
+            Some(RunTraits { filling: true, .. }) => PaceRole::Filling,
+            _ => PaceRole::Other,
+        };
+        PacedTask {
+            task: row.task,
+            run: row.run,
+            role,
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavavane_cell/src/control/memory.rs
@@ -0,0 +1,122 @@
+//! What only the leader knows; it starts anew with each term.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::session::LeaderSession;
+use super::session::SessionId;
+use super::session::SessionRole;
+use crate::timing::LeaseTiming;
+use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::plan::room::WorkerOutlook;
+use guavavane_jobs::plan::round::RoundInput;
+use guavavane_jobs::prelude::JobKey;
+use guavavane_jobs::prelude::JobLedger;
+use guavavane_jobs::prelude::JobPhase;
+use guavavane_jobs::prelude::RunEnd;
+use guavavane_jobs::prelude::RunEnding;
+use guavavane_jobs::prelude::TaskKey;
+use guavavane_model::prelude::BootTime;
+
+/// What the leader knows of a worker.
+#[derive(Clone, Debug)]
+pub(super) struct WorkerMemory {
+    /// Session of its agent, if the agent has reported it on one.
+    pub(super) session: Option<SessionId>,
+    /// Whether it takes no new work.
+    pub(super) draining: bool,
+    /// When everything on it has surely lapsed, if its agent stays silent.
+    pub(super) lapses_at: BootTime,
+    /// Failed runs since the last that was done.
+    pub(super) failures_in_row: u32,
+}
+
+/// Memory of one term.
+#[derive(Debug)]
+pub(super) struct LeaderMemory {
+    pub(super) term: u64,
+    pub(super) sessions: IndexMap<SessionId, LeaderSession>,
+    pub(super) workers: IndexMap<WorkerIndex, WorkerMemory>,
+    /// Latest progress that agents reported.
+    pub(super) saved: IndexMap<TaskKey, Arc<str>>,
+    /// When jobs were seen to have ended.
+    pub(super) ended_at: IndexMap<JobKey, BootTime>,
+    /// Whether starts are proposed and not committed.
+    pub(super) placing: bool,
+    /// Whether something has changed since the latest round of placement began.
+    pub(super) place_again: bool,
+}
+
+impl LeaderMemory {
+    pub(super) fn new(term: u64, now: BootTime, ledger: &JobLedger, timing: &LeaseTiming) -> Self {
+        let ended = ledger.jobs().filter(|(_, job)| job.phase != JobPhase::Active);
+        let ended_at = ended.map(|(key, _)| (key, now)).collect();
+        let lapses_at = now + timing.surely_over(timing.agent_lease);
+        let workers = ledger.workers().map(|(index, _)| {
+            // An earlier leader may have granted a lease just before it lost its own.
+            let memory = WorkerMemory {
+                session: None,
+                draining: false,
+                lapses_at,
+                failures_in_row: 0,
+            };
+            (index, memory)
+        });
+        Self {
+            term,
+            sessions: IndexMap::new(),
+            workers: workers.collect(),
+            saved: IndexMap::new(),
+            ended_at,
+            placing: false,
+            place_again: false,
+        }
+    }
+
+    /// The worker that a session's agent speaks for.
+    pub(super) fn session_worker(&self, id: SessionId) -> Option<WorkerIndex> {
+        match &self.sessions.get(&id)?.role {
+            SessionRole::Agent { worker, .. } => *worker,
+            SessionRole::Entry => None,
+        }
+    }
+
+    /// The session of a worker's agent.
+    pub(super) fn worker_session(&self, index: WorkerIndex) -> Option<&LeaderSession> {
+        let session = self.workers.get(&index)?.session?;
+        self.sessions.get(&session)
+    }
+
+    /// What placement has to know of a worker.
+    pub(super) fn outlook(&self, index: WorkerIndex) -> WorkerOutlook {
+        let Some(worker) = self.workers.get(&index) else {
+            return WorkerOutlook::default();
+        };
+        WorkerOutlook {
+            usable: worker.session.is_some() && !worker.draining,
+            failures_in_row: worker.failures_in_row,
+        }
+    }
+
+    /// Learns from ends that were noted.
+    pub(super) fn learn_ends(&mut self, index: WorkerIndex, ends: &[RunEnd]) {
+        for end in ends {
+            self.saved.swap_remove(&end.task);
+            let Some(worker) = self.workers.get_mut(&index) else {
+                continue;
+            };
+            match end.ending {
+                RunEnding::Failed => worker.failures_in_row += 1,
+                RunEnding::Done => worker.failures_in_row = 0,
+                _ => {}
+            }
+        }
+    }
+}
+
+impl RoundInput for LeaderMemory {
+    fn saved(&self, task: TaskKey) -> Option<Arc<str>> {
+        self.saved.get(&task).cloned()
+    }
+}
--- /dev/null
+++ b/crates/guavavane_cell/src/control/operator.rs
@@ -0,0 +1,87 @@
+//! Operators' calls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+
+use super::commit::CommitPurpose;
+use super::engine::ControlEngine;
+use super::OperatorReply;
+use guavavane_jobs::prelude::LedgerCommand;
+use guavavane_jobs::prelude::QueueCatalog;
+
+/// What an operator asks for.
+#[derive(Clone, Debug)]
+pub(super) enum OperatorCall {
+    PutCatalog {
+        catalog: Box<QueueCatalog>,
+        text: Arc<str>,
+    },
+    ReadCatalog,
+    SetExcluded {
+        data_centre: Arc<str>,
+        excluded: bool,
+    },
+}
+
+/// Where the reply goes.
+pub(super) type OperatorReceiver = oneshot::Sender<OperatorReply>;
+
+impl ControlEngine {
+    /// Where a caller should go instead.
+    fn elsewhere(&self) -> OperatorReply {
+        let leader: Option<SocketAddr> = self.known_leader();
+        leader.map_or(OperatorReply::Unavailable, OperatorReply::Redirect)
+    }
+
+    pub(super) fn serve_operator(&mut self, call: OperatorCall, receiver: OperatorReceiver) {
+        if self.memory.is_none() {
+            return answer(receiver, self.elsewhere());
+        }
+        match call {
+            OperatorCall::ReadCatalog => {
+                let text = self.quorum.local(|ledger| Arc::clone(ledger.catalog_text()));
+                let reply = if text.is_empty() {
+                    OperatorReply::Unavailable
+                } else {
+                    OperatorReply::Catalog(text)
+                };
+                answer(receiver, reply);
+            }
+            OperatorCall::PutCatalog { catalog, text } => {
+                let held = self.quorum.local(|ledger| {
+                    (!ledger.catalog_text().is_empty()).then_some(ledger.catalog().version)
+                });
+                tracing::info!(event = "catalog_offered", version = catalog.version, ?held);
+                if held.is_some_and(|held| catalog.version <= held) {
+                    return answer(receiver, OperatorReply::Done);
+                }
+                let catalog = *catalog;
+                let command = LedgerCommand::PutCatalog { catalog, text };
+                self.propose(command, CommitPurpose::Operator(receiver));
+            }
+            OperatorCall::SetExcluded {
+                data_centre,
+                excluded,
+            } => {
+                tracing::info!(event = "data_centre_order", %data_centre, excluded);
+                let held = self.quorum.local(|ledger| ledger.is_excluded(&data_centre));
+                if held == excluded {
+                    return answer(receiver, OperatorReply::Done);
+                }
+                let command = LedgerCommand::SetExcluded {
+                    data_centre,
+                    excluded,
+                };
+                self.propose(command, CommitPurpose::Operator(receiver));
+            }
+        }
+    }
+}
+
+/// Sends a reply.
+pub(super) fn answer(receiver: OperatorReceiver, reply: OperatorReply) {
+    // The operator has gone away.
+    let _ = receiver.send(reply);
+}
--- /dev/null
+++ b/crates/guavavane_cell/src/control/peer.rs
@@ -0,0 +1,101 @@
+//! Carries the replica's messages to other replicas.
+//!
+//! Each peer has a task with a stream of its own. A stream that does not answer pings is
+//! replaced, since a connection may fall silent without an end. Messages that find no stream
+//! are dropped: the log repeats what gets lost.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+use indexmap::IndexMap;
+use tokio::time::timeout;
+
+use crate::message::FromControl;
+use crate::message::ToControl;
+use guavavane_model::prelude::BootClock;
+use guavavane_quorum::prelude::OutgoingMessage;
+use guavavane_quorum::prelude::PeerMessage;
+use guavavane_transport::prelude::open_stream;
+use guavavane_transport::prelude::StreamReceiver;
+use guavavane_transport::prelude::StreamSender;
+
+/// Messages that may wait for a peer's stream.
+const PEER_MESSAGES: usize = 1_024;
+/// Longest wait for a connection.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between two pings.
+const PING_INTERVAL: Duration = Duration::from_millis(200);
+/// Silence after which a stream is replaced; shorter than an election.
+const SILENCE_MAX: Duration = Duration::from_millis(600);
+
+/// Hands each message to the task of its peer, until the replica stops.
+pub(super) async fn send_messages(outgoing: Receiver<OutgoingMessage>) {
+    let mut peers: IndexMap<SocketAddr, Sender<PeerMessage>> = IndexMap::new();
+    while let Ok(message) = outgoing.recv_async().await {
+        let queue = peers.entry(message.address).or_insert_with(|| {
+            let (sender, queue) = flume::bounded(PEER_MESSAGES);
+            tokio::spawn(serve_peer(message.address, queue));
+            sender
+        });
+        // A full queue is a peer that can't be reached.
+        let _ = queue.try_send(message.message);
+    }
+}
+
+async fn serve_peer(peer: SocketAddr, queue: Receiver<PeerMessage>) {
+    while let Ok(first) = queue.recv_async().await {
+        match open_stream(peer, OPEN_TIMEOUT).await {
+            Ok((sender, receiver)) => {
+                tracing::info!(event = "peer_connected", %peer);
+                sender.send(ToControl::Peer(Box::new(first)));
+                serve_stream(peer, &queue, &sender, receiver).await;
+            }
+            Err(error) => {
+                tracing::debug!(event = "peer_unreachable", %peer, %error);
+                queue.drain();
+            }
+        }
+    }
+}
+
+async fn serve_stream(
+    peer: SocketAddr,
+    queue: &Receiver<PeerMessage>,
+    sender: &StreamSender<ToControl>,
+    mut receiver: StreamReceiver<FromControl>,
+) {
+    let mut heard_at = BootClock.now();
+    let mut pinged_at = heard_at;
+    loop {
+        let now = BootClock.now();
+        if now.saturating_since(pinged_at) >= PING_INTERVAL {
+            sender.send(ToControl::Ping { sent_at: now });
+            pinged_at = now;
+        }
+        if now.saturating_since(heard_at) > SILENCE_MAX {
+            tracing::warn!(event = "peer_lost", %peer, reason = "silent");
+            return;
+        }
+        tokio::select! {
+            message = queue.recv_async() => match message {
+                Ok(message) => {
+                    if !sender.send(ToControl::Peer(Box::new(message))) {
+                        tracing::warn!(event = "peer_lost", %peer, reason = "closed");
+                        return;
+                    }
+                }
+                Err(_) => return,
+            },
+            heard = timeout(PING_INTERVAL, receiver.receive()) => match heard {
+                Ok(Some(_)) => heard_at = BootClock.now(),
+                Ok(None) => {
+                    tracing::warn!(event = "peer_lost", %peer, reason = "closed");
+                    return;
+                }
+                Err(_) => {}
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavavane_cell/src/control/replica.rs
@@ -0,0 +1,150 @@
+//! Founding, joining and starting a replica.
+//!
+//! The seeds of the first start are the first voters; each derives the same identities from
+//! their addresses. Any other replica, and one whose folder was lost, draws a new identity
+//! and joins as a learner, so that it never votes on what it has forgotten.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+use tokio::time::sleep;
+
+use super::ControlSettings;
+use crate::message::FromControl;
+use crate::message::ToControl;
+use guavavane_jobs::prelude::JobLedger;
+use guavavane_model::prelude::CellId;
+use guavavane_quorum::prelude::init_cluster;
+use guavavane_quorum::prelude::init_learner;
+use guavavane_quorum::prelude::CheckedSettings;
+use guavavane_quorum::prelude::LocalFolder;
+use guavavane_quorum::prelude::MemberRole;
+use guavavane_quorum::prelude::MemberSet;
+use guavavane_quorum::prelude::OutgoingMessage;
+use guavavane_quorum::prelude::PeerMessage;
+use guavavane_quorum::prelude::QuorumHandle;
+use guavavane_quorum::prelude::QuorumPlugin;
+use guavavane_quorum::prelude::QuorumSettings;
+use guavavane_quorum::prelude::ReplicaId;
+use guavavane_quorum::prelude::ReplicaMember;
+use guavavane_quorum::storage::read_identity;
+use guavavane_quorum::storage::StorageError;
+use guavavane_transport::prelude::open_stream;
+
+/// The one cell of these processes.
+const CELL: CellId = CellId(0);
+/// Time between two heartbeats of the leader.
+const HEARTBEAT_MS: u64 = 100;
+/// Shortest silence of a leader before an election: several heartbeats and a slow disk.
+const ELECTION_MIN_MS: u64 = 700;
+/// Longest silence of a leader before an election.
+const ELECTION_MAX_MS: u64 = 1_200;
+/// Leader's lease, shorter than any election.
+const LEASE_MS: u64 = 500;
+/// Silence after which a voter is replaced, if there is a replacement.
+const REMOVAL_MS: u64 = 2_500;
+/// Applied entries after which a snapshot is taken.
+const SNAPSHOT_ENTRIES: u64 = 4_000;
+/// Size of the log after which a snapshot is taken, in bytes.
+const SNAPSHOT_LOG_BYTES: u64 = 6 << 20;
+/// Size after which a log segment is closed, in bytes.
+const SEGMENT_BYTES: u64 = 2 << 20;
+/// Time between two requests to join.
+const JOIN_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait for a connection to a process that may know the leader.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+
+fn founder_id(address: SocketAddr) -> ReplicaId {
+    let ip = match address.ip() {
+        std::net::IpAddr::V4(ip) => u64::from(u32::from(ip)),
+        std::net::IpAddr::V6(ip) => u128::from(ip) as u64,
+    };
+    ReplicaId(ip << 16 | u64::from(address.port()))
+}
+
+fn ensure_identity(settings: &ControlSettings) -> anyhow::Result<()> {
+    let folder = LocalFolder::open(&settings.data)?;
+    match read_identity(&folder) {
+        Ok(_) => return Ok(()),
+        Err(StorageError::NoIdentity { .. }) => {}
+        Err(error) => return Err(error.into()),
+    }
+    if settings.founding && settings.seeds.contains(&settings.address) {
+        let founders = settings.seeds.iter().map(|address| ReplicaMember {
+            id: founder_id(*address),
+            address: *address,
+            role: MemberRole::Voter,
+        });
+        let members: MemberSet = founders.collect();
+        init_cluster(&folder, CELL, founder_id(settings.address), members)?;
+        tracing::info!(event = "replica_founded", replica = %founder_id(settings.address));
+        return Ok(());
+    }
+    let replica = ReplicaId::random();
+    init_learner(&folder, CELL, replica)?;
+    tracing::warn!(event = "replica_empty", %replica, action = "join_as_learner");
+    Ok(())
+}
+
+/// Starts the replica of the settings' folder.
+pub(super) fn start_replica(
+    settings: &ControlSettings,
+    inbox: Receiver<PeerMessage>,
+    outbox: Sender<OutgoingMessage>,
+) -> anyhow::Result<QuorumHandle<JobLedger>> {
+    std::fs::create_dir_all(&settings.data)?;
+    ensure_identity(settings)?;
+    let mut quorum = QuorumSettings::new(settings.address);
+    quorum.cell = CELL;
+    quorum.heartbeat_ms = HEARTBEAT_MS;
+    quorum.election_timeout_min_ms = ELECTION_MIN_MS;
+    quorum.election_timeout_max_ms = ELECTION_MAX_MS;
+    quorum.lease_ms = LEASE_MS;
+    quorum.removal_timeout_ms = REMOVAL_MS;
+    quorum.voters_wanted = settings.voters;
+    quorum.voters_min = settings.voters;
+    quorum.snapshot_entries = SNAPSHOT_ENTRIES;
+    quorum.snapshot_log_bytes = SNAPSHOT_LOG_BYTES;
+    quorum.segment_bytes = SEGMENT_BYTES;
+    let plugin = QuorumPlugin {
+        settings: CheckedSettings::try_from(quorum)?,
+        data_folder: settings.data.clone(),
+        machine: JobLedger::default(),
+    };
+    Ok(plugin.start(inbox, outbox)?)
+}
+
+/// Asks for membership whenever this replica is not a member.
+pub(super) async fn keep_membership(quorum: QuorumHandle<JobLedger>, settings: ControlSettings) {
+    loop {
+        let view = quorum.leadership();
+        if view.members.get(view.id).is_none() {
+            let known = view.members.iter().map(|member| member.address);
+            let mut peers: Vec<SocketAddr> = settings.seeds.clone();
+            peers.extend(known);
+            for peer in peers.into_iter().filter(|peer| *peer != settings.address) {
+                ask_to_join(peer, view.id, settings.address).await;
+            }
+        }
+        sleep(JOIN_INTERVAL).await;
+    }
+}
+
+/// A process that does not lead passes the request on.
+async fn ask_to_join(peer: SocketAddr, replica: ReplicaId, address: SocketAddr) {
+    let opened = open_stream::<ToControl, FromControl>(peer, JOIN_TIMEOUT).await;
+    let (sender, mut receiver) = match opened {
+        Ok(halves) => halves,
+        Err(error) => {
+            tracing::debug!(event = "join_failed", %peer, %error);
+            return;
+        }
+    };
+    sender.send(ToControl::Join { replica, address });
+    // Any answer shows that the request has arrived.
+    if let Ok(None) | Err(_) = tokio::time::timeout(JOIN_TIMEOUT, receiver.receive()).await {
+        tracing::debug!(event = "join_unanswered", %peer);
+    }
+}
--- /dev/null
+++ b/crates/guavavane_cell/src/control/stream.rs
@@ -0,0 +1,68 @@
+//! Accepts streams of other processes.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use flume::Sender;
+use tokio::net::TcpListener;
+
+use super::engine::EngineInput;
+use super::session::SessionId;
+use crate::message::FromControl;
+use crate::message::ToControl;
+use guavavane_quorum::prelude::PeerMessage;
+use guavavane_transport::prelude::accept_streams;
+use guavavane_transport::prelude::MessageStream;
+
+/// Accepts streams for ever.
+pub(super) async fn accept(
+    listener: TcpListener,
+    inbox: Sender<PeerMessage>,
+    inputs: Sender<EngineInput>,
+) {
+    let last_id = Arc::new(AtomicU64::new(0));
+    let serve = move |_, stream: MessageStream<FromControl, ToControl>| {
+        let id = SessionId(last_id.fetch_add(1, Ordering::Relaxed));
+        tokio::spawn(serve_stream(id, stream, inbox.clone(), inputs.clone()));
+    };
+    accept_streams(listener, serve).await;
+}
+
+/// Replicas' messages go to the replica's thread, all others to the engine.
+async fn serve_stream(
+    id: SessionId,
+    stream: MessageStream<FromControl, ToControl>,
+    inbox: Sender<PeerMessage>,
+    inputs: Sender<EngineInput>,
+) {
+    let (sender, mut receiver) = stream;
+    let mut in_session = false;
+    while let Some(message) = receiver.receive().await {
+        match message {
+            // A full inbox is a busy replica: the log repeats what gets lost.
+            ToControl::Peer(message) => drop(inbox.try_send(*message)),
+            ToControl::Ping { sent_at } if !in_session => {
+                let pong = FromControl::Pong {
+                    sent_at,
+                    term: 0,
+                    members: Vec::new(),
+                };
+                sender.send(pong);
+            }
+            message => {
+                in_session = true;
+                let input = EngineInput::Session {
+                    id,
+                    sender: sender.clone(),
+                    message,
+                };
+                if inputs.send(input).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+    // The engine has ended.
+    let _ = inputs.send(EngineInput::SessionClosed(id));
+}
--- /dev/null
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -0,0 +1,206 @@
+//! Workers and their agents, as the leader deals with them.
+
+use super::commit::CommitPurpose;
+use super::engine::ControlEngine;
+use super::memory::WorkerMemory;
+use super::session::SessionId;
+use super::session::SessionRole;
+use crate::message::WorkerReport;
+use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::prelude::LedgerCommand;
+use guavavane_jobs::prelude::RunEnd;
+use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::TaskKey;
+use guavavane_jobs::prelude::WorkerKey;
+use guavavane_model::prelude::BootClock;
+
+impl ControlEngine {
+    /// An agent speaks for a worker.
+    pub(super) fn take_report(&mut self, session: SessionId, report: WorkerReport) {
+        let known = self.quorum.local(|ledger| ledger.worker_index(&report.key));
+        if let Some(index) = known {
+            return self.adopt_worker(session, index, report);
+        }
+        let Some(node) = self.session_node(session) else {
+            return;
+        };
+        let command = LedgerCommand::AddWorker {
+            key: report.key.clone(),
+            node,
+            facts: report.facts.clone(),
+        };
+        let report = Box::new(report);
+        self.propose(command, CommitPurpose::AddWorker { session, report });
+    }
+
+    fn session_node(&self, session: SessionId) -> Option<std::sync::Arc<str>> {
+        match &self.memory.as_ref()?.sessions.get(&session)?.role {
+            SessionRole::Agent { node, .. } => Some(node.clone()),
+            SessionRole::Entry => None,
+        }
+    }
+
+    /// Takes over a worker that the ledger knows, and brings both in line.
+    pub(super) fn adopt_worker(
+        &mut self,
+        session: SessionId,
+        index: WorkerIndex,
+        report: WorkerReport,
+    ) {
+        let now = BootClock.now();
+        let lease = self.settings.timing.agent_lease;
+        let lapses_at = now + self.settings.timing.surely_over(lease);
+        let Some(memory) = &mut self.memory else {
+            return;
+        };
+        let Some(open) = memory.sessions.get_mut(&session) else {
+            return;
+        };
+        if let SessionRole::Agent { worker, .. } = &mut open.role {
+            *worker = Some(index);
+        }
+        let entry = memory.workers.entry(index).or_insert(WorkerMemory {
+            session: None,
+            draining: false,
+            lapses_at,
+            failures_in_row: 0,
+        });
+        entry.session = Some(session);
+        entry.draining = report.draining;
+        entry.lapses_at = entry.lapses_at.max(lapses_at);
+        tracing::info!(event = "worker_adopted", worker = %report.key, index = index.0, draining = report.draining, running = report.running.len());
+        self.drop_predecessors(index);
+        self.match_runs(index, &report);
+        self.take_ends(&report.key, report.ends);
+        self.place();
+    }
+
+    /// Earlier incarnations on the same VM are gone.
+    fn drop_predecessors(&mut self, index: WorkerIndex) {
+        let earlier: Vec<WorkerIndex> = self.quorum.local(|ledger| {
+            let Some(node) = ledger.worker(index).map(|worker| worker.node.clone()) else {
+                return Vec::new();
+            };
+            let same = ledger
+                .workers()
+                .filter(|(other, worker)| *other != index && worker.node == node);
+            same.map(|(other, _)| other).collect()
+        });
+        for worker in earlier {
+            self.lose_worker(worker, true, "replaced");
+        }
+    }
+
+    /// Orders what the ledger has and the worker lacks, and stops what it should not have.
+    fn match_runs(&self, index: WorkerIndex, report: &WorkerReport) {
+        let recorded: Vec<(TaskKey, RunNumber)> = self.quorum.local(|ledger| {
+            let runs = ledger.worker(index).map(|worker| &worker.runs);
+            let runs = runs.into_iter().flatten();
+            runs.map(|(task, record)| (*task, record.run)).collect()
+        });
+        let ended = |id: &(TaskKey, RunNumber)| {
+            report.ends.iter().any(|end| (end.task, end.run) == *id)
+        };
+        for id in recorded.iter().filter(|id| !ended(id)) {
+            let (task, run) = *id;
+            let there = report.running.contains(id);
+            let wanted = self.quorum.local(|ledger| ledger.is_wanted(task, run, index));
+            if !there && wanted && !self.takes_starts(index) {
+                self.order_stop(index, task, run);
+            } else if there != wanted || !wanted {
+                self.order_run(index, task, run);
+            }
+        }
+        for (task, run) in report.running.iter().filter(|id| !recorded.contains(id)) {
+            self.order_stop(index, *task, *run);
+        }
+    }
+
+    /// Whether a start that was committed earlier may still be ordered.
+    fn takes_starts(&self, index: WorkerIndex) -> bool {
+        let memory = self.memory.as_ref().and_then(|m| m.workers.get(&index));
+        let draining = memory.is_none_or(|worker| worker.draining);
+        let excluded = self.quorum.local(|ledger| {
+            let worker = ledger.worker(index);
+            worker.is_none_or(|worker| ledger.is_excluded(&worker.facts.data_centre))
+        });
+        !draining && !excluded
+    }
+
+    /// Ends that a worker listed.
+    pub(super) fn take_ends(&mut self, key: &WorkerKey, ends: Vec<RunEnd>) {
+        if ends.is_empty() {
+            return;
+        }
+        if let Some(worker) = self.quorum.local(|ledger| ledger.worker_index(key)) {
+            let command = LedgerCommand::NoteEnds {
+                worker,
+                ends: ends.clone(),
+            };
+            self.propose(command, CommitPurpose::NoteEnds { worker, ends });
+        }
+    }
+
+    /// A run that was never started and can't be any more.
+    pub(super) fn withdraw(&mut self, key: &WorkerKey, task: TaskKey, run: RunNumber) {
+        tracing::info!(event = "run_withdrawn", %task, %run, worker = %key);
+        if let Some(worker) = self.quorum.local(|ledger| ledger.worker_index(key)) {
+            let command = LedgerCommand::Withdraw { worker, task, run };
+            self.propose(command, CommitPurpose::Freed);
+        }
+    }
+
+    /// An agent says that an incarnation surely runs nothing any more.
+    pub(super) fn take_loss(&mut self, key: &WorkerKey, ended: bool) {
+        if let Some(worker) = self.quorum.local(|ledger| ledger.worker_index(key)) {
+            self.lose_worker(worker, ended, "agent");
+        }
+    }
+
+    fn lose_worker(&mut self, worker: WorkerIndex, ended: bool, reason: &'static str) {
+        tracing::warn!(event = "worker_lost", worker = worker.0, ended, reason);
+        if let Some(memory) = &mut self.memory {
+            if ended {
+                memory.workers.swap_remove(&worker);
+            } else if let Some(known) = memory.workers.get_mut(&worker) {
+                known.session = None;
+            }
+        }
+        let command = LedgerCommand::LoseWorker { worker, ended };
+        self.propose(command, CommitPurpose::Freed);
+    }
+
+    /// Frees the workers whose agents have been silent for longer than their lease.
+    pub(super) fn lose_silent_workers(&mut self) {
+        let now = BootClock.now();
+        let Some(memory) = &self.memory else {
+            return;
+        };
+        let silent = memory.workers.iter().filter(|(index, worker)| {
+            let served = memory.worker_session(**index).is_some();
+            !served && now > worker.lapses_at
+        });
+        let silent: Vec<WorkerIndex> = silent.map(|(index, _)| *index).collect();
+        for worker in silent {
+            let idle = self
+                .quorum
+                .local(|ledger| ledger.worker(worker).is_none_or(|w| w.runs.is_empty()));
+            if !idle {
+                self.lose_worker(worker, false, "lease_over");
+            }
+        }
+    }
+
+    fn order_stop(&self, worker: WorkerIndex, task: TaskKey, run: RunNumber) {
+        let Some(session) = self.memory.as_ref().and_then(|m| m.worker_session(worker)) else {
+            return;
+        };
+        let key = self.quorum.local(|ledger| ledger.worker(worker).map(|w| w.key.clone()));
+        if let Some(key) = key {
+            tracing::info!(event = "stop_ordered", %task, %run, worker = %key);
+            session
+                .sender
+                .send(crate::message::FromControl::Stop { key, task, run });
+        }
+    }
+}
--- a/crates/guavavane_daemon/src/lib.rs
+++ b/crates/guavavane_daemon/src/lib.rs
@@ -18,6 +18,7 @@
     pub use crate::http::HttpServer;
     pub use crate::incarnation::draw_incarnation;
     pub use crate::log::start_logs;
+    pub use crate::log::start_stdout_logs;
     pub use crate::metric::MetricSink;
     pub use crate::run::run_daemon;
     pub use crate::setting::check_setting;
--- /dev/null
+++ b/crates/guavavane_jobs/src/ledger.rs
@@ -0,0 +1,164 @@
+//! The replicated ledger: jobs, runs, workers, the catalog and data centres taken out.
+//!
+//! A task is *waiting*, *assigned* to one run on one incarnation of a worker, or *done*. A
+//! start is committed here before its order is sent, so a run that is not in the ledger never
+//! exists. A run leaves the ledger only with its reported end or with the loss of its worker;
+//! until then its room stays taken, also if its job has ended.
+
+mod apply;
+mod command;
+mod record;
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
+
+pub use self::command::LedgerCommand;
+pub use self::command::LedgerOutcome;
+pub use self::command::RunEnd;
+pub use self::command::RunEnding;
+pub use self::command::StartChoice;
+pub use self::record::JobPhase;
+pub use self::record::JobRecord;
+pub use self::record::OccurrenceRecord;
+pub use self::record::RunRecord;
+pub use self::record::StepRecord;
+pub use self::record::TaskPhase;
+pub use self::record::TaskRecord;
+pub use self::record::WorkerIndex;
+pub use self::record::WorkerRecord;
+use crate::identity::JobKey;
+use crate::identity::RunNumber;
+use crate::identity::StepKey;
+use crate::identity::TaskKey;
+use crate::identity::WorkerKey;
+use crate::job::StepSpec;
+use crate::queue::QueueCatalog;
+use guavavane_quorum::prelude::LogIndex;
+use guavavane_quorum::prelude::RestoreError;
+use guavavane_quorum::prelude::StateMachine;
+
+/// State that the replicated log drives.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct JobLedger {
+    catalog: QueueCatalog,
+    catalog_text: Arc<str>,
+    excluded_data_centres: IndexSet<Arc<str>>,
+    jobs: IndexMap<JobKey, JobRecord>,
+    /// Steps that may start, with the number of their waiting tasks.
+    ready_steps: IndexMap<StepKey, u32>,
+    workers: IndexMap<WorkerIndex, WorkerRecord>,
+    next_worker: u32,
+}
+
+impl JobLedger {
+    /// The catalog in force.
+    pub fn catalog(&self) -> &QueueCatalog {
+        &self.catalog
+    }
+
+    /// The catalog in force as the operator sent it; empty before the first.
+    pub fn catalog_text(&self) -> &Arc<str> {
+        &self.catalog_text
+    }
+
+    /// Whether a data centre is taken out.
+    pub fn is_excluded(&self, data_centre: &str) -> bool {
+        self.excluded_data_centres.contains(data_centre)
+    }
+
+    /// A job that was accepted and not forgotten.
+    pub fn job(&self, key: JobKey) -> Option<&JobRecord> {
+        self.jobs.get(&key)
+    }
+
+    /// All jobs that were accepted and not forgotten.
+    pub fn jobs(&self) -> impl Iterator<Item = (JobKey, &JobRecord)> {
+        self.jobs.iter().map(|(key, record)| (*key, record))
+    }
+
+    /// Steps that may start, with the number of their waiting tasks.
+    pub fn ready_steps(&self) -> impl Iterator<Item = (StepKey, u32)> + '_ {
+        self.ready_steps.iter().map(|(key, count)| (*key, *count))
+    }
+
+    /// All incarnations of workers that are known.
+    pub fn workers(&self) -> impl Iterator<Item = (WorkerIndex, &WorkerRecord)> {
+        self.workers.iter().map(|(index, record)| (*index, record))
+    }
+
+    /// An incarnation of a worker.
+    pub fn worker(&self, index: WorkerIndex) -> Option<&WorkerRecord> {
+        self.workers.get(&index)
+    }
+
+    /// The index of an incarnation.
+    pub fn worker_index(&self, key: &WorkerKey) -> Option<WorkerIndex> {
+        let found = self.workers.iter().find(|(_, record)| record.key == *key);
+        found.map(|(index, _)| *index)
+    }
+
+    /// Number of a queue's accepted jobs of which no task has started.
+    pub fn pending_jobs(&self, queue: &str) -> usize {
+        let pending = |job: &&JobRecord| {
+            job.phase == JobPhase::Active && !job.started && &*job.queue == queue
+        };
+        self.jobs.values().filter(pending).count()
+    }
+
+    /// The specification of a step of an active job.
+    pub fn step_spec(&self, key: StepKey) -> Option<&StepSpec> {
+        let spec = self.jobs.get(&key.job)?.spec.as_ref()?;
+        spec.steps.get(usize::from(key.step))
+    }
+
+    /// The state of a step of an active job.
+    pub fn step(&self, key: StepKey) -> Option<&StepRecord> {
+        let occurrence = self.jobs.get(&key.job)?.occurrences.get(&key.occurrence)?;
+        occurrence.steps.get(usize::from(key.step))
+    }
+
+    /// The state of a task of an active job.
+    pub fn task(&self, key: TaskKey) -> Option<&TaskRecord> {
+        self.step(key.step)?.tasks.get(key.index as usize)
+    }
+
+    /// Whether a run on a worker is what the ledger wants to run there.
+    pub fn is_wanted(&self, key: TaskKey, run: RunNumber, worker: WorkerIndex) -> bool {
+        let Some(step) = self.step(key.step) else {
+            return false;
+        };
+        let Some(task) = step.tasks.get(key.index as usize) else {
+            return false;
+        };
+        let assigned = task.phase == TaskPhase::Assigned(worker) && task.run == run;
+        assigned && run > step.broken_run
+    }
+}
+
+impl StateMachine for JobLedger {
+    type Command = LedgerCommand;
+    type Outcome = LedgerOutcome;
+
+    fn apply(&mut self, _index: LogIndex, command: LedgerCommand) -> LedgerOutcome {
+        self.apply_command(command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let config = bincode::config::standard();
+        bincode::serde::encode_to_vec(self, config).expect("the ledger encodes without failing")
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<(), RestoreError> {
+        let config = bincode::config::standard();
+        let decoded = bincode::serde::decode_from_slice(bytes, config);
+        let (ledger, _) = decoded.map_err(|error| RestoreError {
+            reason: error.to_string(),
+        })?;
+        *self = ledger;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/guavavane_jobs/src/ledger/apply.rs
@@ -0,0 +1,394 @@
+//! How commands change the ledger.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::command::LedgerCommand;
+use super::command::LedgerOutcome;
+use super::command::RunEnd;
+use super::command::RunEnding;
+use super::command::StartChoice;
+use super::record::JobPhase;
+use super::record::JobRecord;
+use super::record::OccurrenceRecord;
+use super::record::RunRecord;
+use super::record::StepRecord;
+use super::record::TaskPhase;
+use super::record::WorkerIndex;
+use super::record::WorkerRecord;
+use super::JobLedger;
+use crate::identity::JobKey;
+use crate::identity::RunNumber;
+use crate::identity::StepKey;
+use crate::identity::TaskKey;
+use crate::identity::WorkerKey;
+use crate::job::JobSpec;
+use crate::job::StepKind;
+use crate::worker::WorkerFacts;
+
+impl JobLedger {
+    pub(super) fn apply_command(&mut self, command: LedgerCommand) -> LedgerOutcome {
+        match command {
+            LedgerCommand::PutCatalog { catalog, text } => {
+                if self.catalog_text.is_empty() || catalog.version > self.catalog.version {
+                    self.catalog = catalog;
+                    self.catalog_text = text;
+                }
+                LedgerOutcome::Done
+            }
+            LedgerCommand::SetExcluded {
+                data_centre,
+                excluded,
+            } => {
+                if excluded {
+                    self.excluded_data_centres.insert(data_centre);
+                } else {
+                    self.excluded_data_centres.swap_remove(&data_centre);
+                }
+                LedgerOutcome::Done
+            }
+            LedgerCommand::Submit {
+                job,
+                queue,
+                spec,
+                accepted_ms,
+            } => self.submit(job, queue, spec, accepted_ms),
+            LedgerCommand::Cancel { job } => self.cancel(job),
+            LedgerCommand::Release { job, occurrence } => self.release(job, occurrence),
+            LedgerCommand::AddWorker { key, node, facts } => self.add_worker(key, node, facts),
+            LedgerCommand::LoseWorker { worker, ended } => self.lose_worker(worker, ended),
+            LedgerCommand::Start { choices } => {
+                let started = choices.iter().map(|choice| self.start(choice)).collect();
+                LedgerOutcome::Started(started)
+            }
+            LedgerCommand::NoteEnds { worker, ends } => self.note_ends(worker, &ends),
+            LedgerCommand::Withdraw { worker, task, run } => self.withdraw(worker, task, run),
+            LedgerCommand::Forget { jobs } => {
+                for job in jobs {
+                    if self.jobs.get(&job).is_some_and(|j| j.phase != JobPhase::Active) {
+                        self.jobs.swap_remove(&job);
+                    }
+                }
+                LedgerOutcome::Done
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        key: JobKey,
+        queue: Arc<str>,
+        spec: Arc<JobSpec>,
+        accepted_ms: u64,
+    ) -> LedgerOutcome {
+        if self.jobs.contains_key(&key) {
+            return LedgerOutcome::Accepted { new: false };
+        }
+        let Some(found) = self.catalog.queue(&queue) else {
+            return LedgerOutcome::UnknownQueue;
+        };
+        let attempts_max = found.attempts_max;
+        let pool = Arc::clone(&found.pool);
+        let scheduled = spec.schedule.is_some();
+        let record = JobRecord {
+            queue,
+            pool,
+            spec: Some(spec),
+            phase: JobPhase::Active,
+            started: false,
+            attempts_max,
+            accepted_ms,
+            occurrences: IndexMap::new(),
+            occurrences_done: 0,
+            next_occurrence: 0,
+        };
+        self.jobs.insert(key, record);
+        if !scheduled {
+            self.release(key, 0);
+        }
+        LedgerOutcome::Accepted { new: true }
+    }
+
+    fn release(&mut self, key: JobKey, occurrence: u32) -> LedgerOutcome {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return LedgerOutcome::UnknownJob;
+        };
+        let Some(spec) = job.spec.clone() else {
+            return LedgerOutcome::Done;
+        };
+        if job.next_occurrence != occurrence || occurrence >= spec.occurrences() {
+            return LedgerOutcome::Done;
+        }
+        job.next_occurrence += 1;
+        let steps = spec.steps.iter().map(StepRecord::new).collect();
+        job.occurrences.insert(occurrence, OccurrenceRecord { steps });
+        self.open_steps(key, occurrence, &spec);
+        LedgerOutcome::Done
+    }
+
+    /// Makes those steps ready whose predecessors are done and which have not begun.
+    fn open_steps(&mut self, job: JobKey, occurrence: u32, spec: &JobSpec) {
+        let Some(record) = self.jobs.get(&job) else {
+            return;
+        };
+        let Some(current) = record.occurrences.get(&occurrence) else {
+            return;
+        };
+        for (number, step) in spec.steps.iter().enumerate() {
+            let done = |after: &u16| current.steps[usize::from(*after)].is_done();
+            let untouched = current.steps[number]
+                .tasks
+                .iter()
+                .all(|task| task.phase == TaskPhase::Waiting && task.run.0 == 0);
+            if untouched && step.after.iter().all(done) {
+                let key = StepKey {
+                    job,
+                    occurrence,
+                    step: u16::try_from(number).expect("the number of steps is bounded"),
+                };
+                self.ready_steps.insert(key, step.tasks);
+            }
+        }
+    }
+
+    fn cancel(&mut self, key: JobKey) -> LedgerOutcome {
+        match self.jobs.get(&key) {
+            None => LedgerOutcome::UnknownJob,
+            Some(job) if job.phase != JobPhase::Active => LedgerOutcome::Done,
+            Some(_) => {
+                self.end_job(key, JobPhase::Cancelled);
+                LedgerOutcome::Ended(vec![key])
+            }
+        }
+    }
+
+    /// Ends a job; its runs keep their room until they end.
+    fn end_job(&mut self, key: JobKey, phase: JobPhase) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        job.phase = phase;
+        job.spec = None;
+        job.occurrences.clear();
+        self.ready_steps.retain(|step, _| step.job != key);
+    }
+
+    fn add_worker(
+        &mut self,
+        key: WorkerKey,
+        node: Arc<str>,
+        facts: WorkerFacts,
+    ) -> LedgerOutcome {
+        if let Some(index) = self.worker_index(&key) {
+            return LedgerOutcome::Worker(index);
+        }
+        let index = WorkerIndex(self.next_worker);
+        self.next_worker += 1;
+        let record = WorkerRecord {
+            key,
+            node,
+            facts,
+            last_end: 0,
+            runs: IndexMap::new(),
+        };
+        self.workers.insert(index, record);
+        LedgerOutcome::Worker(index)
+    }
+
+    fn lose_worker(&mut self, index: WorkerIndex, ended: bool) -> LedgerOutcome {
+        let Some(worker) = self.workers.get_mut(&index) else {
+            return LedgerOutcome::Done;
+        };
+        let runs = std::mem::take(&mut worker.runs);
+        if ended {
+            self.workers.shift_remove(&index);
+        }
+        for (task, run) in runs {
+            let end = RunEnd {
+                number: 0,
+                task,
+                run: run.run,
+                ending: RunEnding::Lapsed,
+                saved: Arc::from(""),
+            };
+            self.end_run(index, &end);
+        }
+        LedgerOutcome::Done
+    }
+
+    fn start(&mut self, choice: &StartChoice) -> bool {
+        let key = choice.task.step;
+        let Some(spec) = self.step_spec(key) else {
+            return false;
+        };
+        let room = RunRecord::new(choice.run, spec);
+        if !self.ready_steps.contains_key(&key) || !self.workers.contains_key(&choice.worker) {
+            return false;
+        }
+        let index = choice.task.index as usize;
+        let task = self.step_mut(key).and_then(|step| step.tasks.get_mut(index));
+        let Some(task) = task else {
+            return false;
+        };
+        if task.phase != TaskPhase::Waiting || choice.run <= task.run {
+            return false;
+        }
+        task.phase = TaskPhase::Assigned(choice.worker);
+        task.run = choice.run;
+        if !choice.saved.is_empty() {
+            task.saved = Arc::clone(&choice.saved);
+        }
+        self.take_ready(key);
+        if let Some(worker) = self.workers.get_mut(&choice.worker) {
+            worker.runs.insert(choice.task, room);
+        }
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.started = true;
+        }
+        true
+    }
+
+    fn take_ready(&mut self, key: StepKey) {
+        let left = self.ready_steps.get_mut(&key).map(|left| {
+            *left -= 1;
+            *left
+        });
+        if left == Some(0) {
+            self.ready_steps.swap_remove(&key);
+        }
+    }
+
+    fn step_mut(&mut self, key: StepKey) -> Option<&mut StepRecord> {
+        let occurrence = self.jobs.get_mut(&key.job)?.occurrences.get_mut(&key.occurrence)?;
+        occurrence.steps.get_mut(usize::from(key.step))
+    }
+
+    fn note_ends(&mut self, index: WorkerIndex, ends: &[RunEnd]) -> LedgerOutcome {
+        let mut ended = Vec::new();
+        for end in ends {
+            let Some(worker) = self.workers.get_mut(&index) else {
+                break;
+            };
+            if end.number <= worker.last_end {
+                continue;
+            }
+            worker.last_end = end.number;
+            if worker.runs.get(&end.task).is_some_and(|run| run.run <= end.run) {
+                worker.runs.swap_remove(&end.task);
+            }
+            if self.end_run(index, end) {
+                ended.push(end.task.step.job);
+            }
+        }
+        LedgerOutcome::Ended(ended)
+    }
+
+    fn withdraw(&mut self, index: WorkerIndex, task: TaskKey, run: RunNumber) -> LedgerOutcome {
+        let Some(worker) = self.workers.get_mut(&index) else {
+            return LedgerOutcome::Done;
+        };
+        if worker.runs.get(&task).is_some_and(|record| record.run == run) {
+            worker.runs.swap_remove(&task);
+            let end = RunEnd {
+                number: 0,
+                task,
+                run,
+                ending: RunEnding::Stopped,
+                saved: Arc::from(""),
+            };
+            self.end_run(index, &end);
+        }
+        LedgerOutcome::Done
+    }
+
+    /// Takes the end of a run; returns whether its job ended with it.
+    fn end_run(&mut self, worker: WorkerIndex, end: &RunEnd) -> bool {
+        let key = end.task.step;
+        let Some(spec) = self.jobs.get(&key.job).and_then(|job| job.spec.clone()) else {
+            return false;
+        };
+        let Some(step_spec) = spec.steps.get(usize::from(key.step)) else {
+            return false;
+        };
+        let index = end.task.index as usize;
+        let Some(step) = self.step_mut(key) else {
+            return false;
+        };
+        let Some(task) = step.tasks.get_mut(index) else {
+            return false;
+        };
+        if task.phase != TaskPhase::Assigned(worker) || task.run != end.run {
+            return false;
+        }
+        if !end.saved.is_empty() {
+            task.saved = Arc::clone(&end.saved);
+        }
+        let serving = step_spec.kind == StepKind::Serving;
+        if end.ending == RunEnding::Done && !serving {
+            if step_spec.gang {
+                finish_gang(step, end);
+            } else {
+                task.phase = TaskPhase::Done;
+                step.done += 1;
+            }
+            return self.finish_step(key, &spec);
+        }
+        task.phase = TaskPhase::Waiting;
+        // A member that ends because another one did is no failure of its own.
+        let counted = end.ending == RunEnding::Failed
+            && !serving
+            && (!step_spec.gang || step.broken_run < end.run);
+        if counted {
+            if step_spec.gang {
+                step.tasks.iter_mut().for_each(|task| task.failures += 1);
+            } else {
+                task.failures += 1;
+            }
+        }
+        let failures = step.tasks[index].failures;
+        if step_spec.gang {
+            step.broken_run = step.broken_run.max(end.run);
+        }
+        *self.ready_steps.entry(key).or_insert(0) += 1;
+        let attempts_max = self.jobs.get(&key.job).map_or(0, |job| job.attempts_max);
+        if !serving && failures >= attempts_max {
+            self.end_job(key.job, JobPhase::Failed);
+            return true;
+        }
+        false
+    }
+
+    /// Goes on behind a step if it is done; returns whether its job ended.
+    fn finish_step(&mut self, key: StepKey, spec: &JobSpec) -> bool {
+        if !self.step(key).is_some_and(StepRecord::is_done) {
+            return false;
+        }
+        self.ready_steps.swap_remove(&key);
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return false;
+        };
+        let occurrence = job.occurrences.get(&key.occurrence);
+        if !occurrence.is_some_and(|o| o.steps.iter().all(StepRecord::is_done)) {
+            self.open_steps(key.job, key.occurrence, spec);
+            return false;
+        }
+        job.occurrences.swap_remove(&key.occurrence);
+        job.occurrences_done += 1;
+        if job.occurrences_done < spec.occurrences() {
+            return false;
+        }
+        self.end_job(key.job, JobPhase::Completed);
+        true
+    }
+}
+
+/// The end of one member stands for all members of the run.
+fn finish_gang(step: &mut StepRecord, end: &RunEnd) {
+    for task in &mut step.tasks {
+        if task.run == end.run && task.phase != TaskPhase::Done {
+            task.phase = TaskPhase::Done;
+            step.done += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -0,0 +1,11 @@
+//! Decisions of the leader and of the agents, as pure functions.
+//!
+//! [`order`] answers more waiting steps than room, [`room`] keeps what is left on each worker,
+//! [`place`] picks a worker for a task, [`round`] puts these together, and [`pace`] answers
+//! filling tasks that slow down serving ones on one worker.
+
+pub mod order;
+pub mod pace;
+pub mod place;
+pub mod room;
+pub mod round;
--- /dev/null
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -0,0 +1,152 @@
+//! One round of placement: which waiting tasks start where.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::order::waiting_steps;
+use super::place::pick_worker;
+use super::place::rack_label;
+use super::place::PlaceContext;
+use super::room::WorkerRoom;
+use crate::identity::StepKey;
+use crate::identity::TaskKey;
+use crate::ledger::JobLedger;
+use crate::ledger::RunRecord;
+use crate::ledger::StartChoice;
+use crate::ledger::StepRecord;
+use crate::ledger::TaskPhase;
+use crate::ledger::TaskRecord;
+use crate::ledger::WorkerIndex;
+
+/// Most starts of one round: bounds the size of one command in the log.
+const ROUND_STARTS_MAX: usize = 256;
+
+/// What a round needs besides the ledger.
+pub trait RoundInput {
+    /// Latest progress that a worker reported for a task; the ledger's if there is none.
+    fn saved(&self, task: TaskKey) -> Option<Arc<str>>;
+}
+
+/// Chooses the starts of one round.
+pub fn choose_starts<I: RoundInput>(
+    ledger: &JobLedger,
+    mut rooms: IndexMap<WorkerIndex, WorkerRoom>,
+    input: &I,
+) -> Vec<StartChoice> {
+    let mut choices = Vec::new();
+    for waiting in waiting_steps(ledger) {
+        if choices.len() >= ROUND_STARTS_MAX {
+            break;
+        }
+        place_step(ledger, waiting.key, &mut rooms, input, &mut choices);
+    }
+    choices
+}
+
+fn place_step<I: RoundInput>(
+    ledger: &JobLedger,
+    key: StepKey,
+    rooms: &mut IndexMap<WorkerIndex, WorkerRoom>,
+    input: &I,
+    choices: &mut Vec<StartChoice>,
+) {
+    let (Some(spec), Some(step)) = (ledger.step_spec(key), ledger.step(key)) else {
+        return;
+    };
+    let Some(job) = ledger.job(key.job) else {
+        return;
+    };
+    let queue = ledger.catalog().queue(&job.queue);
+    let mut context = PlaceContext {
+        ledger,
+        key,
+        spec,
+        pool: queue.map_or(&job.pool, |queue| &queue.pool),
+        rack: None,
+    };
+    if spec.gang {
+        return place_gang(&mut context, step, rooms, input, choices);
+    }
+    for (index, task) in step.tasks.iter().enumerate() {
+        if task.phase != TaskPhase::Waiting {
+            continue;
+        }
+        if choices.len() >= ROUND_STARTS_MAX {
+            return;
+        }
+        let Some(worker) = pick_worker(&context, rooms, None) else {
+            return;
+        };
+        let task_key = key.task(u32::try_from(index).expect("the number of tasks is bounded"));
+        let choice = start_choice(task_key, task, worker, input);
+        if let Some(room) = rooms.get_mut(&worker) {
+            room.take(task_key, &RunRecord::new(choice.run, spec));
+        }
+        if spec.single_rack && context.rack.is_none() {
+            context.rack = rack_label(ledger, worker);
+        }
+        choices.push(choice);
+    }
+}
+
+fn start_choice<I: RoundInput>(
+    key: TaskKey,
+    task: &TaskRecord,
+    worker: WorkerIndex,
+    input: &I,
+) -> StartChoice {
+    StartChoice {
+        task: key,
+        run: task.run.next(),
+        worker,
+        saved: input.saved(key).unwrap_or_else(|| Arc::clone(&task.saved)),
+    }
+}
+
+/// Starts all members of a gang in one round, or none.
+fn place_gang<I: RoundInput>(
+    context: &mut PlaceContext<'_>,
+    step: &StepRecord,
+    rooms: &mut IndexMap<WorkerIndex, WorkerRoom>,
+    input: &I,
+    choices: &mut Vec<StartChoice>,
+) {
+    if step.tasks.iter().any(|task| task.phase != TaskPhase::Waiting) {
+        return;
+    }
+    let run = step.tasks.iter().map(|task| task.run).max().unwrap_or_default().next();
+    let saved = gang_progress(context.key, step, input);
+    let mut trial = rooms.clone();
+    let mut members = Vec::with_capacity(step.tasks.len());
+    for index in 0..step.tasks.len() {
+        let Some(worker) = pick_worker(context, &trial, None) else {
+            return;
+        };
+        let task = context.key.task(u32::try_from(index).expect("the number of tasks is bounded"));
+        if let Some(room) = trial.get_mut(&worker) {
+            room.take(task, &RunRecord::new(run, context.spec));
+        }
+        if context.spec.single_rack && context.rack.is_none() {
+            context.rack = rack_label(context.ledger, worker);
+        }
+        members.push(StartChoice {
+            task,
+            run,
+            worker,
+            saved: Arc::clone(&saved),
+        });
+    }
+    *rooms = trial;
+    choices.extend(members);
+}
+
+/// Progress that all members resume from: that of any member holds for all.
+fn gang_progress<I: RoundInput>(key: StepKey, step: &StepRecord, input: &I) -> Arc<str> {
+    let members = step.tasks.iter().enumerate();
+    let progress = members.map(|(index, task)| {
+        let task_key = key.task(u32::try_from(index).expect("the number of tasks is bounded"));
+        input.saved(task_key).unwrap_or_else(|| Arc::clone(&task.saved))
+    });
+    progress.max().unwrap_or_else(|| Arc::from(""))
+}
--- a/crates/guavavane_quorum/src/core/membership.rs
+++ b/crates/guavavane_quorum/src/core/membership.rs
@@ -2,7 +2,8 @@
 //!
 //! Repairs. A caught-up learner is promoted while there are fewer voters than wanted, or when
 //! a voter has been silent for the removal timeout. A silent voter is removed if the voters
-//! that remain have a reachable quorum and are still at least `voters_min`. So a replacement
+//! that remain have a reachable quorum and are still at least `voters_min`. A voter whose
+//! address belongs to another replica counts as silent at once. So a replacement
 //! votes before the voter that it replaces is removed: should another voter lose its disk in
 //! between, a voter that was only cut off still counts when it returns.
 
@@ -112,6 +113,16 @@
         peer.is_some_and(|p| now.saturating_since(p.heard_at) >= timeout)
     }
 
+    /// Whether another replica answers at this one's address: its folder was lost.
+    fn is_superseded(&self, now: BootTime, id: ReplicaId) -> bool {
+        let Some(member) = self.members().get(id) else {
+            return false;
+        };
+        let same = |m: &&ReplicaMember| m.id != id && m.address == member.address;
+        let mut others = self.members().iter().filter(same);
+        !self.is_reachable(now, id) && others.any(|m| self.is_reachable(now, m.id))
+    }
+
     fn is_caught_up(&self, now: BootTime, id: ReplicaId) -> bool {
         let RoleState::Leader(state) = &self.role else {
             return false;
@@ -146,7 +157,8 @@
         let members = self.members();
         let learners = || members.iter().filter(|m| m.role == MemberRole::Learner);
         let ready = learners().find(|m| self.is_caught_up(now, m.id));
-        let silent_voter = members.voters().find(|m| self.is_silent(now, m.id));
+        let gone = |id| self.is_silent(now, id) || self.is_superseded(now, id);
+        let silent_voter = members.voters().find(|m| gone(m.id));
         let voters = members.voter_count();
         if let Some(voter) = silent_voter.filter(|_| voters > self.settings.voters_min) {
             return Some(MemberChange::Remove(voter.id));
@@ -155,7 +167,7 @@
         if let Some(learner) = ready.filter(|_| wanted) {
             return Some(MemberChange::Promote(learner.id));
         }
-        let silent_learner = learners().find(|m| self.is_silent(now, m.id));
+        let silent_learner = learners().find(|m| gone(m.id));
         silent_learner.map(|m| MemberChange::Remove(m.id))
     }
 
