--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -36,15 +36,10 @@
         self.granted_until = self.granted_until.max(until);
     }
 
-    /// Whether the grant holds at `now`.
-    pub(super) fn is_granted(&self, now: BootTime) -> bool {
-        now < self.granted_until
-    }
-
-    /// Another incarnation speaks: its clock starts anew.
-    pub(super) fn forget_clock(&mut self) {
+    /// A worker is found: an earlier process of this agent may have extended its lease.
+    pub(super) fn begin_worker(&mut self, now: BootTime) {
         self.clock = None;
-        self.lapsed_at = BootTime::default();
+        self.lapsed_at = now + self.timing.surely_over(self.timing.worker_lease);
     }
 
     /// The worker's clock, as it arrived at `now`.
--- a/crates/guavavane_cell/src/agent/mod.rs
+++ b/crates/guavavane_cell/src/agent/mod.rs
@@ -12,6 +12,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use flume::Sender;
 use tokio::sync::oneshot;
@@ -37,6 +38,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Lengths of leases.
     pub timing: LeaseTiming,
+    /// How long a serving task may be over its target before filling tasks are slowed down.
+    pub pace_patience: Duration,
 }
 
 /// A heartbeat of the worker.
@@ -82,7 +85,7 @@
         node: Arc::clone(&settings.node),
     };
     tokio::spawn(LeaderLink::new(hello, settings.seeds, events).run());
-    let agent = AgentLoop::new(settings.timing, port);
+    let agent = AgentLoop::new(settings.timing, settings.pace_patience, port);
     tokio::spawn(agent.run(queue, heard));
     AgentHandle { inputs }
 }
--- a/crates/guavavane_cell/src/agent/orders.rs
+++ b/crates/guavavane_cell/src/agent/orders.rs
@@ -58,7 +58,10 @@
         let (task, run) = (order.task, order.run);
         let mut unanswered = false;
         while BootClock.now() < until {
-            let answer = self.port.start(self.key.clone(), self.fence, order.clone()).await;
+            let answer = self
+                .port
+                .start(self.key.clone(), self.fence, order.clone())
+                .await;
             match answer {
                 OrderAnswer::Done => return OrderResult::Started,
                 OrderAnswer::OtherIncarnation => return OrderResult::Unanswered,
@@ -81,7 +84,10 @@
     async fn stop(&self, task: TaskKey, run: RunNumber, worth: Duration) -> OrderResult {
         let until: BootTime = BootClock.now() + worth;
         while BootClock.now() < until {
-            let answer = self.port.stop(self.key.clone(), self.fence, task, run).await;
+            let answer = self
+                .port
+                .stop(self.key.clone(), self.fence, task, run)
+                .await;
             match answer {
                 OrderAnswer::Done => return OrderResult::Stopped,
                 OrderAnswer::OtherIncarnation => return OrderResult::Unanswered,
@@ -97,7 +103,10 @@
 
     async fn pace(&self, task: TaskKey, run: RunNumber, percent: u32) -> OrderResult {
         let port = &self.port;
-        match port.pace(self.key.clone(), self.fence, task, run, percent).await {
+        match port
+            .pace(self.key.clone(), self.fence, task, run, percent)
+            .await
+        {
             OrderAnswer::Done => OrderResult::Paced(percent),
             _ => OrderResult::Unanswered,
         }
--- a/crates/guavavane_cell/src/agent/run.rs
+++ b/crates/guavavane_cell/src/agent/run.rs
@@ -26,6 +26,8 @@
 use crate::port::StartOrder;
 use crate::port::WorkerPort;
 use crate::timing::LeaseTiming;
+use guavavane_jobs::plan::pace::PaceOrder;
+use guavavane_jobs::plan::press::StrainChange;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerKey;
@@ -44,6 +46,8 @@
 const NOTE_WAIT: Duration = Duration::from_millis(250);
 /// Pause after a hold without an answer.
 const HOLD_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two reports of tail latencies: they change within seconds.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time between two rounds of the loop.
 const ROUND_MAX: Duration = Duration::from_millis(1_000);
 
@@ -79,6 +83,7 @@
 }
 
 pub(super) struct AgentLoop<P> {
+    pace_patience: Duration,
     port: P,
     fence: u64,
     session: Option<StreamSender<ToControl>>,
@@ -89,6 +94,10 @@
     /// Incarnations that are lost and that no leader was told of.
     lost: Vec<(WorkerKey, bool)>,
     hold: HoldPlan,
+    /// What changes of filling tasks have shown since the leader was told.
+    changes: Vec<StrainChange>,
+    /// When the leader is next told of tail latencies.
+    next_sample: BootTime,
     /// Stops that the next list has to confirm.
     unconfirmed: IndexMap<(TaskKey, RunNumber), bool>,
     /// Orders under way, with whether each is a start.
@@ -98,8 +107,9 @@
 }
 
 impl<P: WorkerPort> AgentLoop<P> {
-    pub(super) fn new(timing: LeaseTiming, port: P) -> Self {
+    pub(super) fn new(timing: LeaseTiming, pace_patience: Duration, port: P) -> Self {
         Self {
+            pace_patience,
             port,
             fence: 0,
             session: None,
@@ -108,6 +118,8 @@
             worker: None,
             lost: Vec::new(),
             hold: HoldPlan::DueAt(BootTime::default()),
+            changes: Vec::new(),
+            next_sample: BootTime::default(),
             unconfirmed: IndexMap::new(),
             under_way: IndexMap::new(),
             holds: flume::unbounded(),
@@ -155,7 +167,11 @@
                 let _ = reply.send(taken);
             }
             AgentInput::Leave { name } => {
-                if self.worker.as_ref().is_some_and(|worker| worker.key.name == name) {
+                if self
+                    .worker
+                    .as_ref()
+                    .is_some_and(|worker| worker.key.name == name)
+                {
                     self.drop_worker(true, "left");
                 }
             }
@@ -171,8 +187,12 @@
             _ => {
                 self.drop_worker(true, "replaced");
                 tracing::info!(event = "worker_found", worker = %notice.key, pool = %notice.facts.pool);
-                self.lease.forget_clock();
-                self.worker = Some(LocalWorker::new(notice.key, notice.facts));
+                self.lease.begin_worker(now);
+                self.worker = Some(LocalWorker::new(
+                    notice.key,
+                    notice.facts,
+                    self.pace_patience,
+                ));
                 self.hold = HoldPlan::DueAt(now);
             }
         }
@@ -220,17 +240,21 @@
                 }
             }
             FromControl::Stop { key, task, run } => {
-                if self.is_current(&key) {
+                let stopping = self.under_way.get(&(task, run)) == Some(&false);
+                if self.is_current(&key) && !stopping {
                     self.spawn_order(key, task, run, WorkerOrder::Stop);
                 }
             }
             FromControl::Noted { key, last_end } => self.note_ends(&key, last_end),
-            FromControl::Redirect { .. } | FromControl::Pong { .. } | FromControl::Reply { .. } => {}
+            FromControl::Redirect { .. } | FromControl::Pong { .. } | FromControl::Reply { .. } => {
+            }
         }
     }
 
     fn is_current(&self, key: &WorkerKey) -> bool {
-        self.worker.as_ref().is_some_and(|worker| worker.key == *key)
+        self.worker
+            .as_ref()
+            .is_some_and(|worker| worker.key == *key)
     }
 
     fn start_task(&mut self, key: WorkerKey, order: StartTask) {
@@ -244,6 +268,7 @@
         let traits = RunTraits {
             latency_target_ms: order.latency_target_ms,
             filling: order.filling,
+            image: order.image,
         };
         worker.traits.insert((task, run), traits);
         let deadline = self.lease.next_deadline(BootClock.now());
@@ -284,7 +309,11 @@
         let id = (order.task, order.run);
         if let OrderResult::Paced(percent) = order.result {
             if let Some(worker) = &mut self.worker {
-                worker.pace.note_ordered(order.task, order.run, percent);
+                worker.pace.note_ordered(PaceOrder {
+                    task: order.task,
+                    run: order.run,
+                    percent,
+                });
             }
             return;
         }
@@ -341,7 +370,9 @@
         let port = self.port.clone();
         let results = self.holds.0.clone();
         tokio::spawn(async move {
-            let answer = port.hold(key.clone(), fence, last_end, deadline_ms, wait).await;
+            let answer = port
+                .hold(key.clone(), fence, last_end, deadline_ms, wait)
+                .await;
             // The loop has ended.
             let _ = results.send(HoldResult { key, answer });
         });
@@ -371,7 +402,9 @@
         }
         match result.answer {
             HoldAnswer::Report(report) => {
-                let other = report.born_ms.is_some_and(|born| born != result.key.born_ms);
+                let other = report
+                    .born_ms
+                    .is_some_and(|born| born != result.key.born_ms);
                 if other {
                     return self.drop_worker(true, "born_again");
                 }
@@ -391,7 +424,11 @@
         self.lease.note_clock(now, report.clock_ms);
         let fresh = worker.take_lists(report.running, report.ends);
         let progress = worker.fresh_progress();
-        let paces = worker.pace_orders();
+        let (paces, changes) = worker.pace_orders(now);
+        self.changes.extend(changes);
+        let (strains, load) = worker.pace.worst_strains();
+        let stalled = worker.stalled_runs();
+        let sampled = now >= self.next_sample && !strains.is_empty();
         let key = worker.key.clone();
         if !worker.ends.is_empty() {
             self.hold = HoldPlan::DueAt(now + NOTE_WAIT);
@@ -403,12 +440,30 @@
                     ends: fresh,
                 });
             }
+            if sampled {
+                self.next_sample = now + SAMPLE_INTERVAL;
+                if !stalled.is_empty() {
+                    let runs = stalled;
+                    self.tell(ToControl::Stalled {
+                        key: key.clone(),
+                        runs,
+                    });
+                }
+                let changes = std::mem::take(&mut self.changes);
+                self.tell(ToControl::Pressed {
+                    key: key.clone(),
+                    strains,
+                    load,
+                    changes,
+                });
+            }
             if !progress.is_empty() {
                 self.tell(ToControl::Saved { saved: progress });
             }
         }
-        for (task, run, percent) in paces {
-            self.spawn_order(key.clone(), task, run, WorkerOrder::Pace(percent));
+        for pace in paces {
+            let order = WorkerOrder::Pace(pace.percent);
+            self.spawn_order(key.clone(), pace.task, pace.run, order);
         }
         self.confirm_stops(&key);
         self.report();
@@ -457,12 +512,21 @@
             key: worker.key.clone(),
             facts: worker.facts.clone(),
             draining: worker.draining,
-            running: worker.running.iter().map(|row| (row.task, row.run)).collect(),
+            running: worker
+                .running
+                .iter()
+                .map(|row| (row.task, row.run))
+                .collect(),
             ends: worker.ends.clone(),
         };
-        worker.passed_end = worker.ends.last().map_or(worker.noted_end, |end| end.number);
+        worker.passed_end = worker
+            .ends
+            .last()
+            .map_or(worker.noted_end, |end| end.number);
         let saved = worker.running.iter().filter(|row| !row.saved.is_empty());
-        let saved = saved.map(|row| (row.task, Arc::clone(&row.saved))).collect();
+        let saved = saved
+            .map(|row| (row.task, Arc::clone(&row.saved)))
+            .collect();
         let under_way = self.under_way.keys().copied();
         let mut report = report;
         report.running.extend(under_way);
@@ -511,7 +575,6 @@
         self.unconfirmed.clear();
         self.under_way.clear();
         self.reported = false;
-        self.lease.forget_clock();
         self.lost.push((worker.key, ended));
         self.tell_lost();
     }
--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -1,24 +1,29 @@
 //! The worker that an agent speaks for.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::port::RunRow;
 use guavavane_jobs::plan::pace::PaceControl;
+use guavavane_jobs::plan::pace::PaceOrder;
 use guavavane_jobs::plan::pace::PaceRole;
 use guavavane_jobs::plan::pace::PacedTask;
+use guavavane_jobs::plan::press::StrainChange;
 use guavavane_jobs::prelude::RunEnd;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerFacts;
 use guavavane_jobs::prelude::WorkerKey;
+use guavavane_model::prelude::BootTime;
 
 /// What the agent knows of a run besides what the worker lists.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct RunTraits {
     pub(super) latency_target_ms: Option<u64>,
     pub(super) filling: bool,
+    pub(super) image: Arc<str>,
 }
 
 /// One incarnation of the worker.
@@ -43,7 +48,7 @@
 }
 
 impl LocalWorker {
-    pub(super) fn new(key: WorkerKey, facts: WorkerFacts) -> Self {
+    pub(super) fn new(key: WorkerKey, facts: WorkerFacts, patience: Duration) -> Self {
         Self {
             key,
             facts,
@@ -56,16 +61,20 @@
             listed: false,
             traits: IndexMap::new(),
             saved: IndexMap::new(),
-            pace: PaceControl::default(),
+            pace: PaceControl::new(patience),
         }
     }
 
     pub(super) fn is_running(&self, task: TaskKey, run: RunNumber) -> bool {
-        self.running.iter().any(|row| row.task == task && row.run == run)
+        self.running
+            .iter()
+            .any(|row| row.task == task && row.run == run)
     }
 
     pub(super) fn has_ended(&self, task: TaskKey, run: RunNumber) -> bool {
-        self.ends.iter().any(|end| end.task == task && end.run == run)
+        self.ends
+            .iter()
+            .any(|end| end.task == task && end.run == run)
     }
 
     /// Takes a fresh list and returns the ends that are new.
@@ -84,7 +93,9 @@
         self.passed_end = fresh.last().map_or(passed, |end| end.number);
         let running = &self.running;
         let is_there = |key: &(TaskKey, RunNumber)| {
-            running.iter().any(|row| row.task == key.0 && row.run == key.1)
+            running
+                .iter()
+                .any(|row| row.task == key.0 && row.run == key.1)
         };
         if self.traits.len() > 2 * running.len() + 16 {
             self.traits.retain(|key, _| is_there(key));
@@ -106,10 +117,28 @@
         fresh
     }
 
-    /// Pace orders that the latest list calls for.
-    pub(super) fn pace_orders(&mut self) -> Vec<(TaskKey, RunNumber, u32)> {
+    /// Pace orders that the latest list calls for, and what the leader can learn from it.
+    pub(super) fn pace_orders(&mut self, now: BootTime) -> (Vec<PaceOrder>, Vec<StrainChange>) {
         let tasks: Vec<PacedTask> = self.running.iter().map(|row| self.paced(row)).collect();
-        self.pace.observe(&tasks)
+        let before = self.pace.paces().clone();
+        let (orders, changes) = self.pace.observe(now, &tasks);
+        let paces = self.pace.paces();
+        if before != *paces {
+            let tails = tasks.iter().filter_map(|task| match task.role {
+                PaceRole::Serving { tail_ms, .. } => Some(tail_ms),
+                _ => None,
+            });
+            let worst_ms = tails.max().unwrap_or(0);
+            tracing::info!(event = "pace_changed", worker = %self.key, ?paces, worst_ms);
+        }
+        (orders, changes)
+    }
+
+    /// Filling tasks that nearly stand still.
+    pub(super) fn stalled_runs(&self) -> Vec<(TaskKey, RunNumber)> {
+        let runs = self.running.iter().map(|row| (row.task, row.run));
+        runs.filter(|(task, run)| self.pace.is_stalled(*task, *run))
+            .collect()
     }
 
     fn paced(&self, row: &RunRow) -> PacedTask {
@@ -128,6 +157,7 @@
         PacedTask {
             task: row.task,
             run: row.run,
+            image: traits.map_or_else(|| Arc::from(""), |traits| Arc::clone(&traits.image)),
             role,
         }
     }
--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -31,14 +31,22 @@
 
 /// What a path names.
 enum CallTarget {
-    Queue { queue: Arc<str>, advised: bool },
-    Job { queue: Arc<str>, advised: bool, key: JobKey },
+    Queue {
+        queue: Arc<str>,
+    },
+    Job {
+        queue: Arc<str>,
+        advised: bool,
+        key: JobKey,
+    },
 }
 
 /// The leader's time of day in milliseconds since 1970.
 pub(super) fn time_of_day_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
 }
 
 fn find_target(ledger: &JobLedger, host: &str, path: &str) -> Result<CallTarget, CallerReply> {
@@ -51,10 +59,7 @@
     let name = Arc::clone(&queue.name);
     let advised = queue.advised;
     if rest.is_empty() {
-        return Ok(CallTarget::Queue {
-            queue: name,
-            advised,
-        });
+        return Ok(CallTarget::Queue { queue: name });
     }
     let key = rest
         .parse()
@@ -88,7 +93,7 @@
             .local(|ledger| find_target(ledger, &request.host, &request.path));
         let reply = match (target, request.action) {
             (Err(reply), _) => reply,
-            (Ok(CallTarget::Queue { queue, .. }), CallerAction::Query) => {
+            (Ok(CallTarget::Queue { queue }), CallerAction::Query) => {
                 let pending = self.quorum.local(|ledger| ledger.pending_jobs(&queue));
                 CallerReply::Pending(pending as u64)
             }
@@ -116,7 +121,10 @@
     }
 
     pub(super) fn reply(&self, ticket: CallTicket, reply: CallerReply) {
-        let session = self.memory.as_ref().and_then(|m| m.sessions.get(&ticket.session));
+        let session = self
+            .memory
+            .as_ref()
+            .and_then(|m| m.sessions.get(&ticket.session));
         if let Some(session) = session {
             let ticket = ticket.ticket;
             session.sender.send(FromControl::Reply { ticket, reply });
@@ -124,7 +132,9 @@
     }
 
     fn cancel(&mut self, ticket: CallTicket, key: JobKey) {
-        let known = self.quorum.local(|ledger| ledger.job(key).map(|job| job.phase));
+        let known = self
+            .quorum
+            .local(|ledger| ledger.job(key).map(|job| job.phase));
         match known {
             None => self.reply(ticket, CallerReply::NoJob),
             Some(JobPhase::Active) => {
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -29,11 +29,23 @@
 /// What a proposal was made for.
 #[derive(Debug)]
 pub(super) enum CommitPurpose {
-    Submit { ticket: CallTicket, key: JobKey },
-    Cancel { ticket: CallTicket, key: JobKey },
+    Submit {
+        ticket: CallTicket,
+        key: JobKey,
+    },
+    Cancel {
+        ticket: CallTicket,
+        key: JobKey,
+    },
     Operator(OperatorReceiver),
-    AddWorker { session: SessionId, report: Box<WorkerReport> },
-    NoteEnds { worker: WorkerIndex, ends: Vec<RunEnd> },
+    AddWorker {
+        session: SessionId,
+        report: Box<WorkerReport>,
+    },
+    NoteEnds {
+        worker: WorkerIndex,
+        ends: Vec<RunEnd>,
+    },
     Start(Vec<StartChoice>),
     /// A change that only calls for a round of placement.
     Freed,
@@ -50,7 +62,10 @@
         let outcome = self.quorum.propose_async(command);
         let inputs = self.inputs.clone();
         tokio::spawn(async move {
-            let result = outcome.recv_async().await.unwrap_or(Err(ProposeError::Unknown));
+            let result = outcome
+                .recv_async()
+                .await
+                .unwrap_or(Err(ProposeError::Unknown));
             let input = EngineInput::Committed {
                 term,
                 purpose,
@@ -63,7 +78,10 @@
 
     /// Goes on after a proposal; one of an earlier term only gets its answer.
     pub(super) fn take_commit(&mut self, term: u64, purpose: CommitPurpose, result: CommitResult) {
-        let current = self.memory.as_ref().is_some_and(|memory| memory.term == term);
+        let current = self
+            .memory
+            .as_ref()
+            .is_some_and(|memory| memory.term == term);
         match (purpose, result) {
             (CommitPurpose::Operator(receiver), Ok(_)) => {
                 answer(receiver, OperatorReply::Done);
@@ -132,7 +150,10 @@
                 for (choice, _) in committed {
                     self.order_run(choice.worker, choice.task, choice.run);
                 }
-                let again = self.memory.as_ref().is_some_and(|memory| memory.place_again);
+                let again = self
+                    .memory
+                    .as_ref()
+                    .is_some_and(|memory| memory.place_again);
                 if again {
                     self.place();
                 }
@@ -202,8 +223,9 @@
             return;
         };
         match &order {
-            FromControl::Start { key, .. } => {
-                tracing::info!(event = "run_ordered", %task, %run, worker = %key);
+            FromControl::Start { key, order } => {
+                let serving = order.latency_target_ms.is_some();
+                tracing::info!(event = "run_ordered", %task, %run, worker = %key, filling = order.filling, serving);
             }
             _ => tracing::info!(event = "stop_ordered", %task, %run, worker = worker.0),
         }
@@ -250,6 +272,7 @@
         saved,
         latency_target_ms: run_record.latency_target_ms.filter(|_| run_record.serving),
         filling: run_record.filling,
+        image: Arc::clone(&run_record.image),
     };
     Some(FromControl::Start {
         key,
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -111,7 +111,11 @@
             let memory = self
                 .quorum
                 .local(|ledger| LeaderMemory::new(term, now, ledger, &timing));
-            tracing::info!(event = "leadership_taken", term, workers = memory.workers.len());
+            tracing::info!(
+                event = "leadership_taken",
+                term,
+                workers = memory.workers.len()
+            );
             self.memory = Some(memory);
         }
     }
@@ -213,6 +217,18 @@
                     memory.saved.extend(saved);
                 }
             }
+            ToControl::Pressed {
+                key,
+                strains,
+                load,
+                changes,
+            } => {
+                let worker = self.quorum.local(|ledger| ledger.worker_index(&key));
+                if let (Some(memory), Some(worker)) = (&mut self.memory, worker) {
+                    memory.learn_strains(worker, strains, load, &changes);
+                }
+            }
+            ToControl::Stalled { key, runs } => self.move_stalled(&key, &runs),
             ToControl::WorkerLost { key, ended } => self.take_loss(&key, ended),
             ToControl::Peer(_)
             | ToControl::Join { .. }
--- a/crates/guavavane_cell/src/control/memory.rs
+++ b/crates/guavavane_cell/src/control/memory.rs
@@ -4,11 +4,15 @@
 
 use indexmap::IndexMap;
 
+use super::caller::time_of_day_ms;
 use super::session::LeaderSession;
 use super::session::SessionId;
 use super::session::SessionRole;
 use crate::timing::LeaseTiming;
 use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::plan::press::FillingLoad;
+use guavavane_jobs::plan::press::PressTable;
+use guavavane_jobs::plan::press::StrainChange;
 use guavavane_jobs::plan::room::WorkerOutlook;
 use guavavane_jobs::plan::round::RoundInput;
 use guavavane_jobs::prelude::JobKey;
@@ -30,6 +34,23 @@
     pub(super) lapses_at: BootTime,
     /// Failed runs since the last that was done.
     pub(super) failures_in_row: u32,
+    /// Highest strain of each serving image.
+    pub(super) strains: IndexMap<Arc<str>, f64>,
+    /// Filling tasks beside which these strains were seen.
+    pub(super) seen_load: FillingLoad,
+}
+
+impl WorkerMemory {
+    pub(super) fn new(lapses_at: BootTime) -> Self {
+        Self {
+            session: None,
+            draining: false,
+            lapses_at,
+            failures_in_row: 0,
+            strains: IndexMap::new(),
+            seen_load: FillingLoad::new(),
+        }
+    }
 }
 
 /// Memory of one term.
@@ -40,6 +61,8 @@
     pub(super) workers: IndexMap<WorkerIndex, WorkerMemory>,
     /// Latest progress that agents reported.
     pub(super) saved: IndexMap<TaskKey, Arc<str>>,
+    /// How images slow each other down, as learned in this term.
+    pub(super) press: PressTable,
     /// When jobs were seen to have ended.
     pub(super) ended_at: IndexMap<JobKey, BootTime>,
     /// Whether starts are proposed and not committed.
@@ -50,24 +73,21 @@
 
 impl LeaderMemory {
     pub(super) fn new(term: u64, now: BootTime, ledger: &JobLedger, timing: &LeaseTiming) -> Self {
-        let ended = ledger.jobs().filter(|(_, job)| job.phase != JobPhase::Active);
+        let ended = ledger
+            .jobs()
+            .filter(|(_, job)| job.phase != JobPhase::Active);
         let ended_at = ended.map(|(key, _)| (key, now)).collect();
         let lapses_at = now + timing.surely_over(timing.agent_lease);
         let workers = ledger.workers().map(|(index, _)| {
             // An earlier leader may have granted a lease just before it lost its own.
-            let memory = WorkerMemory {
-                session: None,
-                draining: false,
-                lapses_at,
-                failures_in_row: 0,
-            };
-            (index, memory)
+            (index, WorkerMemory::new(lapses_at))
         });
         Self {
             term,
             sessions: IndexMap::new(),
             workers: workers.collect(),
             saved: IndexMap::new(),
+            press: PressTable::default(),
             ended_at,
             placing: false,
             place_again: false,
@@ -96,6 +116,23 @@
         WorkerOutlook {
             usable: worker.session.is_some() && !worker.draining,
             failures_in_row: worker.failures_in_row,
+            strains: worker.strains.clone(),
+            seen_load: worker.seen_load.clone(),
+        }
+    }
+
+    /// Learns from strains that an agent reported.
+    pub(super) fn learn_strains(
+        &mut self,
+        index: WorkerIndex,
+        strains: Vec<(Arc<str>, f64)>,
+        load: FillingLoad,
+        changes: &[StrainChange],
+    ) {
+        changes.iter().for_each(|change| self.press.learn(change));
+        if let Some(worker) = self.workers.get_mut(&index) {
+            worker.strains = strains.into_iter().collect();
+            worker.seen_load = load;
         }
     }
 
@@ -119,4 +156,12 @@
     fn saved(&self, task: TaskKey) -> Option<Arc<str>> {
         self.saved.get(&task).cloned()
     }
+
+    fn press(&self) -> &PressTable {
+        &self.press
+    }
+
+    fn time_of_day_ms(&self) -> u64 {
+        time_of_day_ms()
+    }
 }
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -97,7 +97,11 @@
 
     async fn call(&self, call: OperatorCall) -> OperatorReply {
         let (reply, answer) = oneshot::channel();
-        if self.inputs.send(EngineInput::Operator(call, reply)).is_err() {
+        if self
+            .inputs
+            .send(EngineInput::Operator(call, reply))
+            .is_err()
+        {
             return OperatorReply::Unavailable;
         }
         answer.await.unwrap_or(OperatorReply::Unavailable)
--- a/crates/guavavane_cell/src/control/operator.rs
+++ b/crates/guavavane_cell/src/control/operator.rs
@@ -41,7 +41,9 @@
         }
         match call {
             OperatorCall::ReadCatalog => {
-                let text = self.quorum.local(|ledger| Arc::clone(ledger.catalog_text()));
+                let text = self
+                    .quorum
+                    .local(|ledger| Arc::clone(ledger.catalog_text()));
                 let reply = if text.is_empty() {
                     OperatorReply::Unavailable
                 } else {
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -7,6 +7,8 @@
 use super::session::SessionRole;
 use crate::message::WorkerReport;
 use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::plan::room::rooms;
+use guavavane_jobs::plan::round::choose_moves;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunEnd;
 use guavavane_jobs::prelude::RunNumber;
@@ -59,12 +61,8 @@
         if let SessionRole::Agent { worker, .. } = &mut open.role {
             *worker = Some(index);
         }
-        let entry = memory.workers.entry(index).or_insert(WorkerMemory {
-            session: None,
-            draining: false,
-            lapses_at,
-            failures_in_row: 0,
-        });
+        let entry = memory.workers.entry(index);
+        let entry = entry.or_insert_with(|| WorkerMemory::new(lapses_at));
         entry.session = Some(session);
         entry.draining = report.draining;
         entry.lapses_at = entry.lapses_at.max(lapses_at);
@@ -98,13 +96,14 @@
             let runs = runs.into_iter().flatten();
             runs.map(|(task, record)| (*task, record.run)).collect()
         });
-        let ended = |id: &(TaskKey, RunNumber)| {
-            report.ends.iter().any(|end| (end.task, end.run) == *id)
-        };
+        let ended =
+            |id: &(TaskKey, RunNumber)| report.ends.iter().any(|end| (end.task, end.run) == *id);
         for id in recorded.iter().filter(|id| !ended(id)) {
             let (task, run) = *id;
             let there = report.running.contains(id);
-            let wanted = self.quorum.local(|ledger| ledger.is_wanted(task, run, index));
+            let wanted = self
+                .quorum
+                .local(|ledger| ledger.is_wanted(task, run, index));
             if !there && wanted && !self.takes_starts(index) {
                 self.order_stop(index, task, run);
             } else if there != wanted || !wanted {
@@ -191,11 +190,38 @@
         }
     }
 
+    /// Moves filling tasks that stand still, as far as another worker has room for them.
+    pub(super) fn move_stalled(&mut self, key: &WorkerKey, runs: &[(TaskKey, RunNumber)]) {
+        let Some(memory) = &self.memory else {
+            return;
+        };
+        let moved: Vec<(WorkerIndex, TaskKey, RunNumber)> = self.quorum.local(|ledger| {
+            let Some(worker) = ledger.worker_index(key) else {
+                return Vec::new();
+            };
+            let rooms = rooms(ledger, |index: WorkerIndex| memory.outlook(index));
+            let wanted = runs
+                .iter()
+                .filter(|(task, run)| ledger.is_wanted(*task, *run, worker));
+            let wanted: Vec<TaskKey> = wanted.map(|(task, _)| *task).collect();
+            let movable = choose_moves(ledger, rooms, memory, worker, &wanted);
+            let run_of = |task: &TaskKey| runs.iter().find(|(stalled, _)| stalled == task);
+            let movable = movable.iter().filter_map(run_of);
+            movable.map(|(task, run)| (worker, *task, *run)).collect()
+        });
+        for (worker, task, run) in moved {
+            tracing::info!(event = "run_moved", %task, %run, worker = %key);
+            self.order_stop(worker, task, run);
+        }
+    }
+
     fn order_stop(&self, worker: WorkerIndex, task: TaskKey, run: RunNumber) {
         let Some(session) = self.memory.as_ref().and_then(|m| m.worker_session(worker)) else {
             return;
         };
-        let key = self.quorum.local(|ledger| ledger.worker(worker).map(|w| w.key.clone()));
+        let key = self
+            .quorum
+            .local(|ledger| ledger.worker(worker).map(|w| w.key.clone()));
         if let Some(key) = key {
             tracing::info!(event = "stop_ordered", %task, %run, worker = %key);
             session
--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -101,7 +101,10 @@
     }
 
     fn answer(self, reply: CallerReply) {
-        let denies = matches!(reply, CallerReply::Unavailable | CallerReply::Refused { .. });
+        let denies = matches!(
+            reply,
+            CallerReply::Unavailable | CallerReply::Refused { .. }
+        );
         let reply = if denies && self.maybe_taken && self.is_submission() {
             CallerReply::Unknown
         } else {
@@ -239,8 +242,7 @@
         let lost_at = self.session_lost_at;
         let due = |call: &WaitingCall| {
             let since = call.arrived.max(lost_at);
-            now >= call.deadline
-                || leaderless && now.saturating_since(since) >= LEADERLESS_WAIT
+            now >= call.deadline || leaderless && now.saturating_since(since) >= LEADERLESS_WAIT
         };
         let tickets: Vec<u64> = self
             .waiting
--- a/crates/guavavane_cell/src/leader_link.rs
+++ b/crates/guavavane_cell/src/leader_link.rs
@@ -95,7 +95,12 @@
     fn choose(&mut self, tried: &mut IndexSet<SocketAddr>) -> Option<SocketAddr> {
         let hinted = self.next.take().filter(|peer| !tried.contains(peer));
         let offset = rand::random_range(0..self.known.len().max(1));
-        let others = self.known.iter().cycle().skip(offset).take(self.known.len());
+        let others = self
+            .known
+            .iter()
+            .cycle()
+            .skip(offset)
+            .take(self.known.len());
         let peer = hinted.or_else(|| others.copied().find(|peer| !tried.contains(peer)))?;
         tried.insert(peer);
         Some(peer)
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use guavavane_jobs::plan::press::FillingLoad;
+use guavavane_jobs::plan::press::StrainChange;
 use guavavane_jobs::prelude::RawJob;
 use guavavane_jobs::prelude::RunEnd;
 use guavavane_jobs::prelude::RunNumber;
@@ -111,6 +113,8 @@
     pub latency_target_ms: Option<u64>,
     /// Whether it uses only processor time that others leave.
     pub filling: bool,
+    /// Name of what it runs.
+    pub image: Arc<str>,
 }
 
 /// To a control process.
@@ -170,6 +174,24 @@
         /// The tasks with their progress.
         saved: Vec<(TaskKey, Arc<str>)>,
     },
+    /// Strain of serving tasks beside filling ones.
+    Pressed {
+        /// The incarnation.
+        key: WorkerKey,
+        /// Highest strain of each serving image.
+        strains: Vec<(Arc<str>, f64)>,
+        /// Filling tasks beside which it was seen.
+        load: FillingLoad,
+        /// What changes of filling tasks have shown.
+        changes: Vec<StrainChange>,
+    },
+    /// Filling tasks that stand still beside serving ones.
+    Stalled {
+        /// The incarnation.
+        key: WorkerKey,
+        /// The runs.
+        runs: Vec<(TaskKey, RunNumber)>,
+    },
     /// An incarnation surely runs nothing any more.
     WorkerLost {
         /// The incarnation.
--- a/crates/guavavane_jobs/src/identity.rs
+++ b/crates/guavavane_jobs/src/identity.rs
@@ -23,9 +23,7 @@
 }
 
 /// Identity of a job, chosen by the caller.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct JobKey(pub u64);
 
@@ -50,9 +48,7 @@
 }
 
 /// One step of one occurrence of a job.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StepKey {
     /// The job.
     pub job: JobKey,
@@ -76,9 +72,7 @@
 }
 
 /// One task of a step.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskKey {
     /// Its step.
     pub step: StepKey,
--- a/crates/guavavane_jobs/src/job.rs
+++ b/crates/guavavane_jobs/src/job.rs
@@ -286,7 +286,10 @@
         if raw.steps.is_empty() || raw.steps.len() > STEPS_MAX {
             return Err(JobFault::Steps(raw.steps.len()));
         }
-        let tasks = raw.steps.iter().fold(0, |sum: u64, step| sum.saturating_add(step.tasks));
+        let tasks = raw
+            .steps
+            .iter()
+            .fold(0, |sum: u64, step| sum.saturating_add(step.tasks));
         if tasks > TASKS_MAX {
             return Err(JobFault::Tasks(tasks));
         }
--- a/crates/guavavane_jobs/src/ledger/apply.rs
+++ b/crates/guavavane_jobs/src/ledger/apply.rs
@@ -66,7 +66,11 @@
             LedgerCommand::Withdraw { worker, task, run } => self.withdraw(worker, task, run),
             LedgerCommand::Forget { jobs } => {
                 for job in jobs {
-                    if self.jobs.get(&job).is_some_and(|j| j.phase != JobPhase::Active) {
+                    if self
+                        .jobs
+                        .get(&job)
+                        .is_some_and(|j| j.phase != JobPhase::Active)
+                    {
                         self.jobs.swap_remove(&job);
                     }
                 }
@@ -122,7 +126,8 @@
         }
         job.next_occurrence += 1;
         let steps = spec.steps.iter().map(StepRecord::new).collect();
-        job.occurrences.insert(occurrence, OccurrenceRecord { steps });
+        job.occurrences
+            .insert(occurrence, OccurrenceRecord { steps });
         self.open_steps(key, occurrence, &spec);
         LedgerOutcome::Done
     }
@@ -174,12 +179,7 @@
         self.ready_steps.retain(|step, _| step.job != key);
     }
 
-    fn add_worker(
-        &mut self,
-        key: WorkerKey,
-        node: Arc<str>,
-        facts: WorkerFacts,
-    ) -> LedgerOutcome {
+    fn add_worker(&mut self, key: WorkerKey, node: Arc<str>, facts: WorkerFacts) -> LedgerOutcome {
         if let Some(index) = self.worker_index(&key) {
             return LedgerOutcome::Worker(index);
         }
@@ -227,7 +227,9 @@
             return false;
         }
         let index = choice.task.index as usize;
-        let task = self.step_mut(key).and_then(|step| step.tasks.get_mut(index));
+        let task = self
+            .step_mut(key)
+            .and_then(|step| step.tasks.get_mut(index));
         let Some(task) = task else {
             return false;
         };
@@ -260,7 +262,11 @@
     }
 
     fn step_mut(&mut self, key: StepKey) -> Option<&mut StepRecord> {
-        let occurrence = self.jobs.get_mut(&key.job)?.occurrences.get_mut(&key.occurrence)?;
+        let occurrence = self
+            .jobs
+            .get_mut(&key.job)?
+            .occurrences
+            .get_mut(&key.occurrence)?;
         occurrence.steps.get_mut(usize::from(key.step))
     }
 
@@ -274,7 +280,11 @@
                 continue;
             }
             worker.last_end = end.number;
-            if worker.runs.get(&end.task).is_some_and(|run| run.run <= end.run) {
+            if worker
+                .runs
+                .get(&end.task)
+                .is_some_and(|run| run.run <= end.run)
+            {
                 worker.runs.swap_remove(&end.task);
             }
             if self.end_run(index, end) {
@@ -288,7 +298,11 @@
         let Some(worker) = self.workers.get_mut(&index) else {
             return LedgerOutcome::Done;
         };
-        if worker.runs.get(&task).is_some_and(|record| record.run == run) {
+        if worker
+            .runs
+            .get(&task)
+            .is_some_and(|record| record.run == run)
+        {
             worker.runs.swap_remove(&task);
             let end = RunEnd {
                 number: 0,
--- a/crates/guavavane_jobs/src/ledger/record.rs
+++ b/crates/guavavane_jobs/src/ledger/record.rs
@@ -16,9 +16,7 @@
 use guavavane_model::prelude::ResourceVector;
 
 /// Number of an incarnation of a worker in the ledger, never reused.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct WorkerIndex(pub u32);
 
--- a/crates/guavavane_jobs/src/plan/order.rs
+++ b/crates/guavavane_jobs/src/plan/order.rs
@@ -22,6 +22,8 @@
     pub priority: u64,
     /// When its job should end, in the leader's time of day.
     pub deadline_ms: u64,
+    /// When its job has used half of its time, in the leader's time of day.
+    pub overdue_ms: u64,
     /// Number of tasks of the step.
     pub tasks: u32,
 }
@@ -47,13 +49,22 @@
             continue;
         };
         let queue = ledger.catalog().queue(&job.queue);
+        let deadline_ms = deadline_ms(ledger, job, spec, key);
         steps.push(WaitingStep {
             key,
             priority: queue.map_or(u64::MAX, |queue| queue.priority),
-            deadline_ms: deadline_ms(ledger, job, spec, key),
+            deadline_ms,
+            overdue_ms: deadline_ms.saturating_sub(deadline_ms.saturating_sub(job.accepted_ms) / 2),
             tasks: step.tasks,
         });
     }
-    steps.sort_by_key(|step| (step.priority, step.deadline_ms, Reverse(step.tasks), step.key));
+    steps.sort_by_key(|step| {
+        (
+            step.priority,
+            step.deadline_ms,
+            Reverse(step.tasks),
+            step.key,
+        )
+    });
     steps
 }
--- a/crates/guavavane_jobs/src/plan/place.rs
+++ b/crates/guavavane_jobs/src/plan/place.rs
@@ -1,6 +1,7 @@
 //! Choice of a worker for one task.
 //!
-//! Serving tasks are packed, so that filling tasks find workers where they disturb nobody.
+//! Serving tasks are kept together by image, so that filling tasks find workers where they
+//! disturb nobody.
 //! Filling tasks go where most processor is idle and wait rather than share it thinly. All
 //! other tasks are spread. Data on another rack and a gang on several cost run time.
 
@@ -8,6 +9,7 @@
 
 use indexmap::IndexMap;
 
+use super::press::PressTable;
 use super::room::WorkerRoom;
 use crate::identity::StepKey;
 use crate::identity::WorkerKey;
@@ -22,8 +24,13 @@
 const FAILURES_DOUBTED: u32 = 3;
 /// Weight of a wrong rack against idle processor, in thousandths of a core.
 const RACK_WEIGHT: i64 = 100_000;
-/// Weight of serving tasks beside a filling one, in thousandths of a core each.
+/// Weight of serving tasks on a worker, which keeps them together.
 const SERVING_WEIGHT: i64 = 20_000;
+/// Weight of each other serving image on a worker: fewer images leave more workers where a
+/// filling image disturbs nobody.
+const MIX_WEIGHT: i64 = 400_000;
+/// Weight of strain that is added to a serving task, in thousandths of a core.
+const PRESS_WEIGHT: f64 = 20_000.0;
 /// Weight of a doubted worker, in thousandths of a core.
 const DOUBT_WEIGHT: i64 = 1_000_000;
 
@@ -39,6 +46,10 @@
     pub pool: &'ledger str,
     /// Rack that the step's tasks already use, if they should share one.
     pub rack: Option<Arc<str>>,
+    /// What is known of images that slow each other down.
+    pub press: &'ledger PressTable,
+    /// Whether the step has waited long enough to press on serving tasks.
+    pub overdue: bool,
 }
 
 /// The rack of a worker: its last label.
@@ -65,6 +76,7 @@
         && room.fits(&spec.reserved())
         && !(doubted && !worker.runs.is_empty())
         && has_idle(spec, room)
+        && is_borne(context, room)
 }
 
 fn has_idle(spec: &StepSpec, room: &WorkerRoom) -> bool {
@@ -72,8 +84,15 @@
         return true;
     }
     let wanted = i64::try_from(spec.demand.cpu_millis).unwrap_or(i64::MAX / 100);
-    room.filling == 0 && room.serving == 0
-        || room.idle_cpu() >= wanted / 100 * FILLING_IDLE_PERCENT
+    room.filling == 0 && room.serving == 0 || room.idle_cpu() >= wanted / 100 * FILLING_IDLE_PERCENT
+}
+
+/// Whether the serving tasks of a worker are expected to bear one more filling task.
+fn is_borne(context: &PlaceContext<'_>, room: &WorkerRoom) -> bool {
+    if !context.spec.filling || room.serving_images.is_empty() || context.overdue {
+        return true;
+    }
+    room.bears(context.press, &context.spec.image)
 }
 
 /// How well a worker suits; higher is better.
@@ -81,11 +100,15 @@
     let spec = context.spec;
     let mut score = match spec.kind {
         StepKind::Serving => {
+            let same = room.serving_images.contains_key(&spec.image);
+            let others = room.serving_images.len() - usize::from(same);
+            let mixed = i64::try_from(others).unwrap_or(i64::MAX / MIX_WEIGHT) * MIX_WEIGHT;
             let packed = i64::from(room.serving) * SERVING_WEIGHT;
-            packed - i64::from(room.filling) * SERVING_WEIGHT / 4
+            packed - mixed - i64::from(room.filling) * SERVING_WEIGHT / 4
         }
         StepKind::Finite if spec.filling => {
-            room.idle_cpu() - i64::from(room.serving) * SERVING_WEIGHT
+            let pressed = room.pressed_by(context.press, &spec.image);
+            room.idle_cpu() - (pressed * PRESS_WEIGHT) as i64
         }
         StepKind::Finite => room.idle_cpu(),
     };
@@ -103,7 +126,9 @@
     rooms: &IndexMap<WorkerIndex, WorkerRoom>,
     avoid: Option<&WorkerKey>,
 ) -> Option<WorkerIndex> {
-    let allowed = rooms.iter().filter(|(index, room)| is_allowed(context, **index, room));
+    let allowed = rooms
+        .iter()
+        .filter(|(index, room)| is_allowed(context, **index, room));
     let scored = allowed.map(|(index, room)| {
         let key = context.ledger.worker(*index).map(|worker| &worker.key);
         let avoided = avoid.is_some() && avoid == key;
--- a/crates/guavavane_jobs/src/plan/room.rs
+++ b/crates/guavavane_jobs/src/plan/room.rs
@@ -1,7 +1,12 @@
 //! What is left on each worker.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 
+use super::press::strain_limit;
+use super::press::FillingLoad;
+use super::press::PressTable;
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
 use crate::ledger::JobLedger;
@@ -15,17 +20,38 @@
 /// Serving tasks are sized for their peak; what they leave is for filling tasks.
 const SERVING_USE_PERCENT: u64 = 50;
 
+/// Part of the strain limit up to which filling tasks are placed beside serving ones: the
+/// serving tasks' own load may rise while they run.
+const BORNE_PART: f64 = 0.8;
+/// Strain that one task adds which no load makes matter.
+const WEIGHT_LIGHT: f64 = 0.03;
+/// Strain of a serving task that no report tells of: its load is half of its peak.
+const STRAIN_UNSEEN: f64 = 0.45;
+
 /// What the leader knows of a worker besides the ledger.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerOutlook {
     /// Whether orders reach it and it takes new work.
     pub usable: bool,
     /// How many of its latest runs failed in a row without one that was done.
     pub failures_in_row: u32,
+    /// Highest strain of each serving image, as its agent reported it.
+    pub strains: IndexMap<Arc<str>, f64>,
+    /// Filling tasks beside which these strains were seen.
+    pub seen_load: FillingLoad,
+}
+
+impl WorkerOutlook {
+    /// Strain of a serving image without filling tasks.
+    fn own_strain(&self, table: &PressTable, serving: &Arc<str>) -> f64 {
+        let seen = self.strains.get(serving);
+        let own = seen.map(|seen| seen - table.added(serving, &self.seen_load));
+        own.unwrap_or(STRAIN_UNSEEN).max(0.0)
+    }
 }
 
 /// Room of one worker.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerRoom {
     /// What it has.
     pub capacity: ResourceVector,
@@ -39,6 +65,10 @@
     pub serving: u32,
     /// Number of filling tasks.
     pub filling: u32,
+    /// Number of serving tasks of each image.
+    pub serving_images: IndexMap<Arc<str>, u32>,
+    /// Filling tasks by image.
+    pub load: FillingLoad,
     /// Number of runs of each step.
     pub steps: IndexMap<StepKey, u32>,
     /// What the leader knows of it.
@@ -66,8 +96,15 @@
         if run.filling {
             self.filling_cpu += run.cpu_millis;
             self.filling += 1;
+            *self.load.entry(Arc::clone(&run.image)).or_insert(0.0) += 1.0;
         } else if run.serving {
             self.busy_cpu += run.cpu_millis * SERVING_USE_PERCENT / 100;
+            if run.latency_target_ms.is_some() {
+                *self
+                    .serving_images
+                    .entry(Arc::clone(&run.image))
+                    .or_insert(0) += 1;
+            }
         } else {
             self.busy_cpu += run.cpu_millis;
         }
@@ -88,6 +125,27 @@
             - i64::try_from(used).unwrap_or(i64::MAX)
     }
 
+    /// Strain that another filling task of an image adds to all its serving tasks.
+    pub fn pressed_by(&self, table: &PressTable, image: &Arc<str>) -> f64 {
+        let pressed = self
+            .serving_images
+            .iter()
+            .map(|(served, count)| table.weight(served, image) * f64::from(*count));
+        pressed.sum()
+    }
+
+    /// Whether its serving tasks are expected to bear another filling task of an image.
+    pub fn bears(&self, table: &PressTable, image: &Arc<str>) -> bool {
+        let mut load = self.load.clone();
+        *load.entry(Arc::clone(image)).or_insert(0.0) += 1.0;
+        let limit = strain_limit() * BORNE_PART;
+        self.serving_images.keys().all(|served| {
+            let weight = table.weight(served, image);
+            let own = self.outlook.own_strain(table, served);
+            weight < WEIGHT_LIGHT || own + table.added(served, &load) <= limit
+        })
+    }
+
     /// Number of runs of a step.
     pub fn runs_of(&self, step: StepKey) -> u32 {
         self.steps.get(&step).copied().unwrap_or(0)
--- a/crates/guavavane_jobs/src/plan/round.rs
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -5,10 +5,13 @@
 use indexmap::IndexMap;
 
 use super::order::waiting_steps;
+use super::order::WaitingStep;
 use super::place::pick_worker;
 use super::place::rack_label;
 use super::place::PlaceContext;
+use super::press::PressTable;
 use super::room::WorkerRoom;
+use crate::identity::RunNumber;
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
 use crate::ledger::JobLedger;
@@ -26,6 +29,12 @@
 pub trait RoundInput {
     /// Latest progress that a worker reported for a task; the ledger's if there is none.
     fn saved(&self, task: TaskKey) -> Option<Arc<str>>;
+
+    /// What is known of images that slow each other down.
+    fn press(&self) -> &PressTable;
+
+    /// The leader's time of day in milliseconds since 1970.
+    fn time_of_day_ms(&self) -> u64;
 }
 
 /// Chooses the starts of one round.
@@ -39,18 +48,55 @@
         if choices.len() >= ROUND_STARTS_MAX {
             break;
         }
-        place_step(ledger, waiting.key, &mut rooms, input, &mut choices);
+        place_step(ledger, &waiting, &mut rooms, input, &mut choices);
     }
     choices
 }
 
+/// Which of these tasks another worker has room for, in their order.
+pub fn choose_moves<I: RoundInput>(
+    ledger: &JobLedger,
+    mut rooms: IndexMap<WorkerIndex, WorkerRoom>,
+    input: &I,
+    from: WorkerIndex,
+    tasks: &[TaskKey],
+) -> Vec<TaskKey> {
+    rooms.shift_remove(&from);
+    let mut movable = Vec::new();
+    for task in tasks {
+        let (Some(spec), Some(job)) = (ledger.step_spec(task.step), ledger.job(task.step.job))
+        else {
+            continue;
+        };
+        let queue = ledger.catalog().queue(&job.queue);
+        let context = PlaceContext {
+            ledger,
+            key: task.step,
+            spec,
+            pool: queue.map_or(&job.pool, |queue| &queue.pool),
+            rack: None,
+            press: input.press(),
+            overdue: false,
+        };
+        let Some(worker) = pick_worker(&context, &rooms, None) else {
+            continue;
+        };
+        if let Some(room) = rooms.get_mut(&worker) {
+            room.take(*task, &RunRecord::new(RunNumber(0), spec));
+        }
+        movable.push(*task);
+    }
+    movable
+}
+
 fn place_step<I: RoundInput>(
     ledger: &JobLedger,
-    key: StepKey,
+    waiting: &WaitingStep,
     rooms: &mut IndexMap<WorkerIndex, WorkerRoom>,
     input: &I,
     choices: &mut Vec<StartChoice>,
 ) {
+    let key = waiting.key;
     let (Some(spec), Some(step)) = (ledger.step_spec(key), ledger.step(key)) else {
         return;
     };
@@ -64,6 +110,8 @@
         spec,
         pool: queue.map_or(&job.pool, |queue| &queue.pool),
         rack: None,
+        press: input.press(),
+        overdue: input.time_of_day_ms() > waiting.overdue_ms,
     };
     if spec.gang {
         return place_gang(&mut context, step, rooms, input, choices);
@@ -112,10 +160,20 @@
     input: &I,
     choices: &mut Vec<StartChoice>,
 ) {
-    if step.tasks.iter().any(|task| task.phase != TaskPhase::Waiting) {
+    if step
+        .tasks
+        .iter()
+        .any(|task| task.phase != TaskPhase::Waiting)
+    {
         return;
     }
-    let run = step.tasks.iter().map(|task| task.run).max().unwrap_or_default().next();
+    let run = step
+        .tasks
+        .iter()
+        .map(|task| task.run)
+        .max()
+        .unwrap_or_default()
+        .next();
     let saved = gang_progress(context.key, step, input);
     let mut trial = rooms.clone();
     let mut members = Vec::with_capacity(step.tasks.len());
@@ -123,7 +181,9 @@
         let Some(worker) = pick_worker(context, &trial, None) else {
             return;
         };
-        let task = context.key.task(u32::try_from(index).expect("the number of tasks is bounded"));
+        let task = context
+            .key
+            .task(u32::try_from(index).expect("the number of tasks is bounded"));
         if let Some(room) = trial.get_mut(&worker) {
             room.take(task, &RunRecord::new(run, context.spec));
         }
@@ -146,7 +206,9 @@
     let members = step.tasks.iter().enumerate();
     let progress = members.map(|(index, task)| {
         let task_key = key.task(u32::try_from(index).expect("the number of tasks is bounded"));
-        input.saved(task_key).unwrap_or_else(|| Arc::clone(&task.saved))
+        input
+            .saved(task_key)
+            .unwrap_or_else(|| Arc::clone(&task.saved))
     });
     progress.max().unwrap_or_else(|| Arc::from(""))
 }
--- a/crates/guavavane_jobs/src/queue.rs
+++ b/crates/guavavane_jobs/src/queue.rs
@@ -204,7 +204,10 @@
         let host: Arc<str> = Arc::from(raw.host.as_str());
         let queue = Arc::new(check_queue(raw)?);
         let at_host = self.hosts.entry(Arc::clone(&host)).or_default();
-        if at_host.iter().any(|other| other.path_prefix == queue.path_prefix) {
+        if at_host
+            .iter()
+            .any(|other| other.path_prefix == queue.path_prefix)
+        {
             return Err(CatalogFault::SamePlace {
                 host: host.to_string(),
                 path_prefix: queue.path_prefix.to_string(),
--- a/crates/guavavane_transport/src/stream.rs
+++ b/crates/guavavane_transport/src/stream.rs
@@ -103,7 +103,9 @@
         if self.buffer.len() < PREFIX_BYTES {
             return Some(None);
         }
-        let length = self.buffer[..PREFIX_BYTES].try_into().map(u32::from_le_bytes);
+        let length = self.buffer[..PREFIX_BYTES]
+            .try_into()
+            .map(u32::from_le_bytes);
         let length = length.map_or(usize::MAX, |length| length as usize);
         if length > FRAME_MAX_BYTES {
             tracing::warn!(event = "stream_broken", reason = "oversized", length);
@@ -304,9 +306,7 @@
         .await
         .map_err(broken)?;
     let first = connection.accept().await;
-    let (request, mut response) = first
-        .ok_or(io::ErrorKind::UnexpectedEof)?
-        .map_err(broken)?;
+    let (request, mut response) = first.ok_or(io::ErrorKind::UnexpectedEof)?.map_err(broken)?;
     let sender = response
         .send_response(Response::new(()), false)
         .map_err(broken)?;
