Let filling tasks run unless harm lasts; place them by expected harm

Cause: one paced task of sixteen delays its whole job; waits for a harmless worker and pauses that outlasted the harm took most of the filling jobs' worth. Change: wait 0.3 s at most for a harmless worker, prefer by expected harm, pace only while a task has been over its target for half the bound.

--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -301,6 +301,7 @@
         }
         memory.place_again = false;
         let choices = self.quorum.local(|ledger| {
+            memory.note_waiting(ledger);
             let rooms = rooms(ledger, |index: WorkerIndex| memory.outlook(index));
             choose_starts(ledger, rooms, memory)
         });
--- a/crates/guavavane_cell/src/control/memory.rs
+++ b/crates/guavavane_cell/src/control/memory.rs
@@ -1,6 +1,7 @@
 //! What only the leader knows; it starts anew with each term.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
@@ -20,7 +21,9 @@
 use guavavane_jobs::prelude::JobPhase;
 use guavavane_jobs::prelude::RunEnd;
 use guavavane_jobs::prelude::RunEnding;
+use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
+use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
 
 /// What the leader knows of a worker.
@@ -61,6 +64,8 @@
     pub(super) workers: IndexMap<WorkerIndex, WorkerMemory>,
     /// Latest progress that agents reported.
     pub(super) saved: IndexMap<TaskKey, Arc<str>>,
+    /// Since when steps have had waiting tasks.
+    pub(super) waiting_since: IndexMap<StepKey, BootTime>,
     /// How images slow each other down, as learned in this term.
     pub(super) press: PressTable,
     /// When jobs were seen to have ended.
@@ -87,6 +92,7 @@
             sessions: IndexMap::new(),
             workers: workers.collect(),
             saved: IndexMap::new(),
+            waiting_since: IndexMap::new(),
             press: PressTable::default(),
             ended_at,
             placing: false,
@@ -121,6 +127,15 @@
         }
     }
 
+    /// Notes which steps have waiting tasks.
+    pub(super) fn note_waiting(&mut self, ledger: &JobLedger) {
+        let now = BootClock.now();
+        let known = std::mem::take(&mut self.waiting_since);
+        let ready = ledger.ready_steps();
+        let ready = ready.map(|(step, _)| (step, known.get(&step).copied().unwrap_or(now)));
+        self.waiting_since = ready.collect();
+    }
+
     /// Learns from strains that an agent reported.
     pub(super) fn learn_strains(
         &mut self,
@@ -164,4 +179,11 @@
     fn time_of_day_ms(&self) -> u64 {
         time_of_day_ms()
     }
+
+    fn waited(&self, step: StepKey) -> Duration {
+        let since = self.waiting_since.get(&step);
+        since.map_or(Duration::ZERO, |since| {
+            BootClock.now().saturating_since(*since)
+        })
+    }
 }
--- a/crates/guavavane_jobs/src/plan/order.rs
+++ b/crates/guavavane_jobs/src/plan/order.rs
@@ -1,7 +1,8 @@
 //! Order in which waiting steps get room when there is not enough for all.
 //!
 //! Queues go by their priority. Within one, the step whose job must end first goes first: a
-//! job's objective is known from its arrival and its longest chain.
+//! job's objective is known from its arrival and its longest chain. Jobs that have missed
+//! theirs yield to those that have not.
 
 use std::cmp::Reverse;
 
@@ -22,8 +23,6 @@
     pub priority: u64,
     /// When its job should end, in the leader's time of day.
     pub deadline_ms: u64,
-    /// When its job has used half of its time, in the leader's time of day.
-    pub overdue_ms: u64,
     /// Number of tasks of the step.
     pub tasks: u32,
 }
@@ -39,7 +38,7 @@
 }
 
 /// All steps that may start, the most urgent first.
-pub fn waiting_steps(ledger: &JobLedger) -> Vec<WaitingStep> {
+pub fn waiting_steps(ledger: &JobLedger, now_ms: u64) -> Vec<WaitingStep> {
     let mut steps = Vec::new();
     for (key, _) in ledger.ready_steps() {
         let Some(job) = ledger.job(key.job) else {
@@ -54,17 +53,13 @@
             key,
             priority: queue.map_or(u64::MAX, |queue| queue.priority),
             deadline_ms,
-            overdue_ms: deadline_ms.saturating_sub(deadline_ms.saturating_sub(job.accepted_ms) / 2),
             tasks: step.tasks,
         });
     }
+    let late = |step: &WaitingStep| step.deadline_ms < now_ms;
     steps.sort_by_key(|step| {
-        (
-            step.priority,
-            step.deadline_ms,
-            Reverse(step.tasks),
-            step.key,
-        )
+        let urgency = (step.priority, late(step), step.deadline_ms);
+        (urgency, Reverse(step.tasks), step.key)
     });
     steps
 }
--- a/crates/guavavane_jobs/src/plan/pace.rs
+++ b/crates/guavavane_jobs/src/plan/pace.rs
@@ -19,8 +19,6 @@
 use crate::identity::TaskKey;
 use guavavane_model::prelude::BootTime;
 
-/// Part of the limit below which filling tasks are let go.
-const CALM_PART: f64 = 0.85;
 /// Part of the limit that is given to filling tasks.
 const AIMED_PART: f64 = 0.9;
 /// Weight below which a pair does not matter.
@@ -116,8 +114,8 @@
     patience: Duration,
     /// Since when serving tasks are over their targets.
     over_since: IndexMap<(TaskKey, RunNumber), BootTime>,
-    /// Whether filling tasks are slowed down.
-    guarding: bool,
+    /// Since when filling tasks are slowed down.
+    guarding_since: Option<BootTime>,
 }
 
 impl PaceControl {
@@ -158,10 +156,11 @@
         let changes = self.settled_changes(now);
         changes.iter().for_each(|change| self.table.learn(change));
         self.watch(now, tasks);
-        self.paces = if self.guarding {
-            self.allocate(tasks)
-        } else {
-            IndexMap::new()
+        self.paces = match self.guarding_since {
+            None => IndexMap::new(),
+            // What is known of the pairs does not explain it.
+            Some(since) if now.saturating_since(since) >= SETTLE_TIME => stopped(tasks),
+            Some(_) => self.allocate(tasks),
         };
         (self.orders(tasks), changes)
     }
@@ -233,17 +232,14 @@
     }
 
     /// Begins to guard the serving tasks when one has been over its target for too long, and
-    /// ends when all are well below.
+    /// ends when none is over any more.
     fn watch(&mut self, now: BootTime, tasks: &[PacedTask]) {
         let mut over_since = IndexMap::new();
-        let mut worst: f64 = 0.0;
         for task in tasks {
             let PaceRole::Serving { tail_ms, target_ms } = task.role else {
                 continue;
             };
-            let seen = strain(tail_ms, target_ms);
-            worst = worst.max(seen);
-            if seen >= strain_limit() {
+            if strain(tail_ms, target_ms) >= strain_limit() {
                 let key = (task.task, task.run);
                 let since = self.over_since.get(&key).copied().unwrap_or(now);
                 over_since.insert(key, since);
@@ -252,10 +248,10 @@
         self.over_since = over_since;
         let longest = self.over_since.values().min().copied();
         let too_long = longest.is_some_and(|since| now.saturating_since(since) >= self.patience);
-        if too_long {
-            self.guarding = true;
-        } else if worst <= strain_limit() * CALM_PART {
-            self.guarding = false;
+        if self.over_since.is_empty() {
+            self.guarding_since = None;
+        } else if too_long && self.guarding_since.is_none() {
+            self.guarding_since = Some(now);
         }
     }
 
@@ -280,11 +276,11 @@
                 }
             });
             let share = borne.fold(1.0, f64::min);
-            let mut pace = (share * f64::from(PACE_FULL)) as u32;
-            if over && heaviest >= WEIGHT_LEAST {
-                let current = self.paces.get(&image).copied().unwrap_or(PACE_FULL);
-                pace = pace.min(current / 2);
-            }
+            let pace = if over && heaviest >= WEIGHT_LEAST {
+                0
+            } else {
+                (share * f64::from(PACE_FULL)) as u32
+            };
             let pace = self.rounded(&image, pace);
             for (served, left) in &mut room {
                 let part = f64::from(pace) / f64::from(PACE_FULL);
@@ -367,6 +363,12 @@
     strains
 }
 
+/// All filling images, standing still.
+fn stopped(tasks: &[PacedTask]) -> IndexMap<Arc<str>, u32> {
+    let filling = tasks.iter().filter(|task| task.role == PaceRole::Filling);
+    filling.map(|task| (Arc::clone(&task.image), 0)).collect()
+}
+
 fn load_difference(before: &FillingLoad, after: &FillingLoad) -> FillingLoad {
     let mut difference = after.clone();
     for (image, tasks) in before {
--- a/crates/guavavane_jobs/src/plan/place.rs
+++ b/crates/guavavane_jobs/src/plan/place.rs
@@ -29,8 +29,10 @@
 /// Weight of each other serving image on a worker: fewer images leave more workers where a
 /// filling image disturbs nobody.
 const MIX_WEIGHT: i64 = 400_000;
-/// Weight of strain that is added to a serving task, in thousandths of a core.
-const PRESS_WEIGHT: f64 = 20_000.0;
+/// Weight of a serving task that misses its target, in thousandths of a core.
+const HARM_WEIGHT: f64 = 10_000.0;
+/// Number of serving tasks that may be expected to miss their target.
+const HARM_BORNE: f64 = 0.3;
 /// Weight of a doubted worker, in thousandths of a core.
 const DOUBT_WEIGHT: i64 = 1_000_000;
 
@@ -92,7 +94,7 @@
     if !context.spec.filling || room.serving_images.is_empty() || context.overdue {
         return true;
     }
-    room.bears(context.press, &context.spec.image)
+    room.harm(context.press, &context.spec.image) <= HARM_BORNE
 }
 
 /// How well a worker suits; higher is better.
@@ -107,8 +109,8 @@
             packed - mixed - i64::from(room.filling) * SERVING_WEIGHT / 4
         }
         StepKind::Finite if spec.filling => {
-            let pressed = room.pressed_by(context.press, &spec.image);
-            room.idle_cpu() - (pressed * PRESS_WEIGHT) as i64
+            let harm = room.harm(context.press, &spec.image);
+            room.idle_cpu() - (harm * HARM_WEIGHT) as i64
         }
         StepKind::Finite => room.idle_cpu(),
     };
--- a/crates/guavavane_jobs/src/plan/press.rs
+++ b/crates/guavavane_jobs/src/plan/press.rs
@@ -83,6 +83,12 @@
         })
     }
 
+    /// Every pair that was seen, with its weight and how much it was seen.
+    pub fn pairs(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>, f64, f64)> {
+        let pairs = self.pairs.iter();
+        pairs.map(|((serving, filling), pair)| (serving, filling, pair.weight, pair.seen))
+    }
+
     /// Strain that filling tasks add to a serving image.
     pub fn added(&self, serving: &Arc<str>, filling: &FillingLoad) -> f64 {
         let parts = filling
--- a/crates/guavavane_jobs/src/plan/room.rs
+++ b/crates/guavavane_jobs/src/plan/room.rs
@@ -25,6 +25,8 @@
 const BORNE_PART: f64 = 0.8;
 /// Strain that one task adds which no load makes matter.
 const WEIGHT_LIGHT: f64 = 0.03;
+/// Strain over which the chance to miss the target rises to certainty.
+const STRAIN_SPREAD: f64 = 0.3;
 /// Strain of a serving task that no report tells of: its load is half of its peak.
 const STRAIN_UNSEEN: f64 = 0.45;
 
@@ -125,25 +127,22 @@
             - i64::try_from(used).unwrap_or(i64::MAX)
     }
 
-    /// Strain that another filling task of an image adds to all its serving tasks.
-    pub fn pressed_by(&self, table: &PressTable, image: &Arc<str>) -> f64 {
-        let pressed = self
-            .serving_images
-            .iter()
-            .map(|(served, count)| table.weight(served, image) * f64::from(*count));
-        pressed.sum()
-    }
-
-    /// Whether its serving tasks are expected to bear another filling task of an image.
-    pub fn bears(&self, table: &PressTable, image: &Arc<str>) -> bool {
+    /// How many of its serving tasks are expected to miss their target beside another filling
+    /// task of an image.
+    pub fn harm(&self, table: &PressTable, image: &Arc<str>) -> f64 {
         let mut load = self.load.clone();
         *load.entry(Arc::clone(image)).or_insert(0.0) += 1.0;
-        let limit = strain_limit() * BORNE_PART;
-        self.serving_images.keys().all(|served| {
-            let weight = table.weight(served, image);
+        let harmed = self.serving_images.iter().map(|(served, count)| {
             let own = self.outlook.own_strain(table, served);
-            weight < WEIGHT_LIGHT || own + table.added(served, &load) <= limit
-        })
+            // A tail that is over its target may be due to a pair that is thought light.
+            if own < strain_limit() && table.weight(served, image) < WEIGHT_LIGHT {
+                return 0.0;
+            }
+            let over = own + table.added(served, &load) - strain_limit() * BORNE_PART;
+            let chance = (over / STRAIN_SPREAD).clamp(0.0, 1.0);
+            chance * f64::from(*count)
+        });
+        harmed.sum()
     }
 
     /// Number of runs of a step.
--- a/crates/guavavane_jobs/src/plan/round.rs
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -1,6 +1,7 @@
 //! One round of placement: which waiting tasks start where.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
@@ -25,6 +26,9 @@
 /// Most starts of one round: bounds the size of one command in the log.
 const ROUND_STARTS_MAX: usize = 256;
 
+/// How long a filling task waits for a worker where it presses on nobody.
+const PATIENCE: Duration = Duration::from_millis(300);
+
 /// What a round needs besides the ledger.
 pub trait RoundInput {
     /// Latest progress that a worker reported for a task; the ledger's if there is none.
@@ -35,6 +39,9 @@
 
     /// The leader's time of day in milliseconds since 1970.
     fn time_of_day_ms(&self) -> u64;
+
+    /// How long a step has had waiting tasks.
+    fn waited(&self, step: StepKey) -> Duration;
 }
 
 /// Chooses the starts of one round.
@@ -44,7 +51,7 @@
     input: &I,
 ) -> Vec<StartChoice> {
     let mut choices = Vec::new();
-    for waiting in waiting_steps(ledger) {
+    for waiting in waiting_steps(ledger, input.time_of_day_ms()) {
         if choices.len() >= ROUND_STARTS_MAX {
             break;
         }
@@ -111,7 +118,7 @@
         pool: queue.map_or(&job.pool, |queue| &queue.pool),
         rack: None,
         press: input.press(),
-        overdue: input.time_of_day_ms() > waiting.overdue_ms,
+        overdue: input.waited(key) >= PATIENCE,
     };
     if spec.gang {
         return place_gang(&mut context, step, rooms, input, choices);
