Stop extending the lease of a worker that does not answer

Ruled out: a slow leader (it heard no loss at all). Change: after an unanswered hold the deadline stays; the leader places nothing on a silent worker.

--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -16,6 +16,10 @@
     granted_until: BootTime,
     /// Latest reading of the worker's clock, with the moment of its arrival.
     clock: Option<(BootTime, u64)>,
+    /// Latest deadline that was given, on the worker's clock.
+    deadline_ms: Option<u64>,
+    /// Whether the worker has left the latest hold unanswered.
+    silent: bool,
     /// When everything on the worker has surely lapsed.
     lapsed_at: BootTime,
 }
@@ -26,6 +30,8 @@
             timing,
             granted_until: BootTime::default(),
             clock: None,
+            deadline_ms: None,
+            silent: false,
             lapsed_at: BootTime::default(),
         }
     }
@@ -39,16 +45,33 @@
     /// A worker is found: an earlier process of this agent may have extended its lease.
     pub(super) fn begin_worker(&mut self, now: BootTime) {
         self.clock = None;
+        self.deadline_ms = None;
+        self.silent = false;
         self.lapsed_at = now + self.timing.surely_over(self.timing.worker_lease);
     }
 
     /// The worker's clock, as it arrived at `now`.
     pub(super) fn note_clock(&mut self, now: BootTime, clock_ms: u64) {
         self.clock = Some((now, clock_ms));
+        self.silent = false;
+    }
+
+    /// A hold was not answered: the lease is not extended until one is, so that a silent
+    /// worker surely lapses.
+    pub(super) fn note_silence(&mut self) {
+        self.silent = true;
+    }
+
+    /// Whether the worker has left the latest hold unanswered.
+    pub(super) fn is_silent(&self) -> bool {
+        self.silent
     }
 
     /// The deadline to give at `now`, on the worker's clock, within the leader's grant.
     pub(super) fn next_deadline(&mut self, now: BootTime) -> Option<u64> {
+        if self.silent {
+            return self.deadline_ms;
+        }
         let (read_at, clock_ms) = self.clock?;
         let granted = self.granted_until.saturating_since(now);
         let lease = self.timing.worker_lease.min(granted);
@@ -59,7 +82,8 @@
         let ahead = u64::try_from((passed + lease).as_millis()).ok()?;
         let over = now + self.timing.surely_over(passed + lease);
         self.lapsed_at = self.lapsed_at.max(over);
-        Some(clock_ms + ahead)
+        self.deadline_ms = self.deadline_ms.max(Some(clock_ms + ahead));
+        self.deadline_ms
     }
 
     /// Whether everything on the worker has surely lapsed at `now`.
--- a/crates/guavavane_cell/src/agent/run.rs
+++ b/crates/guavavane_cell/src/agent/run.rs
@@ -272,7 +272,8 @@
         };
         worker.traits.insert((task, run), traits);
         let deadline = self.lease.next_deadline(BootClock.now());
-        let (Some(deadline_ms), false) = (deadline, worker.draining) else {
+        let withheld = worker.draining || self.lease.is_silent();
+        let (Some(deadline_ms), false) = (deadline, withheld) else {
             tracing::info!(event = "start_withheld", %task, %run, draining = worker.draining);
             self.spawn_order(key, task, run, WorkerOrder::Stop);
             return;
@@ -380,7 +381,7 @@
     }
 
     fn hold_wait(&self, worker: &LocalWorker) -> Duration {
-        if !worker.listed || !worker.ends.is_empty() {
+        if !worker.listed || !worker.ends.is_empty() || worker.silent {
             return Duration::ZERO;
         }
         if !self.unconfirmed.is_empty() {
@@ -411,17 +412,20 @@
                 self.take_report(now, report);
             }
             HoldAnswer::OtherIncarnation => self.drop_worker(true, "other_incarnation"),
-            HoldAnswer::Refused | HoldAnswer::Absent | HoldAnswer::Unanswered => {
+            HoldAnswer::Refused => self.hold = HoldPlan::DueAt(now + HOLD_PAUSE),
+            HoldAnswer::Absent | HoldAnswer::Unanswered => {
                 self.hold = HoldPlan::DueAt(now + HOLD_PAUSE);
+                self.note_silence(true);
             }
         }
     }
 
     fn take_report(&mut self, now: BootTime, report: HoldReport) {
+        self.lease.note_clock(now, report.clock_ms);
+        self.note_silence(false);
         let Some(worker) = &mut self.worker else {
             return;
         };
-        self.lease.note_clock(now, report.clock_ms);
         let fresh = worker.take_lists(report.running, report.ends);
         let progress = worker.fresh_progress();
         let (paces, changes) = worker.pace_orders(now);
@@ -469,6 +473,23 @@
         self.report();
     }
 
+    /// Notes whether the worker answers; the leader gives a silent one no work.
+    fn note_silence(&mut self, silent: bool) {
+        if silent {
+            self.lease.note_silence();
+        }
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if worker.silent == silent {
+            return;
+        }
+        worker.silent = silent;
+        let key = worker.key.clone();
+        tracing::warn!(event = "worker_silence", worker = %key, silent);
+        self.tell(ToControl::Silence { key, silent });
+    }
+
     /// Tells the leader of runs that were stopped and never showed up.
     fn confirm_stops(&mut self, key: &WorkerKey) {
         let Some(worker) = &self.worker else {
@@ -531,7 +552,10 @@
         let mut report = report;
         report.running.extend(under_way);
         tracing::info!(event = "worker_reported", worker = %report.key, running = report.running.len(), ends = report.ends.len(), draining = report.draining);
+        let silent = self.lease.is_silent();
+        let key = report.key.clone();
         self.tell(ToControl::Worker(Box::new(report)));
+        self.tell(ToControl::Silence { key, silent });
         self.tell(ToControl::Saved { saved });
         self.reported = true;
     }
--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -32,6 +32,8 @@
     pub(super) key: WorkerKey,
     pub(super) facts: WorkerFacts,
     pub(super) draining: bool,
+    /// Whether it left the latest hold unanswered.
+    pub(super) silent: bool,
     pub(super) sequence: u64,
     /// Highest end that the leader has noted.
     pub(super) noted_end: u64,
@@ -53,6 +55,7 @@
             key,
             facts,
             draining: false,
+            silent: false,
             sequence: 0,
             noted_end: 0,
             passed_end: 0,
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -228,6 +228,14 @@
                     memory.learn_strains(worker, strains, load, &changes);
                 }
             }
+            ToControl::Silence { key, silent } => {
+                let worker = self.quorum.local(|ledger| ledger.worker_index(&key));
+                let memory = self.memory.as_mut();
+                let known = memory.and_then(|memory| memory.workers.get_mut(&worker?));
+                if let Some(known) = known {
+                    known.silent = silent;
+                }
+            }
             ToControl::Stalled { key, runs } => self.move_stalled(&key, &runs),
             ToControl::WorkerLost { key, ended } => self.take_loss(&key, ended),
             ToControl::Peer(_)
--- a/crates/guavavane_cell/src/control/memory.rs
+++ b/crates/guavavane_cell/src/control/memory.rs
@@ -33,6 +33,8 @@
     pub(super) session: Option<SessionId>,
     /// Whether it takes no new work.
     pub(super) draining: bool,
+    /// Whether it leaves its agent's calls unanswered.
+    pub(super) silent: bool,
     /// When everything on it has surely lapsed, if its agent stays silent.
     pub(super) lapses_at: BootTime,
     /// Failed runs since the last that was done.
@@ -48,6 +50,7 @@
         Self {
             session: None,
             draining: false,
+            silent: false,
             lapses_at,
             failures_in_row: 0,
             strains: IndexMap::new(),
@@ -120,7 +123,7 @@
             return WorkerOutlook::default();
         };
         WorkerOutlook {
-            usable: worker.session.is_some() && !worker.draining,
+            usable: worker.session.is_some() && !worker.draining && !worker.silent,
             failures_in_row: worker.failures_in_row,
             strains: worker.strains.clone(),
             seen_load: worker.seen_load.clone(),
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -185,6 +185,13 @@
         /// What changes of filling tasks have shown.
         changes: Vec<StrainChange>,
     },
+    /// Whether a worker answers its agent.
+    Silence {
+        /// The incarnation.
+        key: WorkerKey,
+        /// Whether it left the latest call unanswered.
+        silent: bool,
+    },
     /// Filling tasks that stand still beside serving ones.
     Stalled {
         /// The incarnation.
