Pack filling tasks fuller on workers where they press on nobody

Cause: filling tasks waited for 75 % of their processor to be idle and went to pressing places instead. Change: 40 %, and a heavier weight on expected harm.

--- a/crates/guavavane_jobs/src/plan/place.rs
+++ b/crates/guavavane_jobs/src/plan/place.rs
@@ -19,7 +19,7 @@
 use crate::ledger::WorkerIndex;
 
 /// Least part of a filling task's processor that must be idle, in percent.
-const FILLING_IDLE_PERCENT: i64 = 75;
+const FILLING_IDLE_PERCENT: i64 = 40;
 /// Failures in a row after which a worker gets one task at a time.
 const FAILURES_DOUBTED: u32 = 3;
 /// Weight of a wrong rack against idle processor, in thousandths of a core.
@@ -30,7 +30,7 @@
 /// filling image disturbs nobody.
 const MIX_WEIGHT: i64 = 400_000;
 /// Weight of a serving task that misses its target, in thousandths of a core.
-const HARM_WEIGHT: f64 = 10_000.0;
+const HARM_WEIGHT: f64 = 16_000.0;
 /// Number of serving tasks that may be expected to miss their target.
 const HARM_BORNE: f64 = 0.3;
 /// Weight of a doubted worker, in thousandths of a core.
