--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -26,8 +26,11 @@
 use guavavane_model::prelude::BootTime;
 use guavavane_transport::prelude::StreamSender;
 
-/// Longest wait of a request while no leader is known: an election takes about as long.
+/// Longest wait of a question while no leader is known: an election takes about as long.
 const LEADERLESS_WAIT: Duration = Duration::from_millis(1_500);
+/// Longest wait of a submission while no leader is known: its caller does better to return
+/// than to wait for an outage of unknown length.
+const LEADERLESS_SUBMIT_WAIT: Duration = Duration::from_millis(200);
 /// Time kept back from a caller's deadline to answer within it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(60);
 /// Time between two looks for requests that are out of time.
@@ -242,7 +245,13 @@
         let lost_at = self.session_lost_at;
         let due = |call: &WaitingCall| {
             let since = call.arrived.max(lost_at);
-            now >= call.deadline || leaderless && now.saturating_since(since) >= LEADERLESS_WAIT
+            let untaken = call.is_submission() && !call.maybe_taken;
+            let wait = if untaken {
+                LEADERLESS_SUBMIT_WAIT
+            } else {
+                LEADERLESS_WAIT
+            };
+            now >= call.deadline || leaderless && now.saturating_since(since) >= wait
         };
         let tickets: Vec<u64> = self
             .waiting
