Elect a leader sooner

Cause: after a loss of all control VMs the entries found no leader for 0.95 s after the processes were back. Change: elections after 450 to 800 ms, lease 350 ms.

--- a/crates/guavavane_cell/src/control/replica.rs
+++ b/crates/guavavane_cell/src/control/replica.rs
@@ -38,11 +38,11 @@
 /// Time between two heartbeats of the leader.
 const HEARTBEAT_MS: u64 = 100;
 /// Shortest silence of a leader before an election: several heartbeats and a slow disk.
-const ELECTION_MIN_MS: u64 = 700;
+const ELECTION_MIN_MS: u64 = 450;
 /// Longest silence of a leader before an election.
-const ELECTION_MAX_MS: u64 = 1_200;
+const ELECTION_MAX_MS: u64 = 800;
 /// Leader's lease, shorter than any election.
-const LEASE_MS: u64 = 500;
+const LEASE_MS: u64 = 350;
 /// Silence after which a voter is replaced, if there is a replacement.
 const REMOVAL_MS: u64 = 2_500;
 /// Applied entries after which a snapshot is taken.
