Wait for a harmless worker as long as the job's slack allows

Change: run times learned by queue, chains and deadlines from both, patience a quarter of the spare time; jobs that have missed their objective do not press.

--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -147,7 +147,11 @@
                     memory.placing = false;
                 }
                 let committed = choices.iter().zip(started).filter(|(_, started)| *started);
+                let now = BootClock.now();
                 for (choice, _) in committed {
+                    if let Some(memory) = &mut self.memory {
+                        memory.ordered_at.insert((choice.task, choice.run), now);
+                    }
                     self.order_run(choice.worker, choice.task, choice.run);
                 }
                 let again = self
@@ -165,7 +169,10 @@
 
     fn finish_ends(&mut self, worker: WorkerIndex, ends: &[RunEnd], jobs: &[JobKey]) {
         if let Some(memory) = &mut self.memory {
-            memory.learn_ends(worker, ends);
+            let quorum = &self.quorum;
+            memory.learn_ends(worker, ends, |job| {
+                quorum.local(|ledger| ledger.job(job).map(|job| Arc::clone(&job.queue)))
+            });
         }
         for end in ends {
             tracing::info!(event = "run_ended", task = %end.task, run = %end.run, ending = ?end.ending, worker = worker.0);
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -368,6 +368,9 @@
             return;
         }
         memory.ended_at.retain(|job, _| !jobs.contains(job));
+        memory
+            .ordered_at
+            .retain(|_, at| now.saturating_since(*at) <= retention);
         self.propose(LedgerCommand::Forget { jobs }, CommitPurpose::Kept);
     }
 
--- a/crates/guavavane_cell/src/control/memory.rs
+++ b/crates/guavavane_cell/src/control/memory.rs
@@ -16,11 +16,13 @@
 use guavavane_jobs::plan::press::StrainChange;
 use guavavane_jobs::plan::room::WorkerOutlook;
 use guavavane_jobs::plan::round::RoundInput;
+use guavavane_jobs::plan::slack::RunTimes;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::JobPhase;
 use guavavane_jobs::prelude::RunEnd;
 use guavavane_jobs::prelude::RunEnding;
+use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_model::prelude::BootClock;
@@ -69,6 +71,10 @@
     pub(super) saved: IndexMap<TaskKey, Arc<str>>,
     /// Since when steps have had waiting tasks.
     pub(super) waiting_since: IndexMap<StepKey, BootTime>,
+    /// Run times that were seen in this term.
+    pub(super) run_times: RunTimes,
+    /// When runs were ordered that have not ended.
+    pub(super) ordered_at: IndexMap<(TaskKey, RunNumber), BootTime>,
     /// How images slow each other down, as learned in this term.
     pub(super) press: PressTable,
     /// When jobs were seen to have ended.
@@ -96,6 +102,8 @@
             workers: workers.collect(),
             saved: IndexMap::new(),
             waiting_since: IndexMap::new(),
+            run_times: RunTimes::default(),
+            ordered_at: IndexMap::new(),
             press: PressTable::default(),
             ended_at,
             placing: false,
@@ -155,9 +163,20 @@
     }
 
     /// Learns from ends that were noted.
-    pub(super) fn learn_ends(&mut self, index: WorkerIndex, ends: &[RunEnd]) {
+    pub(super) fn learn_ends(
+        &mut self,
+        index: WorkerIndex,
+        ends: &[RunEnd],
+        queue_of: impl Fn(JobKey) -> Option<Arc<str>>,
+    ) {
+        let now = BootClock.now();
         for end in ends {
             self.saved.swap_remove(&end.task);
+            let ordered_at = self.ordered_at.swap_remove(&(end.task, end.run));
+            let queue = queue_of(end.task.step.job);
+            if let (Some(at), Some(queue), RunEnding::Done) = (ordered_at, queue, end.ending) {
+                self.run_times.learn(&queue, now.saturating_since(at));
+            }
             let Some(worker) = self.workers.get_mut(&index) else {
                 continue;
             };
@@ -175,6 +194,10 @@
         self.saved.get(&task).cloned()
     }
 
+    fn run_times(&self) -> &RunTimes {
+        &self.run_times
+    }
+
     fn press(&self) -> &PressTable {
         &self.press
     }
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -1,5 +1,6 @@
 //! Decisions of the leader and of the agents, as pure functions.
 //!
+//! [`slack`] answers declared run times that are far off,
 //! [`order`] answers more waiting steps than room, [`room`] keeps what is left on each worker,
 //! [`place`] picks a worker for a task, [`round`] puts these together, and [`pace`] answers
 //! filling tasks that slow down serving ones on one
@@ -11,3 +12,4 @@
 pub mod press;
 pub mod room;
 pub mod round;
+pub mod slack;
--- a/crates/guavavane_jobs/src/plan/order.rs
+++ b/crates/guavavane_jobs/src/plan/order.rs
@@ -5,14 +5,12 @@
 //! theirs yield to those that have not.
 
 use std::cmp::Reverse;
+use std::time::Duration;
 
+use super::slack::patience;
+use super::slack::RunTimes;
 use crate::identity::StepKey;
-use crate::job::JobSpec;
 use crate::ledger::JobLedger;
-use crate::ledger::JobRecord;
-
-/// Objective of jobs in queues that the catalog no longer has.
-const DEFAULT_OBJECTIVE_MS: u64 = 10_000;
 
 /// A step that may start, with what its place in the order depends on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,22 +21,14 @@
     pub priority: u64,
     /// When its job should end, in the leader's time of day.
     pub deadline_ms: u64,
+    /// How long it may wait for a worker where it presses on nobody.
+    pub patience: Duration,
     /// Number of tasks of the step.
     pub tasks: u32,
 }
 
-/// When a job should end, in the leader's time of day.
-fn deadline_ms(ledger: &JobLedger, job: &JobRecord, spec: &JobSpec, key: StepKey) -> u64 {
-    let begin = spec
-        .schedule
-        .map_or(job.accepted_ms, |schedule| schedule.due_ms(key.occurrence));
-    let queue = ledger.catalog().queue(&job.queue);
-    let objective = queue.map_or(DEFAULT_OBJECTIVE_MS, |q| q.objective_ms(spec.chain_ms()));
-    begin.saturating_add(objective)
-}
-
 /// All steps that may start, the most urgent first.
-pub fn waiting_steps(ledger: &JobLedger, now_ms: u64) -> Vec<WaitingStep> {
+pub fn waiting_steps(ledger: &JobLedger, run_times: &RunTimes, now_ms: u64) -> Vec<WaitingStep> {
     let mut steps = Vec::new();
     for (key, _) in ledger.ready_steps() {
         let Some(job) = ledger.job(key.job) else {
@@ -48,11 +38,13 @@
             continue;
         };
         let queue = ledger.catalog().queue(&job.queue);
-        let deadline_ms = deadline_ms(ledger, job, spec, key);
+        let deadline_ms = run_times.deadline_ms(ledger, job, spec, key);
+        let left_ms = run_times.chain_ms(&job.queue, spec, usize::from(key.step));
         steps.push(WaitingStep {
             key,
             priority: queue.map_or(u64::MAX, |queue| queue.priority),
             deadline_ms,
+            patience: patience(deadline_ms, now_ms, left_ms),
             tasks: step.tasks,
         });
     }
--- a/crates/guavavane_jobs/src/plan/round.rs
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -12,6 +12,7 @@
 use super::place::PlaceContext;
 use super::press::PressTable;
 use super::room::WorkerRoom;
+use super::slack::RunTimes;
 use crate::identity::RunNumber;
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
@@ -26,14 +27,14 @@
 /// Most starts of one round: bounds the size of one command in the log.
 const ROUND_STARTS_MAX: usize = 256;
 
-/// How long a filling task waits for a worker where it presses on nobody.
-const PATIENCE: Duration = Duration::from_millis(300);
-
 /// What a round needs besides the ledger.
 pub trait RoundInput {
     /// Latest progress that a worker reported for a task; the ledger's if there is none.
     fn saved(&self, task: TaskKey) -> Option<Arc<str>>;
 
+    /// Run times that were seen.
+    fn run_times(&self) -> &RunTimes;
+
     /// What is known of images that slow each other down.
     fn press(&self) -> &PressTable;
 
@@ -51,7 +52,7 @@
     input: &I,
 ) -> Vec<StartChoice> {
     let mut choices = Vec::new();
-    for waiting in waiting_steps(ledger, input.time_of_day_ms()) {
+    for waiting in waiting_steps(ledger, input.run_times(), input.time_of_day_ms()) {
         if choices.len() >= ROUND_STARTS_MAX {
             break;
         }
@@ -118,7 +119,7 @@
         pool: queue.map_or(&job.pool, |queue| &queue.pool),
         rack: None,
         press: input.press(),
-        overdue: input.waited(key) >= PATIENCE,
+        overdue: input.waited(key) >= waiting.patience,
     };
     if spec.gang {
         return place_gang(&mut context, step, rooms, input, choices);
