--- a/crates/guavavane_jobs/src/plan/order.rs
+++ b/crates/guavavane_jobs/src/plan/order.rs
@@ -1,8 +1,9 @@
 //! Order in which waiting steps get room when there is not enough for all.
 //!
 //! Queues go by their priority. Within one, the step whose job must end first goes first: a
-//! job's objective is known from its arrival and its longest chain. Jobs that have missed
-//! theirs yield to those that have not.
+//! job's objective is known from its arrival and its longest chain. Jobs that can't make theirs any
+//! more yield to those that can: without that, under overload all work goes to jobs that just
+//! miss it.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -21,6 +22,8 @@
     pub priority: u64,
     /// When its job should end, in the leader's time of day.
     pub deadline_ms: u64,
+    /// Whether its job can't make its objective any more.
+    pub hopeless: bool,
     /// How long it may wait for a worker where it presses on nobody.
     pub patience: Duration,
     /// Number of tasks of the step.
@@ -44,13 +47,13 @@
             key,
             priority: queue.map_or(u64::MAX, |queue| queue.priority),
             deadline_ms,
+            hopeless: now_ms as f64 + left_ms > deadline_ms as f64,
             patience: patience(deadline_ms, now_ms, left_ms),
             tasks: step.tasks,
         });
     }
-    let late = |step: &WaitingStep| step.deadline_ms < now_ms;
     steps.sort_by_key(|step| {
-        let urgency = (step.priority, late(step), step.deadline_ms);
+        let urgency = (step.priority, step.hopeless, step.deadline_ms);
         (urgency, Reverse(step.tasks), step.key)
     });
     steps
--- a/crates/guavavane_jobs/src/plan/round.rs
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -45,18 +45,29 @@
     fn waited(&self, step: StepKey) -> Duration;
 }
 
-/// Chooses the starts of one round.
+/// Chooses the starts of one round, the most urgent steps first.
 pub fn choose_starts<I: RoundInput>(
+    ledger: &JobLedger,
+    rooms: IndexMap<WorkerIndex, WorkerRoom>,
+    input: &I,
+) -> Vec<StartChoice> {
+    let steps = waiting_steps(ledger, input.run_times(), input.time_of_day_ms());
+    choose_in_order(ledger, rooms, input, &steps)
+}
+
+/// Chooses the starts of one round, the steps in the given order.
+pub fn choose_in_order<I: RoundInput>(
     ledger: &JobLedger,
     mut rooms: IndexMap<WorkerIndex, WorkerRoom>,
     input: &I,
+    steps: &[WaitingStep],
 ) -> Vec<StartChoice> {
     let mut choices = Vec::new();
-    for waiting in waiting_steps(ledger, input.run_times(), input.time_of_day_ms()) {
+    for waiting in steps {
         if choices.len() >= ROUND_STARTS_MAX {
             break;
         }
-        place_step(ledger, &waiting, &mut rooms, input, &mut choices);
+        place_step(ledger, waiting, &mut rooms, input, &mut choices);
     }
     choices
 }
--- a/crates/guavavane_jobs/tests/support/mod.rs
+++ b/crates/guavavane_jobs/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub(crate) mod replay;
+
 use std::sync::Arc;
 
 use guavavane_jobs::ledger::WorkerIndex;
@@ -87,12 +89,21 @@
 }
 
 pub(crate) fn submit(ledger: &mut JobLedger, key: u64, spec: JobSpec) -> JobKey {
+    submit_at(ledger, key, spec, 1_000 + key)
+}
+
+pub(crate) fn submit_at(
+    ledger: &mut JobLedger,
+    key: u64,
+    spec: JobSpec,
+    accepted_ms: u64,
+) -> JobKey {
     let job = JobKey(key);
     let command = LedgerCommand::Submit {
         job,
         queue: Arc::from("tally"),
         spec: Arc::new(spec),
-        accepted_ms: 1_000 + key,
+        accepted_ms,
     };
     let outcome = apply(ledger, command);
     assert_eq!(outcome, LedgerOutcome::Accepted { new: true });
