--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -5,6 +5,8 @@
 use crate::timing::LeaseTiming;
 use guavavane_model::prelude::BootTime;
 
+/// Holds that fit into one lease of the worker, so that two may fail.
+const HOLDS_IN_LEASE: u32 = 3;
 /// Least part of a lease that is worth a call.
 const LEASE_LEAST: Duration = Duration::from_millis(200);
 
@@ -36,6 +38,11 @@
         }
     }
 
+    /// Longest wait of a hold: the worker's lease has to be extended well before it ends.
+    pub(super) fn longest_hold(&self) -> Duration {
+        self.timing.worker_lease / HOLDS_IN_LEASE
+    }
+
     /// The leader answered a ping that was sent at `sent_at`.
     pub(super) fn grant(&mut self, sent_at: BootTime) {
         let until = sent_at + self.timing.agent_lease;
--- a/crates/guavavane_cell/src/agent/run.rs
+++ b/crates/guavavane_cell/src/agent/run.rs
@@ -100,6 +100,9 @@
     next_sample: BootTime,
     /// Stops that the next list has to confirm.
     unconfirmed: IndexMap<(TaskKey, RunNumber), bool>,
+    /// Runs that were started since the latest listed hold was sent.
+    started: IndexMap<(TaskKey, RunNumber), BootTime>,
+    hold_sent_at: BootTime,
     /// Orders under way, with whether each is a start.
     under_way: IndexMap<(TaskKey, RunNumber), bool>,
     holds: (Sender<HoldResult>, Receiver<HoldResult>),
@@ -121,6 +124,8 @@
             changes: Vec::new(),
             next_sample: BootTime::default(),
             unconfirmed: IndexMap::new(),
+            started: IndexMap::new(),
+            hold_sent_at: BootTime::default(),
             under_way: IndexMap::new(),
             holds: flume::unbounded(),
             finished: flume::unbounded(),
@@ -327,6 +332,9 @@
                 self.unconfirmed.insert(id, listed_next);
                 self.hasten_hold();
             }
+            OrderResult::Started => {
+                self.started.insert(id, BootClock.now());
+            }
             // The leader sees at the next report that the run is not there.
             OrderResult::Unanswered => self.reported = false,
             _ => {}
@@ -363,7 +371,7 @@
             return;
         };
         let deadline_ms = self.lease.next_deadline(now);
-        let wait = self.hold_wait(worker);
+        let wait = self.hold_wait(worker).min(self.lease.longest_hold());
         let (key, last_end, fence) = (worker.key.clone(), worker.noted_end, self.fence);
         for listed_next in self.unconfirmed.values_mut() {
             *listed_next = true;
@@ -377,6 +385,7 @@
             // The loop has ended.
             let _ = results.send(HoldResult { key, answer });
         });
+        self.hold_sent_at = now;
         self.hold = HoldPlan::Waiting;
     }
 
@@ -427,6 +436,8 @@
             return;
         };
         let fresh = worker.take_lists(report.running, report.ends);
+        let sent_at = self.hold_sent_at;
+        self.started.retain(|_, at| *at >= sent_at);
         let progress = worker.fresh_progress();
         let (paces, changes) = worker.pace_orders(now);
         self.changes.extend(changes);
@@ -551,6 +562,7 @@
         let under_way = self.under_way.keys().copied();
         let mut report = report;
         report.running.extend(under_way);
+        report.running.extend(self.started.keys().copied());
         tracing::info!(event = "worker_reported", worker = %report.key, running = report.running.len(), ends = report.ends.len(), draining = report.draining);
         let silent = self.lease.is_silent();
         let key = report.key.clone();
@@ -566,8 +578,7 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        let runs = !worker.running.is_empty() || !self.under_way.is_empty();
-        if !worker.listed || !runs || !self.lease.is_lapsed(now) {
+        if !worker.listed || !self.lease.is_lapsed(now) {
             return;
         }
         let key = worker.key.clone();
@@ -575,6 +586,7 @@
         worker.listed = false;
         self.unconfirmed.clear();
         self.under_way.clear();
+        self.started.clear();
         self.reported = false;
         tracing::warn!(event = "worker_lapsed", worker = %key);
         self.lost.push((key, false));
@@ -598,6 +610,7 @@
         tracing::warn!(event = "worker_gone", worker = %worker.key, reason);
         self.unconfirmed.clear();
         self.under_way.clear();
+        self.started.clear();
         self.reported = false;
         self.lost.push((worker.key, ended));
         self.tell_lost();
