--- a/crates/guavavane_cell/src/control/replica.rs
+++ b/crates/guavavane_cell/src/control/replica.rs
@@ -132,19 +132,35 @@
     }
 }
 
-/// A process that does not lead passes the request on.
+/// Asks a process, and the leader if that process names it.
 async fn ask_to_join(peer: SocketAddr, replica: ReplicaId, address: SocketAddr) {
+    let leader = send_join(peer, replica, address).await;
+    if let Some(leader) = leader.filter(|leader| *leader != peer && *leader != address) {
+        send_join(leader, replica, address).await;
+    }
+}
+
+/// Sends one request; returns the leader that the peer knows of.
+async fn send_join(
+    peer: SocketAddr,
+    replica: ReplicaId,
+    address: SocketAddr,
+) -> Option<SocketAddr> {
     let opened = open_stream::<ToControl, FromControl>(peer, JOIN_TIMEOUT).await;
     let (sender, mut receiver) = match opened {
         Ok(halves) => halves,
         Err(error) => {
             tracing::debug!(event = "join_failed", %peer, %error);
-            return;
+            return None;
         }
     };
     sender.send(ToControl::Join { replica, address });
-    // Any answer shows that the request has arrived.
-    if let Ok(None) | Err(_) = tokio::time::timeout(JOIN_TIMEOUT, receiver.receive()).await {
-        tracing::debug!(event = "join_unanswered", %peer);
+    let answer = tokio::time::timeout(JOIN_TIMEOUT, receiver.receive()).await;
+    match answer {
+        Ok(Some(FromControl::Redirect { leader, .. })) => leader,
+        Ok(_) | Err(_) => {
+            tracing::debug!(event = "join_unanswered", %peer);
+            None
+        }
     }
 }
