--- a/crates/guavavane_cell/src/agent/order.rs
+++ b/crates/guavavane_cell/src/agent/order.rs
@@ -20,6 +20,19 @@
     Paced(u32),
 }
 
+impl OrderResult {
+    /// Short name, for metrics.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Started => "started",
+            Self::NotStarted => "not_started",
+            Self::Stopped => "stopped",
+            Self::Unanswered => "unanswered",
+            Self::Paced(_) => "paced",
+        }
+    }
+}
+
 /// A finished order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct FinishedOrder {
--- a/crates/guavavane_cell/src/agent/run.rs
+++ b/crates/guavavane_cell/src/agent/run.rs
@@ -21,6 +21,7 @@
 use crate::message::StartTask;
 use crate::message::ToControl;
 use crate::message::WorkerReport;
+use crate::metric;
 use crate::port::HoldAnswer;
 use crate::port::HoldReport;
 use crate::port::StartOrder;
@@ -324,6 +325,7 @@
             return;
         }
         self.under_way.swap_remove(&id);
+        metric::count("order", order.result.name());
         tracing::info!(event = "order_finished", task = %order.task, run = %order.run, result = ?order.result);
         match order.result {
             OrderResult::Stopped | OrderResult::NotStarted if self.is_current(&order.key) => {
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -13,6 +13,7 @@
 use crate::message::FromControl;
 use crate::message::StartTask;
 use crate::message::WorkerReport;
+use crate::metric;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
@@ -59,6 +60,7 @@
 impl ControlEngine {
     pub(super) fn propose(&mut self, command: LedgerCommand, purpose: CommitPurpose) {
         let term = self.memory.as_ref().map_or(0, |memory| memory.term);
+        let proposed_at = BootClock.now();
         let outcome = self.quorum.propose_async(command);
         let inputs = self.inputs.clone();
         tokio::spawn(async move {
@@ -66,6 +68,7 @@
                 .recv_async()
                 .await
                 .unwrap_or(Err(ProposeError::Unknown));
+            metric::time("commit", BootClock.now().saturating_since(proposed_at));
             let input = EngineInput::Committed {
                 term,
                 purpose,
@@ -175,6 +178,7 @@
             });
         }
         for end in ends {
+            metric::count("run_ended", end.ending.name());
             tracing::info!(event = "run_ended", task = %end.task, run = %end.run, ending = ?end.ending, worker = worker.0);
         }
         self.tell_noted(worker);
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -20,6 +20,7 @@
 use super::ControlSettings;
 use crate::message::FromControl;
 use crate::message::ToControl;
+use crate::metric;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::plan::room::rooms;
 use guavavane_jobs::plan::round::choose_starts;
@@ -111,6 +112,7 @@
             let memory = self
                 .quorum
                 .local(|ledger| LeaderMemory::new(term, now, ledger, &timing));
+            metric::count("leadership", "taken");
             tracing::info!(
                 event = "leadership_taken",
                 term,
@@ -124,6 +126,7 @@
         let Some(memory) = self.memory.take() else {
             return;
         };
+        metric::count("leadership", "lost");
         tracing::warn!(event = "leadership_lost", term = memory.term);
         for session in memory.sessions.values() {
             session.sender.send(self.redirect());
@@ -331,12 +334,28 @@
         }
         self.next_upkeep = now + UPKEEP_INTERVAL;
         self.lose_silent_workers();
+        self.measure();
         self.release_due();
         self.forget_old(now);
         self.stop_leftovers();
         self.place();
     }
 
+    /// Sets the amounts that operators watch.
+    fn measure(&self) {
+        let (jobs, waiting, workers) = self.quorum.local(|ledger| {
+            let waiting = ledger.ready_steps().map(|(_, count)| count as usize);
+            (
+                ledger.jobs().count(),
+                waiting.sum(),
+                ledger.workers().count(),
+            )
+        });
+        metric::gauge("jobs", jobs);
+        metric::gauge("waiting_tasks", waiting);
+        metric::gauge("workers", workers);
+    }
+
     /// Releases occurrences that are due.
     fn release_due(&mut self) {
         let now_ms = time_of_day_ms();
--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -22,6 +22,7 @@
 pub use crate::message::CallerRequest;
 use crate::message::FromControl;
 use crate::message::ToControl;
+use crate::metric;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
 use guavavane_transport::prelude::StreamSender;
@@ -120,6 +121,9 @@
             ?reply,
             waited_ms = BootClock.now().saturating_since(self.arrived).as_millis() as u64,
         );
+        let action = action_name(&self.request.action);
+        metric::count(action, reply.name());
+        metric::time(action, BootClock.now().saturating_since(self.arrived));
         // The caller has gone away.
         let _ = self.reply.send(reply);
     }
--- a/crates/guavavane_cell/src/lib.rs
+++ b/crates/guavavane_cell/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod leader_link;
 pub mod message;
+pub mod metric;
 pub mod port;
 pub mod timing;
 
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -83,6 +83,24 @@
     Unknown,
 }
 
+impl CallerReply {
+    /// Short name, for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused { .. } => "refused",
+            Self::Invalid(_) => "invalid",
+            Self::NoQueue => "no_queue",
+            Self::State(_) => "state",
+            Self::Pending(_) => "pending",
+            Self::NoJob => "no_job",
+            Self::Cancelled => "cancelled",
+            Self::Unavailable => "unavailable",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// What a worker's agent reports when it starts to speak for it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerReport {
--- a/crates/guavavane_jobs/src/ledger/command.rs
+++ b/crates/guavavane_jobs/src/ledger/command.rs
@@ -31,6 +31,20 @@
     Alone,
 }
 
+impl RunEnding {
+    /// Short name, for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 /// The end of a run, as a worker lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunEnd {
