--- a/crates/guavavane_agent/examples/agent_cost.rs
+++ b/crates/guavavane_agent/examples/agent_cost.rs
@@ -32,6 +32,10 @@
 use guavavane_agent::guard::GuardLimits;
 use guavavane_agent::guard::HopResult;
 use guavavane_agent::guard::RequestGuard;
+use guavavane_contract::prelude::AttemptKey;
+use guavavane_contract::prelude::NoticeState;
+use guavavane_contract::prelude::StartOrder;
+use guavavane_contract::prelude::StartProgram;
 use guavavane_daemon::http::json_response;
 use guavavane_daemon::prelude::HttpServer;
 use guavavane_model::prelude::AttemptNumber;
@@ -41,10 +45,6 @@
 use guavavane_model::prelude::IncarnationId;
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::TaskId;
-use guavavane_platform::prelude::AttemptKey;
-use guavavane_platform::prelude::NoticeState;
-use guavavane_platform::prelude::StartOrder;
-use guavavane_platform::prelude::StartProgram;
 use guavavane_protocol::prelude::AnnouncementReply;
 use guavavane_protocol::prelude::DispatchReply;
 use guavavane_protocol::prelude::DispatchRequest;
@@ -365,7 +365,7 @@
         match request.url().as_str() {
             "/worker" => json_response(&model.facts()),
             "/attempts" => json_response(&model.list(BootClock.now())),
-            _ => json_response(&guavavane_platform::prelude::OrderAnswer::Done),
+            _ => json_response(&guavavane_contract::prelude::OrderAnswer::Done),
         }
     });
     server.unwrap()
--- a/crates/guavavane_agent/src/daemon/command_lane.rs
+++ b/crates/guavavane_agent/src/daemon/command_lane.rs
@@ -8,10 +8,10 @@
 use crate::worker::CommandResult;
 use crate::worker::WorkerCommand;
 use crate::worker::WorkerInput;
+use guavavane_contract::prelude::ClientError;
+use guavavane_contract::prelude::OrderAnswer;
+use guavavane_contract::prelude::WorkerClient;
 use guavavane_model::prelude::BootClock;
-use guavavane_platform::prelude::ClientError;
-use guavavane_platform::prelude::OrderAnswer;
-use guavavane_platform::prelude::WorkerClient;
 
 /// Commands that run at once, so that a slow checkpoint holds up no start.
 const LANES: usize = 3;
--- a/crates/guavavane_agent/src/daemon/listener.rs
+++ b/crates/guavavane_agent/src/daemon/listener.rs
@@ -12,12 +12,12 @@
 use super::worker_loop::WorkerEvent;
 use super::worker_loop::WorkerStatus;
 use crate::settings::AgentSettings;
+use guavavane_contract::prelude::EndpointNotice;
 use guavavane_daemon::http::json_response;
 use guavavane_daemon::http::read_body;
 use guavavane_daemon::http::BodyOutcome;
 use guavavane_daemon::prelude::HttpError;
 use guavavane_daemon::prelude::HttpServer;
-use guavavane_platform::prelude::EndpointNotice;
 
 /// Threads of the listener.
 const LISTENER_THREADS: usize = 16;
--- a/crates/guavavane_agent/src/daemon/worker_loop.rs
+++ b/crates/guavavane_agent/src/daemon/worker_loop.rs
@@ -18,9 +18,9 @@
 use crate::worker::WorkerControl;
 use crate::worker::WorkerInput;
 use crate::worker::WorkerOutcome;
+use guavavane_contract::prelude::WorkerClient;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::ResourceVector;
-use guavavane_platform::prelude::WorkerClient;
 use guavavane_transport::prelude::CallClient;
 
 /// Longest sleep of the worker's thread.
--- a/crates/guavavane_agent/src/guard/drain.rs
+++ b/crates/guavavane_agent/src/guard/drain.rs
@@ -4,9 +4,9 @@
 use super::GuardOutcome;
 use super::RequestGuard;
 use super::ServiceKey;
+use guavavane_contract::prelude::NoticeState;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::EndpointName;
-use guavavane_platform::prelude::NoticeState;
 use guavavane_protocol::prelude::EndpointState;
 
 impl RequestGuard {
--- a/crates/guavavane_agent/src/guard/endpoint.rs
+++ b/crates/guavavane_agent/src/guard/endpoint.rs
@@ -8,9 +8,9 @@
 
 use super::CallTicket;
 use super::ServiceKey;
+use guavavane_contract::prelude::EndpointNotice;
+use guavavane_contract::prelude::NoticeState;
 use guavavane_model::prelude::BootTime;
-use guavavane_platform::prelude::EndpointNotice;
-use guavavane_platform::prelude::NoticeState;
 use guavavane_protocol::prelude::DispatchRequest;
 use guavavane_protocol::prelude::RequestAttempt;
 
--- a/crates/guavavane_agent/src/hop/head.rs
+++ b/crates/guavavane_agent/src/hop/head.rs
@@ -6,7 +6,7 @@
 use httparse::EMPTY_HEADER;
 
 use super::body::BodyFraming;
-use guavavane_platform::prelude::REQUEST_ID_HEADER;
+use guavavane_contract::prelude::REQUEST_ID_HEADER;
 use guavavane_protocol::prelude::HeaderField;
 
 /// Headers of an answer at most.
--- a/crates/guavavane_agent/src/hop/request.rs
+++ b/crates/guavavane_agent/src/hop/request.rs
@@ -7,8 +7,8 @@
 use http::HeaderValue;
 use http::Method;
 
-use guavavane_platform::prelude::DEADLINE_HEADER;
-use guavavane_platform::prelude::REQUEST_ID_HEADER;
+use guavavane_contract::prelude::DEADLINE_HEADER;
+use guavavane_contract::prelude::REQUEST_ID_HEADER;
 use guavavane_protocol::prelude::DispatchRequest;
 use guavavane_protocol::prelude::RequestAttempt;
 
--- a/crates/guavavane_agent/src/worker/command.rs
+++ b/crates/guavavane_agent/src/worker/command.rs
@@ -10,10 +10,10 @@
 use super::WorkerControl;
 use super::WorkerOutcome;
 use crate::guard::ServiceKey;
+use guavavane_contract::prelude::AttemptKey;
+use guavavane_contract::prelude::OrderAnswer;
+use guavavane_contract::prelude::ThrottleOrder;
 use guavavane_model::prelude::BootTime;
-use guavavane_platform::prelude::AttemptKey;
-use guavavane_platform::prelude::OrderAnswer;
-use guavavane_platform::prelude::ThrottleOrder;
 use guavavane_protocol::prelude::AttemptPhase;
 use guavavane_protocol::prelude::TaskAttempt;
 
--- a/crates/guavavane_agent/src/worker/task.rs
+++ b/crates/guavavane_agent/src/worker/task.rs
@@ -2,12 +2,12 @@
 
 use super::eviction::EvictionStep;
 use crate::guard::ServiceKey;
+use guavavane_contract::prelude::AttemptKey;
+use guavavane_contract::prelude::AttemptState;
+use guavavane_contract::prelude::StartOrder;
+use guavavane_contract::prelude::StartProgram;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::FenceNumber;
-use guavavane_platform::prelude::AttemptKey;
-use guavavane_platform::prelude::AttemptState;
-use guavavane_platform::prelude::StartOrder;
-use guavavane_platform::prelude::StartProgram;
 use guavavane_protocol::prelude::AttemptPhase;
 use guavavane_protocol::prelude::AttemptReport;
 use guavavane_protocol::prelude::TaskAttempt;
--- a/crates/guavavane_agent/tests/endpoint_faults.rs
+++ b/crates/guavavane_agent/tests/endpoint_faults.rs
@@ -11,7 +11,7 @@
 use crate::support::CALL_TIMEOUT;
 use guavavane_agent::daemon::Serving;
 use guavavane_agent::prelude::RunningAgent;
-use guavavane_platform::prelude::NoticeState;
+use guavavane_contract::prelude::NoticeState;
 use guavavane_protocol::prelude::DispatchReply;
 use guavavane_protocol::prelude::DispatchRequest;
 use guavavane_protocol::prelude::HttpAnswer;
--- a/crates/guavavane_agent/tests/support/mod.rs
+++ b/crates/guavavane_agent/tests/support/mod.rs
@@ -14,14 +14,14 @@
 
 use guavavane_agent::prelude::AgentSettings;
 use guavavane_agent::prelude::RawAgentSettings;
+use guavavane_contract::prelude::EndpointNotice;
+use guavavane_contract::prelude::NoticeState;
 use guavavane_model::prelude::CellId;
 use guavavane_model::prelude::EndpointName;
 use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::IncarnationId;
 use guavavane_model::prelude::RequestId;
 use guavavane_model::prelude::ServiceName;
-use guavavane_platform::prelude::EndpointNotice;
-use guavavane_platform::prelude::NoticeState;
 use guavavane_protocol::prelude::DispatchRequest;
 use guavavane_protocol::prelude::DispatchTarget;
 use guavavane_protocol::prelude::RequestAttempt;
--- a/crates/guavavane_agent/tests/worker_model/mod.rs
+++ b/crates/guavavane_agent/tests/worker_model/mod.rs
@@ -5,19 +5,19 @@
 
 use indexmap::IndexMap;
 
+use guavavane_contract::prelude::AttemptKey;
+use guavavane_contract::prelude::AttemptList;
+use guavavane_contract::prelude::AttemptState;
+use guavavane_contract::prelude::AttemptStatus;
+use guavavane_contract::prelude::OrderAnswer;
+use guavavane_contract::prelude::RenewOrder;
+use guavavane_contract::prelude::StartOrder;
+use guavavane_contract::prelude::WorkerFacts;
 use guavavane_model::prelude::BootId;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::TaskId;
-use guavavane_platform::prelude::AttemptKey;
-use guavavane_platform::prelude::AttemptList;
-use guavavane_platform::prelude::AttemptState;
-use guavavane_platform::prelude::AttemptStatus;
-use guavavane_platform::prelude::OrderAnswer;
-use guavavane_platform::prelude::RenewOrder;
-use guavavane_platform::prelude::StartOrder;
-use guavavane_platform::prelude::WorkerFacts;
 
 /// An attempt on the worker.
 #[derive(Clone, Debug)]
--- a/crates/guavavane_cell/src/agent/mod.rs
+++ b/crates/guavavane_cell/src/agent/mod.rs
@@ -4,9 +4,12 @@
 //! ends, passes them to the leader and carries out the leader's orders. It slows down filling
 //! tasks by itself, since that must not wait for the leader.
 
+mod hold;
 mod lease;
 mod order;
+mod order_flow;
 mod orders;
+mod report;
 mod run;
 mod worker;
 
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -1,8 +1,8 @@
 //! Control: the replicated ledger and, on the leader, the decisions about it.
 //!
-//! [`replica`] founds or joins the group, [`peer`] carries its messages, [`stream`] accepts
-//! streams, and [`engine`] is the one loop that answers, decides and orders. What only a
-//! leader knows is in [`memory`] and starts anew with each term.
+//! `replica` founds or joins the group, `peer` carries its messages, `stream` accepts
+//! streams, and `engine` is the one loop that answers, decides and orders. What only a
+//! leader knows is in `memory` and starts anew with each term.
 
 mod caller;
 mod commit;
--- a/crates/guavavane_cell/src/control/session.rs
+++ b/crates/guavavane_cell/src/control/session.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 
+use crate::message::FromControl;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_transport::prelude::StreamSender;
 
-use crate::message::FromControl;
-
 /// Names a stream for as long as this process lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct SessionId(pub(super) u64);
--- a/crates/guavavane_jobs/src/plan/place.rs
+++ b/crates/guavavane_jobs/src/plan/place.rs
@@ -76,7 +76,7 @@
             .per_worker_max
             .is_none_or(|most| room.runs_of(context.key) < most)
         && room.fits(&spec.reserved())
-        && !(doubted && !worker.runs.is_empty())
+        && (!doubted || worker.runs.is_empty())
         && has_idle(spec, room)
         && is_borne(context, room)
 }
--- a/crates/guavavane_jobs/tests/ledger_properties.rs
+++ b/crates/guavavane_jobs/tests/ledger_properties.rs
@@ -284,8 +284,8 @@
     let mut second = raw_step(2);
     second.after = vec![0];
     let job = submit(&mut ledger, 1, job_of(vec![raw_step(1), second]));
-    let mut number = 0;
-    for (step, index) in [(0, 0), (1, 0), (1, 1)] {
+    let order = [(0, 0), (1, 0), (1, 1)];
+    for (number, (step, index)) in (1..).zip(order) {
         assert_eq!(ledger.job(job).unwrap().phase, JobPhase::Active);
         let key = StepKey {
             job,
@@ -295,7 +295,6 @@
         let task = key.task(index);
         let choices = vec![choice(task, RunNumber(1), worker)];
         apply(&mut ledger, LedgerCommand::Start { choices });
-        number += 1;
         let end = RunEnd {
             number,
             task,
--- a/crates/guavavane_standin/src/command.rs
+++ b/crates/guavavane_standin/src/command.rs
@@ -25,12 +25,12 @@
 use crate::worker::settings::draw_boot;
 use crate::worker::settings::EndpointSettings;
 use crate::worker::settings::WorkerSettings;
+use guavavane_contract::prelude::WorkerFacts;
 use guavavane_model::prelude::BootId;
 use guavavane_model::prelude::DataCentreName;
 use guavavane_model::prelude::RackName;
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::WorkerName;
-use guavavane_platform::prelude::WorkerFacts;
 
 /// Flags of a worker.
 #[derive(Clone, Debug, Bpaf)]
--- a/crates/guavavane_standin/src/evidence.rs
+++ b/crates/guavavane_standin/src/evidence.rs
@@ -18,6 +18,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use guavavane_contract::prelude::AttemptKey;
+use guavavane_contract::prelude::AttemptState;
+use guavavane_contract::prelude::StartProgram;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootId;
 use guavavane_model::prelude::DataCentreName;
@@ -25,9 +28,6 @@
 use guavavane_model::prelude::RackName;
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::WorkerName;
-use guavavane_platform::prelude::AttemptKey;
-use guavavane_platform::prelude::AttemptState;
-use guavavane_platform::prelude::StartProgram;
 
 /// Extension of evidence files.
 pub const EVIDENCE_EXTENSION: &str = "evidence";
--- a/crates/guavavane_standin/src/judge.rs
+++ b/crates/guavavane_standin/src/judge.rs
@@ -6,13 +6,13 @@
 use crate::evidence::EvidenceEvent;
 use crate::evidence::EvidenceRecord;
 use crate::evidence::StartRefusal;
+use guavavane_contract::prelude::AttemptKey;
+use guavavane_contract::prelude::AttemptState;
+use guavavane_contract::prelude::StartProgram;
 use guavavane_model::prelude::DataCentreName;
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::TaskId;
 use guavavane_model::prelude::WorkerName;
-use guavavane_platform::prelude::AttemptKey;
-use guavavane_platform::prelude::AttemptState;
-use guavavane_platform::prelude::StartProgram;
 
 /// Bound on starts after a data centre was taken out.
 pub const OUT_BOUND_MS: u64 = 3_000;
--- a/crates/guavavane_standin/src/worker/endpoint.rs
+++ b/crates/guavavane_standin/src/worker/endpoint.rs
@@ -28,13 +28,13 @@
 use crate::worker::core::WorkerCore;
 use crate::worker::misbehaviour::Misbehaviour;
 use crate::worker::slots::SlotGate;
+use guavavane_contract::prelude::AttemptKey;
+use guavavane_contract::prelude::EndpointNotice;
+use guavavane_contract::prelude::NoticeState;
+use guavavane_contract::prelude::REQUEST_ID_HEADER;
 use guavavane_model::prelude::EndpointName;
 use guavavane_model::prelude::EnvironmentName;
 use guavavane_model::prelude::ServiceName;
-use guavavane_platform::prelude::AttemptKey;
-use guavavane_platform::prelude::EndpointNotice;
-use guavavane_platform::prelude::NoticeState;
-use guavavane_platform::prelude::REQUEST_ID_HEADER;
 
 /// Largest body that an endpoint reads.
 const BODY_MAX_BYTES: u64 = 4 * 1024 * 1024;
--- a/crates/guavavane_standin/src/worker/profile.rs
+++ b/crates/guavavane_standin/src/worker/profile.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use guavavane_platform::prelude::AttemptKey;
+use guavavane_contract::prelude::AttemptKey;
 
 /// Hidden truth about tasks, the same for each worker with the same seed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/guavavane_standin/src/worker/server.rs
+++ b/crates/guavavane_standin/src/worker/server.rs
@@ -23,10 +23,10 @@
 use crate::worker::endpoint::EndpointHandle;
 use crate::worker::endpoint::EndpointPlan;
 use crate::worker::settings::WorkerSettings;
-use guavavane_platform::prelude::AttemptKey;
-use guavavane_platform::prelude::AttemptState;
-use guavavane_platform::prelude::OrderAnswer;
-use guavavane_platform::prelude::StartProgram;
+use guavavane_contract::prelude::AttemptKey;
+use guavavane_contract::prelude::AttemptState;
+use guavavane_contract::prelude::OrderAnswer;
+use guavavane_contract::prelude::StartProgram;
 
 /// Time between two looks at leases and progress.
 const TICK_MS: u64 = 10;
--- a/crates/guavavane_standin/src/worker/settings.rs
+++ b/crates/guavavane_standin/src/worker/settings.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use crate::worker::profile::TaskProfile;
+use guavavane_contract::prelude::WorkerFacts;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootId;
-use guavavane_platform::prelude::WorkerFacts;
 
 /// How an endpoint of the worker behaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/guavavane_standin/tests/judge.rs
+++ b/crates/guavavane_standin/tests/judge.rs
@@ -2,14 +2,14 @@
 
 #![allow(clippy::unwrap_used)]
 
+use guavavane_contract::prelude::AttemptKey;
+use guavavane_contract::prelude::AttemptState;
+use guavavane_contract::prelude::StartProgram;
 use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootId;
 use guavavane_model::prelude::FenceNumber;
 use guavavane_model::prelude::ResourceVector;
 use guavavane_model::prelude::TaskId;
-use guavavane_platform::prelude::AttemptKey;
-use guavavane_platform::prelude::AttemptState;
-use guavavane_platform::prelude::StartProgram;
 use guavavane_standin::evidence::StartRefusal;
 use guavavane_standin::prelude::judge_records;
 use guavavane_standin::prelude::CallerOutcome;
--- a/tests/placement_faults.rs
+++ b/tests/placement_faults.rs
@@ -12,7 +12,7 @@
 use crate::support::Bench;
 use crate::support::RunningLoad;
 use crate::support::KILLED_RULES;
-use guavavane::platform::prelude::StartProgram;
+use guavavane::contract::prelude::StartProgram;
 use guavavane::standin::prelude::EvidenceEvent;
 use guavavane::standin::prelude::JudgeReport;
 use guavavane::standin::prelude::JudgeRules;
