Soak the real programs on loopback with kills, stops and restarts

Change: tools/soak starts control, entries and agents as processes, puts HTTP in front of the simulated workers (moved to guavavane_standin, one copy), mixes faults by a seed and judges by what callers and workers saw.

--- a/crates/guavavane_standin/src/lib.rs
+++ b/crates/guavavane_standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod judge;
 pub mod relay;
+pub mod simulated_worker;
 pub mod socket_owner;
 pub mod worker;
 
--- /dev/null
+++ b/crates/guavavane_standin/src/simulated_worker.rs
@@ -0,0 +1,315 @@
+//! A worker that keeps leases as the platform's workers do, and what all of them have run.
+//!
+//! It knows no wire: tests plug it into an agent as it is, the soak puts HTTP in front of it.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use guavavane_cell::prelude::HoldAnswer;
+use guavavane_cell::prelude::HoldReport;
+use guavavane_cell::prelude::OrderAnswer;
+use guavavane_cell::prelude::OrderRefusal;
+use guavavane_cell::prelude::RunRow;
+use guavavane_cell::prelude::StartOrder;
+use guavavane_cell::prelude::WorkerPort;
+use guavavane_jobs::prelude::RunEnd;
+use guavavane_jobs::prelude::RunEnding;
+use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::TaskKey;
+use guavavane_jobs::prelude::WorkerKey;
+
+/// A run that all workers know of, to see two at the same time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeenRun {
+    /// The task.
+    pub task: TaskKey,
+    /// The run.
+    pub run: RunNumber,
+    /// Index of the worker.
+    pub worker: usize,
+    /// When it began.
+    pub begun: Instant,
+    /// When it ended.
+    pub ended: Option<Instant>,
+    /// How it ended.
+    pub ending: Option<RunEnding>,
+}
+
+/// What all workers have run.
+#[derive(Clone, Default)]
+pub struct RunHistory(Arc<Mutex<Vec<SeenRun>>>);
+
+impl RunHistory {
+    /// All runs so far.
+    pub fn all(&self) -> Vec<SeenRun> {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Panics if two runs of a task overlap, or one begins after one was done.
+    pub fn check(&self) {
+        if let Some(fault) = self.fault() {
+            panic!("{fault}");
+        }
+    }
+
+    /// Two runs of a task that overlap, or one that begins after one was done.
+    pub fn fault(&self) -> Option<String> {
+        let runs = self.all();
+        for (index, one) in runs.iter().enumerate() {
+            for other in &runs[index + 1..] {
+                if one.task != other.task {
+                    continue;
+                }
+                let ended = one.ended.is_some_and(|ended| ended <= other.begun);
+                if !ended || one.ending == Some(RunEnding::Done) {
+                    return Some(format!("{} runs twice: {one:?} {other:?}", one.task));
+                }
+            }
+        }
+        None
+    }
+}
+
+struct LocalRun {
+    task: TaskKey,
+    run: RunNumber,
+    ends: Instant,
+}
+
+struct WorkerState {
+    begun: Instant,
+    deadline_ms: u64,
+    runs: Vec<LocalRun>,
+    ends: Vec<RunEnd>,
+    next_end: u64,
+    refused: Vec<(TaskKey, RunNumber)>,
+}
+
+/// A worker that keeps leases, as the platform's do.
+#[derive(Clone)]
+pub struct SimulatedWorker {
+    index: usize,
+    state: Arc<Mutex<WorkerState>>,
+    history: RunHistory,
+    work: Duration,
+    /// Whether it answers nothing.
+    pub dark: Arc<AtomicBool>,
+    /// Whether it refuses starts for want of room.
+    pub full: Arc<AtomicBool>,
+    /// Whether it carries out starts and leaves them unanswered.
+    pub mute: Arc<AtomicBool>,
+}
+
+impl SimulatedWorker {
+    /// A worker whose tasks take `work`.
+    pub fn new(index: usize, work: Duration, history: RunHistory) -> Self {
+        let state = WorkerState {
+            begun: Instant::now(),
+            deadline_ms: 0,
+            runs: Vec::new(),
+            ends: Vec::new(),
+            next_end: 1,
+            refused: Vec::new(),
+        };
+        Self {
+            index,
+            state: Arc::new(Mutex::new(state)),
+            history,
+            work,
+            dark: Arc::default(),
+            full: Arc::default(),
+            mute: Arc::default(),
+        }
+    }
+
+    fn end(&self, state: &mut WorkerState, at: usize, ending: RunEnding) {
+        let run = state.runs.remove(at);
+        state.refused.push((run.task, run.run));
+        state.ends.push(RunEnd {
+            number: state.next_end,
+            task: run.task,
+            run: run.run,
+            ending,
+            saved: Arc::from(""),
+        });
+        state.next_end += 1;
+        let mut history = self
+            .history
+            .0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let seen = history
+            .iter_mut()
+            .find(|seen| seen.task == run.task && seen.run == run.run);
+        if let Some(seen) = seen {
+            seen.ended = Some(Instant::now());
+            seen.ending = Some(ending);
+        }
+    }
+
+    /// Lets time pass: runs end, or lapse with the lease.
+    pub fn pass(&self) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let lapsed = clock_ms(&state) > state.deadline_ms;
+        while let Some(at) = state.runs.iter().position(|run| lapsed || run.ends <= now) {
+            let ending = if lapsed {
+                RunEnding::Lapsed
+            } else {
+                RunEnding::Done
+            };
+            self.end(&mut state, at, ending);
+        }
+    }
+
+    /// The runs, if an end is to be told or the wait is over.
+    fn report(&self, last_end: u64, due: bool) -> Option<HoldReport> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.ends.retain(|end| end.number > last_end);
+        if state.ends.is_empty() && !due {
+            return None;
+        }
+        let running = state.runs.iter().map(|run| RunRow {
+            task: run.task,
+            run: run.run,
+            saved: Arc::from(""),
+            percent: 50,
+            figure: 0,
+        });
+        Some(HoldReport {
+            clock_ms: clock_ms(&state),
+            born_ms: None,
+            running: running.collect(),
+            ends: state.ends.clone(),
+        })
+    }
+
+    async fn answers(&self) -> bool {
+        if self.dark.load(Ordering::Relaxed) {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            return false;
+        }
+        true
+    }
+}
+
+fn clock_ms(state: &WorkerState) -> u64 {
+    state.begun.elapsed().as_millis() as u64 + 1_000
+}
+
+impl WorkerPort for SimulatedWorker {
+    async fn start(&self, _worker: WorkerKey, _fence: u64, order: StartOrder) -> OrderAnswer {
+        if !self.answers().await {
+            return OrderAnswer::Unanswered;
+        }
+        if self.full.load(Ordering::Relaxed) {
+            return OrderAnswer::Refused(OrderRefusal::Room);
+        }
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let old = |(task, run): &(TaskKey, RunNumber)| *task == order.task && *run >= order.run;
+        if state.refused.iter().any(old) {
+            return OrderAnswer::Refused(OrderRefusal::Old);
+        }
+        state.deadline_ms = state.deadline_ms.max(order.deadline_ms);
+        let there = state
+            .runs
+            .iter()
+            .any(|run| run.task == order.task && run.run == order.run);
+        let ended = state
+            .ends
+            .iter()
+            .any(|end| end.task == order.task && end.run == order.run);
+        if !there && !ended {
+            state.runs.push(LocalRun {
+                task: order.task,
+                run: order.run,
+                ends: Instant::now() + self.work,
+            });
+            self.history
+                .0
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(SeenRun {
+                    task: order.task,
+                    run: order.run,
+                    worker: self.index,
+                    begun: Instant::now(),
+                    ended: None,
+                    ending: None,
+                });
+        }
+        if self.mute.load(Ordering::Relaxed) {
+            return OrderAnswer::Unanswered;
+        }
+        OrderAnswer::Done
+    }
+
+    async fn stop(
+        &self,
+        _worker: WorkerKey,
+        _fence: u64,
+        task: TaskKey,
+        run: RunNumber,
+    ) -> OrderAnswer {
+        if !self.answers().await {
+            return OrderAnswer::Unanswered;
+        }
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.refused.push((task, run));
+        let at = state
+            .runs
+            .iter()
+            .position(|known| known.task == task && known.run == run);
+        if let Some(at) = at {
+            self.end(&mut state, at, RunEnding::Stopped);
+        }
+        OrderAnswer::Done
+    }
+
+    async fn pace(
+        &self,
+        _worker: WorkerKey,
+        _fence: u64,
+        _task: TaskKey,
+        _run: RunNumber,
+        _percent: u32,
+    ) -> OrderAnswer {
+        OrderAnswer::Done
+    }
+
+    async fn hold(
+        &self,
+        _worker: WorkerKey,
+        _fence: u64,
+        last_end: u64,
+        deadline_ms: Option<u64>,
+        wait: Duration,
+    ) -> HoldAnswer {
+        if !self.answers().await {
+            return HoldAnswer::Unanswered;
+        }
+        if let Some(deadline_ms) = deadline_ms {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.deadline_ms = state.deadline_ms.max(deadline_ms);
+        }
+        let until = Instant::now() + wait;
+        loop {
+            if self.dark.load(Ordering::Relaxed) {
+                return HoldAnswer::Unanswered;
+            }
+            self.pass();
+            if let Some(report) = self.report(last_end, Instant::now() >= until) {
+                return HoldAnswer::Report(report);
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
--- /dev/null
+++ b/tools/soak/src/worker.rs
@@ -0,0 +1,152 @@
+//! HTTP in front of a simulated worker, and its heartbeats.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use serde_json::json;
+use serde_json::Value;
+
+use guavavane_cell::prelude::HoldAnswer;
+use guavavane_cell::prelude::HoldReport;
+use guavavane_cell::prelude::OrderAnswer;
+use guavavane_cell::prelude::OrderRefusal;
+use guavavane_cell::prelude::StartOrder;
+use guavavane_cell::prelude::WorkerPort;
+use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::TaskKey;
+use guavavane_jobs::prelude::WorkerKey;
+use guavavane_platform::client::CallRequest;
+use guavavane_platform::client::PlatformClient;
+use guavavane_platform::server::empty;
+use guavavane_platform::server::json as json_response;
+use guavavane_platform::server::serve;
+use guavavane_platform::server::WholeRequest;
+use guavavane_platform::server::WholeResponse;
+use guavavane_standin::simulated_worker::SimulatedWorker;
+
+/// Time between two heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest wait for the answer to a heartbeat.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Serves a worker and sends its heartbeats to its agent, for ever.
+///
+/// # Errors
+///
+/// Fails if the address can't be had.
+pub async fn run_worker(
+    worker: SimulatedWorker,
+    address: SocketAddr,
+    agent: SocketAddr,
+    number: usize,
+) -> std::io::Result<()> {
+    let key = WorkerKey {
+        name: Arc::from(format!("i-{number}")),
+        born_ms: 1,
+    };
+    let (served, name) = (worker, key.clone());
+    serve(address, move |request| {
+        let (worker, key) = (served.clone(), name.clone());
+        async move { answer(&worker, key, request).await }
+    })
+    .await?;
+    tokio::spawn(send_heartbeats(agent, number));
+    Ok(())
+}
+
+async fn send_heartbeats(agent: SocketAddr, number: usize) {
+    let client = PlatformClient::new(agent);
+    let paths = [
+        "/Instances.Heartbeat/i-0",
+        "/Instances.Heartbeat/i-1",
+        "/Instances.Heartbeat/i-2",
+    ];
+    for sequence in 1_u64.. {
+        let body = json!({
+            "Service": "pool", "Addr": "127.0.0.1:1", "Zone": "caxias", "Version": "v1",
+            "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Seq": sequence, "born": 1,
+            "Capacity": {"Cpu": 8000, "MemMb": 8000, "Gpus": 0}, "Labels": ["a", "r1"],
+        });
+        // A heartbeat that fails is followed by the next one.
+        client
+            .post(CallRequest {
+                path: paths[number % paths.len()],
+                headers: Vec::new(),
+                body: body.to_string().into_bytes(),
+                limit: HEARTBEAT_TIMEOUT,
+            })
+            .await;
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+    }
+}
+
+fn order_response(answer: OrderAnswer) -> WholeResponse {
+    match answer {
+        OrderAnswer::Done => json_response(StatusCode::OK, r#"{"ClockMs":1}"#),
+        OrderAnswer::Refused(OrderRefusal::Old) => {
+            json_response(StatusCode::CONFLICT, r#"{"ClockMs":1,"Reason":"old"}"#)
+        }
+        OrderAnswer::Refused(_) => {
+            json_response(StatusCode::CONFLICT, r#"{"ClockMs":1,"Reason":"room"}"#)
+        }
+        OrderAnswer::OtherIncarnation => empty(StatusCode::MISDIRECTED_REQUEST),
+        OrderAnswer::Unanswered => empty(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn runs_response(report: &HoldReport) -> WholeResponse {
+    let running = report.running.iter();
+    let running = running.map(|row| json!([row.task.to_string(), row.run.0, "", 50, 0]));
+    let finished = report.ends.iter();
+    let finished = finished.map(|end| {
+        json!([
+            end.number,
+            end.task.to_string(),
+            end.run.0,
+            end.ending.name(),
+            ""
+        ])
+    });
+    let body = json!({
+        "ClockMs": report.clock_ms,
+        "Running": running.collect::<Vec<Value>>(),
+        "Finished": finished.collect::<Vec<Value>>(),
+    });
+    json_response(StatusCode::OK, body.to_string())
+}
+
+async fn answer(worker: &SimulatedWorker, key: WorkerKey, request: WholeRequest) -> WholeResponse {
+    let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    let fence = body["Fence"].as_u64().unwrap_or(0);
+    let run = RunNumber(body["Run"].as_u64().unwrap_or(0) as u32);
+    let task = body["Task"]
+        .as_str()
+        .and_then(|task| task.parse::<TaskKey>().ok());
+    match (request.path(), task) {
+        ("/run-start", Some(task)) => {
+            let order = StartOrder {
+                task,
+                run,
+                payload: Arc::from(body["Spec"].as_str().unwrap_or("")),
+                saved: Arc::from(""),
+                deadline_ms: body["DeadlineMs"].as_u64().unwrap_or(0),
+            };
+            order_response(worker.start(key, fence, order).await)
+        }
+        ("/run-stop", Some(task)) => order_response(worker.stop(key, fence, task, run).await),
+        ("/hold", _) => {
+            let wait = Duration::from_millis(body["WaitMs"].as_u64().unwrap_or(0));
+            let last_end = body["LastSeen"].as_u64().unwrap_or(0);
+            let deadline = body["DeadlineMs"].as_u64();
+            match worker.hold(key, fence, last_end, deadline, wait).await {
+                HoldAnswer::Report(report) => runs_response(&report),
+                _ => empty(StatusCode::SERVICE_UNAVAILABLE),
+            }
+        }
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
