Remove what nothing calls: a wait, a query and a choice's last parameter

Cause: read of the whole change: entry::wait_ready and JobSpec::is_serving had no caller, and every caller of pick_worker passed no worker to avoid. Change: removed; behaviour is the same.

--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -13,7 +13,6 @@
 use flume::Sender;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 use crate::leader_link::LeaderLink;
 use crate::leader_link::LinkEvent;
@@ -284,13 +283,3 @@
     };
     call.sent = session.send(message);
 }
-
-/// Waits for a condition on the entry, at most for `limit`.
-pub async fn wait_ready(entry: &EntryHandle, limit: Duration) -> bool {
-    let ready = async {
-        while !entry.is_ready().await {
-            tokio::time::sleep(SWEEP_INTERVAL).await;
-        }
-    };
-    timeout(limit, ready).await.is_ok()
-}
--- a/crates/guavavane_jobs/src/job.rs
+++ b/crates/guavavane_jobs/src/job.rs
@@ -192,11 +192,6 @@
         self.schedule.map_or(1, |schedule| schedule.occurrences)
     }
 
-    /// Whether any of its tasks runs until the job is cancelled.
-    pub fn is_serving(&self) -> bool {
-        self.steps.iter().any(|step| step.kind == StepKind::Serving)
-    }
-
     /// Longest sum of estimates along the steps that follow each other.
     pub fn chain_ms(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/crates/guavavane_jobs/src/plan/place.rs
+++ b/crates/guavavane_jobs/src/plan/place.rs
@@ -12,7 +12,6 @@
 use super::press::PressTable;
 use super::room::WorkerRoom;
 use crate::identity::StepKey;
-use crate::identity::WorkerKey;
 use crate::job::StepKind;
 use crate::job::StepSpec;
 use crate::ledger::JobLedger;
@@ -126,17 +125,11 @@
 pub fn pick_worker(
     context: &PlaceContext<'_>,
     rooms: &IndexMap<WorkerIndex, WorkerRoom>,
-    avoid: Option<&WorkerKey>,
 ) -> Option<WorkerIndex> {
     let allowed = rooms
         .iter()
         .filter(|(index, room)| is_allowed(context, **index, room));
-    let scored = allowed.map(|(index, room)| {
-        let key = context.ledger.worker(*index).map(|worker| &worker.key);
-        let avoided = avoid.is_some() && avoid == key;
-        let malus = i64::from(avoided) * DOUBT_WEIGHT;
-        (score(context, *index, room) - malus, *index)
-    });
+    let scored = allowed.map(|(index, room)| (score(context, *index, room), *index));
     let best = scored.max_by_key(|(score, index)| (*score, std::cmp::Reverse(*index)));
     best.map(|(_, index)| index)
 }
--- a/crates/guavavane_jobs/src/plan/round.rs
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -97,7 +97,7 @@
             press: input.press(),
             overdue: false,
         };
-        let Some(worker) = pick_worker(&context, &rooms, None) else {
+        let Some(worker) = pick_worker(&context, &rooms) else {
             continue;
         };
         if let Some(room) = rooms.get_mut(&worker) {
@@ -142,7 +142,7 @@
         if choices.len() >= ROUND_STARTS_MAX {
             return;
         }
-        let Some(worker) = pick_worker(&context, rooms, None) else {
+        let Some(worker) = pick_worker(&context, rooms) else {
             return;
         };
         let task_key = key.task(u32::try_from(index).expect("the number of tasks is bounded"));
@@ -197,7 +197,7 @@
     let mut trial = rooms.clone();
     let mut members = Vec::with_capacity(step.tasks.len());
     for index in 0..step.tasks.len() {
-        let Some(worker) = pick_worker(context, &trial, None) else {
+        let Some(worker) = pick_worker(context, &trial) else {
             return;
         };
         let task = context
