--- a/crates/guavavane_cell/src/agent/hold.rs
+++ b/crates/guavavane_cell/src/agent/hold.rs
@@ -21,7 +21,7 @@
 const HOLD_WAIT: Duration = Duration::from_millis(800);
 /// Wait of a hold while filling tasks run beside serving ones: the worker's figures are means
 /// over half a second.
-const WATCH_WAIT: Duration = Duration::from_millis(300);
+const WATCH_WAIT: Duration = Duration::from_millis(200);
 /// Wait of a hold while a stop is not confirmed.
 const CONFIRM_WAIT: Duration = Duration::from_millis(40);
 /// Longest wait for the leader to note ends before the lease is extended without that.
@@ -130,11 +130,11 @@
         let sent_at = self.hold_sent_at;
         self.started.retain(|_, at| *at >= sent_at);
         let progress = worker.fresh_progress();
-        let (paces, changes) = worker.pace_orders(now);
-        self.changes.extend(changes);
-        let (strains, load) = worker.pace.worst_strains();
+        let paces = worker.pace_orders(now);
         let stalled = worker.stalled_runs();
-        let sampled = now >= self.next_sample && !strains.is_empty();
+        let strains = worker.pace.strain_report();
+        let sampled = now >= self.next_sample && !strains.samples.is_empty();
+        let strains = sampled.then(|| strains.clone());
         let key = worker.key.clone();
         if !worker.ends.is_empty() {
             self.hold = HoldPlan::DueAt(now + NOTE_WAIT);
@@ -146,7 +146,7 @@
                     ends: fresh,
                 });
             }
-            if sampled {
+            if let Some(strains) = strains {
                 self.next_sample = now + SAMPLE_INTERVAL;
                 if !stalled.is_empty() {
                     let runs = stalled;
@@ -155,12 +155,10 @@
                         runs,
                     });
                 }
-                let changes = std::mem::take(&mut self.changes);
                 self.tell(ToControl::Pressed {
                     key: key.clone(),
-                    strains,
-                    load,
-                    changes,
+                    samples: strains.samples,
+                    load: strains.load,
                 });
             }
             if !progress.is_empty() {
--- a/crates/guavavane_cell/src/agent/order_flow.rs
+++ b/crates/guavavane_cell/src/agent/order_flow.rs
@@ -30,6 +30,8 @@
             latency_target_ms: order.latency_target_ms,
             filling: order.filling,
             image: order.image,
+            cpu_millis: order.cpu_millis,
+            urgency: order.urgency,
         };
         worker.traits.insert((task, run), traits);
         let deadline = self.lease.next_deadline(BootClock.now());
--- a/crates/guavavane_cell/src/agent/run.rs
+++ b/crates/guavavane_cell/src/agent/run.rs
@@ -19,7 +19,6 @@
 use crate::port::HoldAnswer;
 use crate::port::WorkerPort;
 use crate::timing::LeaseTiming;
-use guavavane_jobs::plan::press::StrainChange;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerKey;
@@ -73,8 +72,6 @@
     /// Incarnations that are lost and that no leader was told of.
     pub(super) lost: Vec<(WorkerKey, bool)>,
     pub(super) hold: HoldPlan,
-    /// What changes of filling tasks have shown since the leader was told.
-    pub(super) changes: Vec<StrainChange>,
     /// When the leader is next told of tail latencies.
     pub(super) next_sample: BootTime,
     /// Stops that the next list has to confirm.
@@ -100,7 +97,6 @@
             worker: None,
             lost: Vec::new(),
             hold: HoldPlan::DueAt(BootTime::default()),
-            changes: Vec::new(),
             next_sample: BootTime::default(),
             unconfirmed: IndexMap::new(),
             started: IndexMap::new(),
@@ -229,6 +225,12 @@
                     self.spawn_order(key, task, run, WorkerOrder::Stop);
                 }
             }
+            FromControl::Pairs { key, pairs } => {
+                let worker = self.worker.as_mut().filter(|worker| worker.key == key);
+                if let Some(worker) = worker {
+                    worker.pace.adopt(pairs);
+                }
+            }
             FromControl::Noted { key, last_end } => self.note_ends(&key, last_end),
             FromControl::Redirect { .. } | FromControl::Pong { .. } | FromControl::Reply { .. } => {
             }
--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -10,7 +10,6 @@
 use guavavane_jobs::plan::pace::PaceOrder;
 use guavavane_jobs::plan::pace::PaceRole;
 use guavavane_jobs::plan::pace::PacedTask;
-use guavavane_jobs::plan::press::StrainChange;
 use guavavane_jobs::prelude::RunEnd;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::TaskKey;
@@ -24,6 +23,8 @@
     pub(super) latency_target_ms: Option<u64>,
     pub(super) filling: bool,
     pub(super) image: Arc<str>,
+    pub(super) cpu_millis: u64,
+    pub(super) urgency: u64,
 }
 
 /// One incarnation of the worker.
@@ -120,21 +121,22 @@
         fresh
     }
 
-    /// Pace orders that the latest list calls for, and what the leader can learn from it.
-    pub(super) fn pace_orders(&mut self, now: BootTime) -> (Vec<PaceOrder>, Vec<StrainChange>) {
+    /// Pace orders that the latest list calls for.
+    pub(super) fn pace_orders(&mut self, now: BootTime) -> Vec<PaceOrder> {
         let tasks: Vec<PacedTask> = self.running.iter().map(|row| self.paced(row)).collect();
-        let before = self.pace.paces().clone();
-        let (orders, changes) = self.pace.observe(now, &tasks);
-        let paces = self.pace.paces();
-        if before != *paces {
+        let before = self.pace.slowed();
+        let orders = self.pace.observe(now, &tasks);
+        let slowed = self.pace.slowed();
+        if before != slowed {
             let tails = tasks.iter().filter_map(|task| match task.role {
                 PaceRole::Serving { tail_ms, .. } => Some(tail_ms),
                 _ => None,
             });
             let worst_ms = tails.max().unwrap_or(0);
-            tracing::info!(event = "pace_changed", worker = %self.key, ?paces, worst_ms);
+            let (runs, percent) = slowed;
+            tracing::info!(event = "pace_changed", worker = %self.key, runs, percent, worst_ms);
         }
-        (orders, changes)
+        orders
     }
 
     /// Filling tasks that nearly stand still.
@@ -154,7 +156,16 @@
                 tail_ms: row.figure,
                 target_ms: *target_ms,
             },
-            Some(RunTraits { filling: true, .. }) => PaceRole::Filling,
+            Some(RunTraits {
+                filling: true,
+                cpu_millis,
+                urgency,
+                ..
+            }) => PaceRole::Filling {
+                used: self.share(row.figure),
+                wanted: self.share(*cpu_millis),
+                urgency: *urgency,
+            },
             _ => PaceRole::Other,
         };
         PacedTask {
@@ -164,4 +175,9 @@
             role,
         }
     }
+
+    /// Share of the worker's processor.
+    fn share(&self, cpu_millis: u64) -> f64 {
+        cpu_millis as f64 / self.facts.capacity.cpu_millis.max(1) as f64
+    }
 }
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -224,12 +224,16 @@
 
     /// Sends the order that the ledger asks for: a start if the run is wanted, else a stop.
     pub(super) fn order_run(&self, worker: WorkerIndex, task: TaskKey, run: RunNumber) {
-        let Some(session) = self.memory.as_ref().and_then(|m| m.worker_session(worker)) else {
+        let Some(memory) = &self.memory else {
+            return;
+        };
+        let Some(session) = memory.worker_session(worker) else {
             return;
         };
+        let urgency = |ledger: &JobLedger| memory.urgency(ledger, task);
         let order = self
             .quorum
-            .local(|ledger| run_order(ledger, worker, task, run));
+            .local(|ledger| run_order(ledger, urgency(ledger), worker, task, run));
         let Some(order) = order else {
             return;
         };
@@ -259,6 +263,7 @@
 
 fn run_order(
     ledger: &JobLedger,
+    urgency: u64,
     worker: WorkerIndex,
     task: TaskKey,
     run: RunNumber,
@@ -284,6 +289,8 @@
         latency_target_ms: run_record.latency_target_ms.filter(|_| run_record.serving),
         filling: run_record.filling,
         image: Arc::clone(&run_record.image),
+        cpu_millis: run_record.cpu_millis,
+        urgency,
     };
     Some(FromControl::Start {
         key,
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -220,15 +220,11 @@
                     memory.saved.extend(saved);
                 }
             }
-            ToControl::Pressed {
-                key,
-                strains,
-                load,
-                changes,
-            } => {
+            ToControl::Pressed { key, samples, load } => {
                 let worker = self.quorum.local(|ledger| ledger.worker_index(&key));
                 if let (Some(memory), Some(worker)) = (&mut self.memory, worker) {
-                    memory.learn_strains(worker, strains, load, &changes);
+                    memory.learn_strains(worker, &samples, load);
+                    self.tell_pairs(worker);
                 }
             }
             ToControl::Silence { key, silent } => {
--- a/crates/guavavane_cell/src/control/memory.rs
+++ b/crates/guavavane_cell/src/control/memory.rs
@@ -11,9 +11,10 @@
 use super::session::SessionRole;
 use crate::timing::LeaseTiming;
 use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::plan::order::step_urgency;
 use guavavane_jobs::plan::press::FillingLoad;
 use guavavane_jobs::plan::press::PressTable;
-use guavavane_jobs::plan::press::StrainChange;
+use guavavane_jobs::plan::press::StrainSample;
 use guavavane_jobs::plan::room::WorkerOutlook;
 use guavavane_jobs::plan::round::RoundInput;
 use guavavane_jobs::plan::slack::RunTimes;
@@ -138,6 +139,12 @@
         }
     }
 
+    /// Rank of a task among those that can't all work: those that can still make their
+    /// objective first, by its time.
+    pub(super) fn urgency(&self, ledger: &JobLedger, task: TaskKey) -> u64 {
+        step_urgency(ledger, &self.run_times, task.step, time_of_day_ms()).unwrap_or(u64::MAX)
+    }
+
     /// Notes which steps have waiting tasks.
     pub(super) fn note_waiting(&mut self, ledger: &JobLedger) {
         let now = BootClock.now();
@@ -151,15 +158,20 @@
     pub(super) fn learn_strains(
         &mut self,
         index: WorkerIndex,
-        strains: Vec<(Arc<str>, f64)>,
+        samples: &[StrainSample],
         load: FillingLoad,
-        changes: &[StrainChange],
     ) {
-        changes.iter().for_each(|change| self.press.learn(change));
-        if let Some(worker) = self.workers.get_mut(&index) {
-            worker.strains = strains.into_iter().collect();
-            worker.seen_load = load;
+        self.press.learn(BootClock.now(), samples, &load);
+        let Some(worker) = self.workers.get_mut(&index) else {
+            return;
+        };
+        worker.strains.clear();
+        for sample in samples {
+            let serving = Arc::clone(&sample.serving);
+            let worst = worker.strains.entry(serving).or_insert(0.0);
+            *worst = worst.max(sample.strain);
         }
+        worker.seen_load = load;
     }
 
     /// Learns from ends that were noted.
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -1,12 +1,20 @@
 //! Workers and their agents, as the leader deals with them.
 
+use std::sync::Arc;
+
+use indexmap::IndexSet;
+
 use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
 use super::memory::WorkerMemory;
 use super::session::SessionId;
 use super::session::SessionRole;
+use crate::message::FromControl;
 use crate::message::WorkerReport;
 use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::ledger::WorkerRecord;
+use guavavane_jobs::plan::press::KnownPair;
+use guavavane_jobs::plan::press::PressTable;
 use guavavane_jobs::plan::room::rooms;
 use guavavane_jobs::plan::round::choose_moves;
 use guavavane_jobs::prelude::LedgerCommand;
@@ -35,7 +43,7 @@
         self.propose(command, CommitPurpose::AddWorker { session, report });
     }
 
-    fn session_node(&self, session: SessionId) -> Option<std::sync::Arc<str>> {
+    fn session_node(&self, session: SessionId) -> Option<Arc<str>> {
         match &self.memory.as_ref()?.sessions.get(&session)?.role {
             SessionRole::Agent { node, .. } => Some(node.clone()),
             SessionRole::Entry => None,
@@ -115,6 +123,23 @@
         }
     }
 
+    /// Tells an agent what is known of the images on its worker.
+    pub(super) fn tell_pairs(&self, index: WorkerIndex) {
+        let Some(memory) = &self.memory else {
+            return;
+        };
+        let Some(session) = memory.worker_session(index) else {
+            return;
+        };
+        let known = self.quorum.local(|ledger| {
+            let worker = ledger.worker(index)?;
+            Some((worker.key.clone(), neighbour_pairs(&memory.press, worker)))
+        });
+        if let Some((key, pairs)) = known.filter(|(_, pairs)| !pairs.is_empty()) {
+            session.sender.send(FromControl::Pairs { key, pairs });
+        }
+    }
+
     /// Whether a start that was committed earlier may still be ordered.
     fn takes_starts(&self, index: WorkerIndex) -> bool {
         let memory = self.memory.as_ref().and_then(|m| m.workers.get(&index));
@@ -224,9 +249,21 @@
             .local(|ledger| ledger.worker(worker).map(|w| w.key.clone()));
         if let Some(key) = key {
             tracing::info!(event = "stop_ordered", %task, %run, worker = %key);
-            session
-                .sender
-                .send(crate::message::FromControl::Stop { key, task, run });
+            session.sender.send(FromControl::Stop { key, task, run });
         }
     }
 }
+
+/// What is known of the serving images on a worker and the filling images beside them.
+fn neighbour_pairs(press: &PressTable, worker: &WorkerRecord) -> Vec<KnownPair> {
+    let runs = || worker.runs.values();
+    let serving = runs().filter(|run| run.latency_target_ms.is_some());
+    let serving: IndexSet<&Arc<str>> = serving.map(|run| &run.image).collect();
+    let filling = runs().filter(|run| run.filling);
+    let filling: IndexSet<&Arc<str>> = filling.map(|run| &run.image).collect();
+    let pairs = serving.iter().flat_map(|served| {
+        let filling = filling.iter();
+        filling.map(move |image| (*served, *image))
+    });
+    press.known_pairs(pairs)
+}
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 
 use guavavane_jobs::plan::press::FillingLoad;
-use guavavane_jobs::plan::press::StrainChange;
+use guavavane_jobs::plan::press::KnownPair;
+use guavavane_jobs::plan::press::StrainSample;
 use guavavane_jobs::prelude::RawJob;
 use guavavane_jobs::prelude::RunEnd;
 use guavavane_jobs::prelude::RunNumber;
@@ -133,6 +134,10 @@
     pub filling: bool,
     /// Name of what it runs.
     pub image: Arc<str>,
+    /// Processor that it could use, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Those with less go first where not all can work.
+    pub urgency: u64,
 }
 
 /// To a control process.
@@ -196,12 +201,10 @@
     Pressed {
         /// The incarnation.
         key: WorkerKey,
-        /// Highest strain of each serving image.
-        strains: Vec<(Arc<str>, f64)>,
-        /// Filling tasks beside which it was seen.
+        /// Serving tasks.
+        samples: Vec<StrainSample>,
+        /// Shares of the worker's processor that filling tasks beside them used.
         load: FillingLoad,
-        /// What changes of filling tasks have shown.
-        changes: Vec<StrainChange>,
     },
     /// Whether a worker answers its agent.
     Silence {
@@ -268,6 +271,13 @@
         /// The run.
         run: RunNumber,
     },
+    /// What is known of the images on the session's worker.
+    Pairs {
+        /// The incarnation.
+        key: WorkerKey,
+        /// Serving and filling images.
+        pairs: Vec<KnownPair>,
+    },
     /// Ends up to this number are durable.
     Noted {
         /// The incarnation.
--- a/crates/guavavane_jobs/src/ledger/record.rs
+++ b/crates/guavavane_jobs/src/ledger/record.rs
@@ -58,6 +58,15 @@
     pub next_occurrence: u32,
 }
 
+impl JobRecord {
+    /// Whether a run of one of its tasks is committed to a worker.
+    pub fn has_runs(&self) -> bool {
+        let steps = self.occurrences.values().flat_map(|o| &o.steps);
+        let mut tasks = steps.flat_map(|step| &step.tasks);
+        tasks.any(|task| matches!(task.phase, TaskPhase::Assigned(_)))
+    }
+}
+
 /// One occurrence of a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OccurrenceRecord {
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -10,6 +10,7 @@
 pub mod pace;
 pub mod place;
 pub mod press;
+mod press_filter;
 pub mod room;
 pub mod round;
 pub mod slack;
--- a/crates/guavavane_jobs/src/plan/pace.rs
+++ b/crates/guavavane_jobs/src/plan/pace.rs
@@ -1,9 +1,11 @@
 //! Filling tasks that slow down serving ones on the same worker.
 //!
-//! At each report the strain of the serving tasks' own load is what is seen less what the
-//! filling tasks are known to add. The room up to the limit goes to the filling images, those
-//! that press least first. Where a tail passes its target all the same, what presses is
-//! halved at once. The leader moves tasks that nearly stand still.
+//! At each report the own load of a serving task is its strain less what the filling tasks
+//! are known to add. What is left up to the target is given to the filling tasks one by one,
+//! those that press on nobody first and then the most urgent; the others wait, since sharing
+//! it would make all of them late. If a serving task stays over its target all the same, all
+//! filling tasks stand still until it is not. The leader moves tasks that nearly stand still,
+//! and learns from all workers what presses on what.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,34 +14,39 @@
 
 use super::press::strain;
 use super::press::strain_limit;
+use super::press::strain_stretch;
 use super::press::FillingLoad;
+use super::press::KnownPair;
 use super::press::PressTable;
-use super::press::StrainChange;
+use super::press::StrainSample;
 use crate::identity::RunNumber;
 use crate::identity::TaskKey;
 use guavavane_model::prelude::BootTime;
 
-/// Part of the limit that is given to filling tasks.
-const AIMED_PART: f64 = 0.9;
-/// Weight below which a pair does not matter.
-const WEIGHT_LEAST: f64 = 0.02;
+/// Strain below the limit that is kept free: own loads rise by as much between two reports.
+const STRAIN_MARGIN: f64 = 0.07;
+/// Part of the room that filling tasks get while a serving task is over its target.
+const OVER_PART: f64 = 0.5;
+/// Stretch for a whole processor below which a pair does not matter.
+const WEIGHT_LEAST: f64 = 0.6;
 /// Pace below which a task stands still, in percent.
-const PACE_LEAST: u32 = 10;
+const PACE_LEAST: u32 = 5;
 /// Pace from which a task is let go fully, in percent.
-const PACE_MOST: u32 = 90;
-/// Change of a pace that is worth an order, in percent.
-const PACE_CHANGE: u32 = 15;
+const PACE_MOST: u32 = 95;
+/// Rise of a pace that is worth an order, in percent; falls are ordered at once.
+const PACE_RISE: u32 = 8;
 /// Pace of a task that nobody slows down, in percent.
 const PACE_FULL: u32 = 100;
 /// Pace up to which a task is better off on another worker, in percent.
-const PACE_STALLED: u32 = 30;
-/// Time that the worker's figures cover, with the time until a pace is in force.
-const SETTLE_TIME: Duration = Duration::from_millis(650);
-/// Longest time between two settled reports that are compared.
-const COMPARE_TIME: Duration = Duration::from_millis(2_500);
+const PACE_STALLED: u32 = 25;
+/// Time in which tail latencies follow a load: figures cover half a second, and queues empty
+/// slowly.
+const FOLLOW_TIME: Duration = Duration::from_millis(500);
+/// Share of the processor that is too small to matter.
+const SHARE_LEAST: f64 = 0.001;
 
 /// A task on the worker, as the worker reports it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PacedTask {
     /// The task.
     pub task: TaskKey,
@@ -52,7 +59,7 @@
 }
 
 /// What a task is to the others on its worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PaceRole {
     /// Serves, with its tail latency and its target.
     Serving {
@@ -62,7 +69,14 @@
         target_ms: u64,
     },
     /// Uses what others leave.
-    Filling,
+    Filling {
+        /// Share of the worker's processor that it used over the last half second.
+        used: f64,
+        /// Share that it could use.
+        wanted: f64,
+        /// Those with less go first.
+        urgency: u64,
+    },
     /// Neither.
     Other,
 }
@@ -78,44 +92,31 @@
     pub percent: u32,
 }
 
-/// Strain of the serving tasks of one image: the mean and the highest.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct ImageStrain {
-    sum: f64,
-    count: u32,
-    worst: f64,
-}
-
-impl ImageStrain {
-    fn mean(&self) -> f64 {
-        self.sum / f64::from(self.count.max(1))
-    }
+/// What a report says of serving tasks and of the load beside which they serve.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StrainReport {
+    /// Serving tasks.
+    pub samples: Vec<StrainSample>,
+    /// Shares of the processor that filling tasks used.
+    pub load: FillingLoad,
 }
 
-type StrainMap = IndexMap<Arc<str>, ImageStrain>;
+type PaceMap = IndexMap<(TaskKey, RunNumber), u32>;
 
 /// Pace of the filling tasks on one worker.
 #[derive(Clone, Debug, Default)]
 pub struct PaceControl {
     table: PressTable,
-    /// Pace of each image that is slowed down, in percent.
-    paces: IndexMap<Arc<str>, u32>,
+    /// Pace of each run that is slowed down, in percent.
+    paces: PaceMap,
     /// Pace that was carried out for each run.
-    ordered: IndexMap<(TaskKey, RunNumber), u32>,
-    load: FillingLoad,
-    changed_at: BootTime,
-    /// Load over the time that the latest figures cover.
-    felt_load: FillingLoad,
+    ordered: PaceMap,
+    report: StrainReport,
     observed_at: BootTime,
-    /// Latest settled report.
-    settled: Option<(BootTime, FillingLoad, StrainMap)>,
-    strains: StrainMap,
-    /// How long a serving task may be over its target before filling tasks are slowed down.
+    /// How long a serving task may be over its target before all filling tasks stand still.
     patience: Duration,
     /// Since when serving tasks are over their targets.
     over_since: IndexMap<(TaskKey, RunNumber), BootTime>,
-    /// Since when filling tasks are slowed down.
-    guarding_since: Option<BootTime>,
 }
 
 impl PaceControl {
@@ -127,42 +128,34 @@
         }
     }
 
-    /// Paces of the images that are slowed down, in percent.
-    pub fn paces(&self) -> &IndexMap<Arc<str>, u32> {
-        &self.paces
+    /// Number of runs that are slowed down, and the sum of their paces in percent.
+    pub fn slowed(&self) -> (usize, u32) {
+        (self.paces.len(), self.paces.values().sum())
     }
 
-    /// Highest strain of each serving image, with the filling tasks that it was felt beside.
-    pub fn worst_strains(&self) -> (Vec<(Arc<str>, f64)>, FillingLoad) {
-        let strains = self.strains.iter();
-        let strains = strains.map(|(image, strain)| (Arc::clone(image), strain.worst));
-        (strains.collect(), self.felt_load.clone())
+    /// What the latest report says of serving tasks.
+    pub fn strain_report(&self) -> &StrainReport {
+        &self.report
     }
 
-    /// Takes a fresh report; returns the runs whose pace has to change, and what the change
-    /// of filling tasks before it has shown.
-    pub fn observe(
-        &mut self,
-        now: BootTime,
-        tasks: &[PacedTask],
-    ) -> (Vec<PaceOrder>, Vec<StrainChange>) {
-        let load = self.current_load(tasks);
-        self.feel(now, &load);
-        if load != self.load {
-            self.load = load;
-            self.changed_at = now;
-        }
-        self.strains = strains(tasks);
-        let changes = self.settled_changes(now);
-        changes.iter().for_each(|change| self.table.learn(change));
-        self.watch(now, tasks);
-        self.paces = match self.guarding_since {
-            None => IndexMap::new(),
-            // What is known of the pairs does not explain it.
-            Some(since) if now.saturating_since(since) >= SETTLE_TIME => stopped(tasks),
-            Some(_) => self.allocate(tasks),
+    /// Takes what the leader has learned from all workers.
+    pub fn adopt(&mut self, pairs: Vec<KnownPair>) {
+        self.table.adopt(pairs);
+    }
+
+    /// Takes a fresh report; returns the runs whose pace has to change.
+    pub fn observe(&mut self, now: BootTime, tasks: &[PacedTask]) -> Vec<PaceOrder> {
+        let load = std::mem::take(&mut self.report.load);
+        self.report = strain_report(tasks);
+        self.report.load = followed(load, &self.report.load, now, self.observed_at);
+        self.observed_at = now;
+        self.paces = if self.is_over_for_long(now, tasks) {
+            let filling = filling_tasks(tasks);
+            filling.map(|task| ((task.task, task.run), 0)).collect()
+        } else {
+            self.allocate(tasks)
         };
-        (self.orders(tasks), changes)
+        self.orders(tasks)
     }
 
     /// Whether a run nearly stands still.
@@ -176,64 +169,8 @@
         self.ordered.insert((order.task, order.run), order.percent);
     }
 
-    fn current_load(&self, tasks: &[PacedTask]) -> FillingLoad {
-        let mut load = FillingLoad::new();
-        for task in tasks.iter().filter(|task| task.role == PaceRole::Filling) {
-            let known = self.ordered.get(&(task.task, task.run));
-            let pace = known.copied().unwrap_or(PACE_FULL);
-            let part = f64::from(pace) / f64::from(PACE_FULL);
-            *load.entry(Arc::clone(&task.image)).or_insert(0.0) += part;
-        }
-        load
-    }
-
-    /// Follows the load as the worker's figures do, which cover a while.
-    fn feel(&mut self, now: BootTime, load: &FillingLoad) {
-        let passed = now.saturating_since(self.observed_at);
-        self.observed_at = now;
-        let part = (passed.as_secs_f64() / SETTLE_TIME.as_secs_f64()).min(1.0);
-        for (image, felt) in &mut self.felt_load {
-            let current = load.get(image).copied().unwrap_or(0.0);
-            *felt += (current - *felt) * part;
-        }
-        for (image, current) in load {
-            self.felt_load
-                .entry(Arc::clone(image))
-                .or_insert(current * part);
-        }
-        self.felt_load.retain(|_, felt| *felt > 0.01);
-    }
-
-    /// Compares this report with the latest settled one, if it is settled itself.
-    fn settled_changes(&mut self, now: BootTime) -> Vec<StrainChange> {
-        if now.saturating_since(self.changed_at) < SETTLE_TIME {
-            return Vec::new();
-        }
-        let current = (now, self.load.clone(), self.strains.clone());
-        let Some((at, load, strains)) = self.settled.replace(current) else {
-            return Vec::new();
-        };
-        if load == self.load || now.saturating_since(at) > COMPARE_TIME {
-            return Vec::new();
-        }
-        let changes = load_difference(&load, &self.load);
-        let common = self.strains.iter().filter_map(|(image, after)| {
-            let before = strains
-                .get(image)
-                .filter(|before| before.count == after.count)?;
-            Some(StrainChange {
-                serving: Arc::clone(image),
-                before: before.mean(),
-                after: after.mean(),
-                changes: changes.clone(),
-            })
-        });
-        common.collect()
-    }
-
-    /// Begins to guard the serving tasks when one has been over its target for too long, and
-    /// ends when none is over any more.
-    fn watch(&mut self, now: BootTime, tasks: &[PacedTask]) {
+    /// Whether a serving task has been over its target for longer than it may.
+    fn is_over_for_long(&mut self, now: BootTime, tasks: &[PacedTask]) -> bool {
         let mut over_since = IndexMap::new();
         for task in tasks {
             let PaceRole::Serving { tail_ms, target_ms } = task.role else {
@@ -247,81 +184,87 @@
         }
         self.over_since = over_since;
         let longest = self.over_since.values().min().copied();
-        let too_long = longest.is_some_and(|since| now.saturating_since(since) >= self.patience);
-        if self.over_since.is_empty() {
-            self.guarding_since = None;
-        } else if too_long && self.guarding_since.is_none() {
-            self.guarding_since = Some(now);
-        }
+        longest.is_some_and(|since| now.saturating_since(since) >= self.patience)
     }
 
-    /// Gives the room below the limit to the filling images, those that press least first.
-    fn allocate(&self, tasks: &[PacedTask]) -> IndexMap<Arc<str>, u32> {
-        let limit = strain_limit();
-        let over = self.strains.values().any(|strain| strain.worst >= limit);
+    /// Stretch that each serving image still bears.
+    fn room(&self) -> IndexMap<Arc<str>, f64> {
         let mut room: IndexMap<Arc<str>, f64> = IndexMap::new();
-        for (image, strain) in &self.strains {
-            let own = strain.worst - self.table.added(image, &self.felt_load);
-            let left = limit * AIMED_PART - own.max(0.0);
-            room.insert(Arc::clone(image), left.max(0.0));
+        for sample in &self.report.samples {
+            let own = sample.strain - self.table.added(&sample.serving, &self.report.load);
+            let mut left = strain_limit() - STRAIN_MARGIN - own.max(0.0);
+            if sample.strain >= strain_limit() {
+                left *= OVER_PART;
+            }
+            let left = strain_stretch(left);
+            let least = room.entry(Arc::clone(&sample.serving)).or_insert(left);
+            *least = least.min(left);
         }
-        let mut paces = IndexMap::new();
-        for (image, heaviest, count) in self.filling_images(tasks) {
-            let borne = room.iter().map(|(served, left)| {
-                let weight = self.table.weight(served, &image);
-                if weight < WEIGHT_LEAST {
-                    1.0
-                } else {
-                    left / (weight * count)
+        room
+    }
+
+    /// Gives the room to the filling tasks.
+    fn allocate(&self, tasks: &[PacedTask]) -> PaceMap {
+        let mut room = self.room();
+        let mut paces = PaceMap::new();
+        for (task, wanted) in self.in_order(tasks, &room) {
+            let mut share: f64 = 1.0;
+            for (served, left) in &room {
+                let weight = self.table.weight(served, &task.image);
+                if weight >= WEIGHT_LEAST {
+                    share = share.min(left / (weight * wanted));
                 }
-            });
-            let share = borne.fold(1.0, f64::min);
-            let pace = if over && heaviest >= WEIGHT_LEAST {
-                0
-            } else {
-                (share * f64::from(PACE_FULL)) as u32
-            };
-            let pace = self.rounded(&image, pace);
+            }
+            let key = (task.task, task.run);
+            let pace = self.rounded(key, (share * f64::from(PACE_FULL)) as u32);
             for (served, left) in &mut room {
-                let part = f64::from(pace) / f64::from(PACE_FULL);
-                *left = (*left - self.table.weight(served, &image) * count * part).max(0.0);
+                let used = wanted * f64::from(pace) / f64::from(PACE_FULL);
+                *left = (*left - self.table.weight(served, &task.image) * used).max(0.0);
             }
             if pace < PACE_FULL {
-                paces.insert(image, pace);
+                paces.insert(key, pace);
             }
         }
         paces
     }
 
-    /// Filling images with their heaviest weight here and their number, lightest first.
-    fn filling_images(&self, tasks: &[PacedTask]) -> Vec<(Arc<str>, f64, f64)> {
-        let mut counts: IndexMap<Arc<str>, f64> = IndexMap::new();
-        for task in tasks.iter().filter(|task| task.role == PaceRole::Filling) {
-            *counts.entry(Arc::clone(&task.image)).or_insert(0.0) += 1.0;
-        }
-        let weighed = counts.into_iter().map(|(image, count)| {
-            let weights = self
-                .strains
-                .keys()
-                .map(|served| self.table.weight(served, &image));
-            let heaviest = weights.fold(0.0, f64::max);
-            (image, heaviest, count)
+    /// Filling tasks with the shares that they want: first those that press on nobody, then the
+    /// most urgent.
+    fn in_order<'tasks>(
+        &self,
+        tasks: &'tasks [PacedTask],
+        room: &IndexMap<Arc<str>, f64>,
+    ) -> Vec<(&'tasks PacedTask, f64)> {
+        let presses = |image: &Arc<str>| {
+            let weights = room.keys().map(|served| self.table.weight(served, image));
+            weights.fold(0.0, f64::max) >= WEIGHT_LEAST
+        };
+        let filling = filling_tasks(tasks).map(|task| {
+            let (wanted, urgency) = match task.role {
+                PaceRole::Filling {
+                    wanted, urgency, ..
+                } => (wanted, urgency),
+                _ => (0.0, u64::MAX),
+            };
+            let rank = (presses(&task.image), urgency, task.task);
+            (rank, task, wanted.max(f64::MIN_POSITIVE))
         });
-        let mut images: Vec<(Arc<str>, f64, f64)> = weighed.collect();
-        images.sort_by(|a, b| a.1.total_cmp(&b.1));
-        images
+        let mut ranked: Vec<_> = filling.collect();
+        ranked.sort_by_key(|(rank, _, _)| *rank);
+        let ranked = ranked.into_iter().map(|(_, task, wanted)| (task, wanted));
+        ranked.collect()
     }
 
     /// Avoids orders that change little.
-    fn rounded(&self, image: &Arc<str>, pace: u32) -> u32 {
+    fn rounded(&self, key: (TaskKey, RunNumber), pace: u32) -> u32 {
         if pace < PACE_LEAST {
             return 0;
         }
         if pace >= PACE_MOST {
             return PACE_FULL;
         }
-        let current = self.paces.get(image).copied().unwrap_or(PACE_FULL);
-        if current > 0 && current.abs_diff(pace) < PACE_CHANGE {
+        let current = self.paces.get(&key).copied().unwrap_or(PACE_FULL);
+        if pace > current && pace - current < PACE_RISE {
             current
         } else {
             pace
@@ -330,11 +273,11 @@
 
     fn orders(&mut self, tasks: &[PacedTask]) -> Vec<PaceOrder> {
         let mut orders = Vec::new();
-        let mut ordered = IndexMap::new();
-        for task in tasks.iter().filter(|task| task.role == PaceRole::Filling) {
+        let mut ordered = PaceMap::new();
+        for task in filling_tasks(tasks) {
             let key = (task.task, task.run);
             let known = self.ordered.get(&key).copied().unwrap_or(PACE_FULL);
-            let wanted = self.paces.get(&task.image).copied().unwrap_or(PACE_FULL);
+            let wanted = self.paces.get(&key).copied().unwrap_or(PACE_FULL);
             if known != wanted {
                 orders.push(PaceOrder {
                     task: task.task,
@@ -349,31 +292,41 @@
     }
 }
 
-fn strains(tasks: &[PacedTask]) -> StrainMap {
-    let mut strains = StrainMap::new();
-    for task in tasks {
-        if let PaceRole::Serving { tail_ms, target_ms } = task.role {
-            let seen = strain(tail_ms, target_ms);
-            let image = strains.entry(Arc::clone(&task.image)).or_default();
-            image.sum += seen;
-            image.count += 1;
-            image.worst = image.worst.max(seen);
-        }
-    }
-    strains
+fn filling_tasks(tasks: &[PacedTask]) -> impl Iterator<Item = &PacedTask> {
+    let filling = |task: &&PacedTask| matches!(task.role, PaceRole::Filling { .. });
+    tasks.iter().filter(filling)
 }
 
-/// All filling images, standing still.
-fn stopped(tasks: &[PacedTask]) -> IndexMap<Arc<str>, u32> {
-    let filling = tasks.iter().filter(|task| task.role == PaceRole::Filling);
-    filling.map(|task| (Arc::clone(&task.image), 0)).collect()
+/// Lets a load follow what is seen as tail latencies do, which go on for a while.
+fn followed(load: FillingLoad, seen: &FillingLoad, now: BootTime, since: BootTime) -> FillingLoad {
+    let passed = now.saturating_since(since);
+    let kept = (-passed.as_secs_f64() / FOLLOW_TIME.as_secs_f64()).exp();
+    let mut followed: FillingLoad = load
+        .into_iter()
+        .map(|(image, share)| (image, share * kept))
+        .collect();
+    for (image, share) in seen {
+        *followed.entry(Arc::clone(image)).or_insert(0.0) += share * (1.0 - kept);
+    }
+    followed.retain(|_, share| *share > SHARE_LEAST);
+    followed
 }
 
-fn load_difference(before: &FillingLoad, after: &FillingLoad) -> FillingLoad {
-    let mut difference = after.clone();
-    for (image, tasks) in before {
-        *difference.entry(Arc::clone(image)).or_insert(0.0) -= tasks;
+fn strain_report(tasks: &[PacedTask]) -> StrainReport {
+    let mut report = StrainReport::default();
+    for task in tasks {
+        match task.role {
+            PaceRole::Serving { tail_ms, target_ms } => report.samples.push(StrainSample {
+                job: task.task.step.job,
+                serving: Arc::clone(&task.image),
+                strain: strain(tail_ms, target_ms),
+            }),
+            PaceRole::Filling { used, .. } => {
+                let image = Arc::clone(&task.image);
+                *report.load.entry(image).or_insert(0.0) += used;
+            }
+            PaceRole::Other => {}
+        }
     }
-    difference.retain(|_, tasks| tasks.abs() > 0.01);
-    difference
+    report
 }
--- a/crates/guavavane_jobs/src/plan/place.rs
+++ b/crates/guavavane_jobs/src/plan/place.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::press::PressTable;
 use super::room::WorkerRoom;
@@ -25,13 +26,24 @@
 const RACK_WEIGHT: i64 = 100_000;
 /// Weight of serving tasks on a worker, which keeps them together.
 const SERVING_WEIGHT: i64 = 20_000;
-/// Weight of each other serving image on a worker: fewer images leave more workers where a
-/// filling image disturbs nobody.
+/// Weight of each other serving image on a worker while nothing is known of filling images:
+/// fewer images leave more workers where a filling image disturbs nobody.
 const MIX_WEIGHT: i64 = 400_000;
-/// Weight of a serving task that misses its target, in thousandths of a core.
-const HARM_WEIGHT: f64 = 16_000.0;
-/// Number of serving tasks that may be expected to miss their target.
-const HARM_BORNE: f64 = 0.3;
+/// Weight of closing a worker to all filling images by a serving task.
+const CLOSED_WEIGHT: f64 = 1_600_000.0;
+/// Weight of a worker that is open to all filling images: those that press on nobody there
+/// leave it to those that press elsewhere.
+const OPEN_WEIGHT: f64 = 24_000.0;
+/// Weight of idle processor that a filling task could use.
+const USABLE_WEIGHT: i64 = 4;
+/// Part of the weight of other idle processor.
+const SPARE_DIVISOR: i64 = 4;
+/// Weight of a full pace against idle processor, in thousandths of a core.
+const PACE_WEIGHT: f64 = 16_000.0;
+/// Pace for which a filling task waits while its job has time to spare.
+pub const PACE_WANTED: f64 = 0.9;
+/// Pace for which a filling task waits otherwise.
+pub const PACE_BORNE: f64 = 0.5;
 /// Weight of a doubted worker, in thousandths of a core.
 const DOUBT_WEIGHT: i64 = 1_000_000;
 
@@ -49,8 +61,10 @@
     pub rack: Option<Arc<str>>,
     /// What is known of images that slow each other down.
     pub press: &'ledger PressTable,
-    /// Whether the step has waited long enough to press on serving tasks.
-    pub overdue: bool,
+    /// Filling images that were seen beside serving ones.
+    pub filling_images: &'ledger IndexSet<&'ledger Arc<str>>,
+    /// Least pace that serving tasks have to leave to a filling task.
+    pub least_pace: f64,
 }
 
 /// The rack of a worker: its last label.
@@ -88,12 +102,29 @@
     room.filling == 0 && room.serving == 0 || room.idle_cpu() >= wanted / 100 * FILLING_IDLE_PERCENT
 }
 
-/// Whether the serving tasks of a worker are expected to bear one more filling task.
+/// Whether a filling task is expected to get on beside the serving tasks of a worker.
 fn is_borne(context: &PlaceContext<'_>, room: &WorkerRoom) -> bool {
-    if !context.spec.filling || room.serving_images.is_empty() || context.overdue {
+    if !context.spec.filling || room.serving_images.is_empty() {
         return true;
     }
-    room.harm(context.press, &context.spec.image) <= HARM_BORNE
+    spare_pace(context, room) >= context.least_pace
+}
+
+fn spare_pace(context: &PlaceContext<'_>, room: &WorkerRoom) -> f64 {
+    let spec = context.spec;
+    room.spare_pace(context.press, &spec.image, spec.demand.cpu_millis)
+}
+
+/// What a serving task on this worker costs filling tasks.
+fn mixed_weight(context: &PlaceContext<'_>, room: &WorkerRoom) -> i64 {
+    let image = &context.spec.image;
+    if context.filling_images.is_empty() {
+        let same = room.serving_images.contains_key(image);
+        let others = room.serving_images.len() - usize::from(same);
+        return i64::try_from(others).unwrap_or(i64::MAX / MIX_WEIGHT) * MIX_WEIGHT;
+    }
+    let closed = room.closed_by(context.press, context.filling_images, image);
+    (closed * CLOSED_WEIGHT) as i64
 }
 
 /// How well a worker suits; higher is better.
@@ -101,15 +132,16 @@
     let spec = context.spec;
     let mut score = match spec.kind {
         StepKind::Serving => {
-            let same = room.serving_images.contains_key(&spec.image);
-            let others = room.serving_images.len() - usize::from(same);
-            let mixed = i64::try_from(others).unwrap_or(i64::MAX / MIX_WEIGHT) * MIX_WEIGHT;
+            let mixed = mixed_weight(context, room);
             let packed = i64::from(room.serving) * SERVING_WEIGHT;
             packed - mixed - i64::from(room.filling) * SERVING_WEIGHT / 4
         }
         StepKind::Finite if spec.filling => {
-            let harm = room.harm(context.press, &spec.image);
-            room.idle_cpu() - (harm * HARM_WEIGHT) as i64
+            let pace = spare_pace(context, room) * PACE_WEIGHT;
+            let open = room.openness(context.press, context.filling_images) * OPEN_WEIGHT;
+            let idle = room.idle_cpu();
+            let wanted = i64::try_from(spec.demand.cpu_millis).unwrap_or(i64::MAX);
+            idle.min(wanted) * USABLE_WEIGHT + idle / SPARE_DIVISOR + (pace - open) as i64
         }
         StepKind::Finite => room.idle_cpu(),
     };
--- a/crates/guavavane_jobs/src/plan/press.rs
+++ b/crates/guavavane_jobs/src/plan/press.rs
@@ -1,30 +1,37 @@
 //! How much filling images slow down serving images.
 //!
-//! A serving task behaves like a queue: its tail latency is its unloaded latency divided by
-//! what is left of its throughput. So a tail gives a *strain*, the used part of the throughput
-//! from 0 to 1, and filling tasks add to the strain in proportion to their number and pace.
-//! How much one adds depends on the pair of images; it is learned from what the strain does
-//! when filling tasks come, go or change their pace, since that tells it apart from the
-//! serving task's own load, which changes more slowly.
+//! A serving task behaves like a queue. A tail latency gives its *strain*: 1 less the
+//! unloaded tail divided by the tail. Filling tasks stretch the service time by a part that is
+//! proportional to the processor that they use; in strain, a stretch of `x` adds
+//! `x / (1 + x)` to the task's own load. How much a share stretches depends on the pair of
+//! images. [`PressTable`] learns it from reports, which tell it apart from the tasks' own load
+//! because all tasks of a job follow one load that changes slowly, while filling tasks come and
+//! go on each worker.
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Part of its target that an unloaded serving task's tail takes, before lower ones are seen.
+use super::press_filter::ImageFilter;
+use crate::identity::JobKey;
+use guavavane_model::prelude::BootTime;
+
+/// Part of its target that an unloaded serving task's tail takes.
 const UNLOADED_PART: f64 = 0.2;
-/// Strain that one task of a pair adds that was never seen.
-const WEIGHT_UNSEEN: f64 = 0.12;
-/// Most that one task adds.
-const WEIGHT_MAX: f64 = 0.6;
-/// Part of an error that a change corrects at the least, so that a pair may change.
-const LEARN_RATE_LEAST: f64 = 0.2;
+/// Stretch for a whole processor of a pair that was never seen: most pairs are either light or
+/// strong.
+const WEIGHT_UNSEEN: f64 = 1.9;
+/// Spread of the stretch between pairs.
+const WEIGHT_SPREAD: f64 = 1.9;
+/// Stretch for a whole processor from which a pair is surely a strong one.
+const WEIGHT_STRONG: f64 = 2.0;
 /// Strain from which a tail no longer tells how much is added.
-const STRAIN_FULL: f64 = 0.95;
+pub(super) const STRAIN_FULL: f64 = 0.95;
 
-/// Filling tasks on a worker: for each image the sum of their paces, where 1 is one task.
+/// Shares of a worker's processor that its filling tasks use, by image.
 pub type FillingLoad = IndexMap<Arc<str>, f64>;
 
 /// Strain of a serving task whose tail and target are known.
@@ -43,79 +50,129 @@
     1.0 - UNLOADED_PART
 }
 
-/// What the strain of one serving image did when filling tasks changed.
+/// Strain that a stretch of the service time adds.
+pub(super) fn stretch_strain(stretch: f64) -> f64 {
+    stretch / (1.0 + stretch)
+}
+
+/// Stretch of the service time that adds this strain.
+pub fn strain_stretch(strain: f64) -> f64 {
+    let strain = strain.clamp(0.0, STRAIN_FULL);
+    strain / (1.0 - strain)
+}
+
+/// Strain of a serving task, as a worker reported it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct StrainChange {
-    /// Image of the serving tasks.
+pub struct StrainSample {
+    /// Its job: all tasks of a job follow one load.
+    pub job: JobKey,
+    /// What it runs.
     pub serving: Arc<str>,
-    /// Strain before.
-    pub before: f64,
-    /// Strain after.
-    pub after: f64,
-    /// What changed of the filling tasks.
-    pub changes: FillingLoad,
+    /// Its strain.
+    pub strain: f64,
 }
 
-/// What one pair has shown.
-#[derive(Clone, Copy, Debug)]
-struct PairWeight {
-    weight: f64,
-    seen: f64,
+/// What is known of a pair of images.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KnownPair {
+    /// Image that serves.
+    pub serving: Arc<str>,
+    /// Image that fills.
+    pub filling: Arc<str>,
+    /// What is known of it.
+    pub weight: PairWeight,
 }
 
-/// Strain that filling images add to serving images.
+/// Stretch of a serving image's service time by a filling image that uses a whole processor.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PairWeight {
+    /// Expected stretch.
+    pub mean: f64,
+    /// Its variance.
+    pub variance: f64,
+}
+
+impl PairWeight {
+    /// A pair that was never seen.
+    pub(super) const UNSEEN: Self = Self {
+        mean: WEIGHT_UNSEEN,
+        variance: WEIGHT_SPREAD * WEIGHT_SPREAD,
+    };
+}
+
+/// Stretch that filling images cause in serving images, as learned from reports.
 #[derive(Clone, Debug, Default)]
 pub struct PressTable {
-    pairs: IndexMap<(Arc<str>, Arc<str>), PairWeight>,
+    filters: IndexMap<Arc<str>, ImageFilter>,
 }
 
 impl PressTable {
-    /// Strain that one filling task at full pace adds to a serving one.
+    /// What is known of a pair.
+    pub fn pair(&self, serving: &Arc<str>, filling: &Arc<str>) -> PairWeight {
+        let filter = self.filters.get(serving);
+        let known = filter.and_then(|filter| filter.weight(filling));
+        known.unwrap_or(PairWeight::UNSEEN)
+    }
+
+    /// Stretch that a filling image causes in a serving one, for a whole processor.
     pub fn weight(&self, serving: &Arc<str>, filling: &Arc<str>) -> f64 {
-        self.pair(serving, filling).weight
+        self.pair(serving, filling).mean
     }
 
-    fn pair(&self, serving: &Arc<str>, filling: &Arc<str>) -> PairWeight {
-        let key = (Arc::clone(serving), Arc::clone(filling));
-        self.pairs.get(&key).copied().unwrap_or(PairWeight {
-            weight: WEIGHT_UNSEEN,
-            seen: 0.0,
-        })
+    /// How surely a filling image presses strongly on a serving one, from 0 to 1.
+    pub fn presses(&self, serving: &Arc<str>, filling: &Arc<str>) -> f64 {
+        (self.weight(serving, filling) / WEIGHT_STRONG).min(1.0)
     }
 
-    /// Every pair that was seen, with its weight and how much it was seen.
-    pub fn pairs(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>, f64, f64)> {
-        let pairs = self.pairs.iter();
-        pairs.map(|((serving, filling), pair)| (serving, filling, pair.weight, pair.seen))
+    /// Filling images that were seen beside serving ones.
+    pub fn filling_images(&self) -> IndexSet<&Arc<str>> {
+        let filters = self.filters.values();
+        filters.flat_map(ImageFilter::filling_images).collect()
     }
 
-    /// Strain that filling tasks add to a serving image.
-    pub fn added(&self, serving: &Arc<str>, filling: &FillingLoad) -> f64 {
+    /// What is known of these pairs and was learned.
+    pub fn known_pairs<'names>(
+        &self,
+        names: impl Iterator<Item = (&'names Arc<str>, &'names Arc<str>)>,
+    ) -> Vec<KnownPair> {
+        let known = names.filter_map(|(serving, filling)| {
+            let weight = self.filters.get(serving)?.weight(filling)?;
+            Some(KnownPair {
+                serving: Arc::clone(serving),
+                filling: Arc::clone(filling),
+                weight,
+            })
+        });
+        known.collect()
+    }
+
+    /// Takes what another table has learned in place of what this one knows.
+    pub fn adopt(&mut self, pairs: Vec<KnownPair>) {
+        for known in pairs {
+            let filter = self.filters.entry(known.serving).or_default();
+            filter.set_weight(&known.filling, known.weight);
+        }
+    }
+
+    /// Stretch that filling tasks cause in a serving image.
+    pub fn stretch(&self, serving: &Arc<str>, filling: &FillingLoad) -> f64 {
         let parts = filling
             .iter()
-            .map(|(image, tasks)| self.weight(serving, image) * tasks);
+            .map(|(image, share)| self.weight(serving, image) * share);
         parts.sum()
     }
 
-    /// Learns from a change.
-    pub fn learn(&mut self, change: &StrainChange) {
-        if change.before.min(change.after) >= STRAIN_FULL {
-            return;
-        }
-        let energy: f64 = change.changes.values().map(|tasks| tasks * tasks).sum();
-        if energy < 0.05 {
-            return;
-        }
-        let seen = change.after - change.before;
-        let error = seen - self.added(&change.serving, &change.changes);
-        for (image, tasks) in &change.changes {
-            let mut pair = self.pair(&change.serving, image);
-            let rate = (1.0 / (pair.seen + 2.0)).max(LEARN_RATE_LEAST);
-            let weight = pair.weight + rate * error * tasks / energy;
-            pair.weight = weight.clamp(0.0, WEIGHT_MAX);
-            pair.seen += tasks * tasks / energy;
-            let key = (Arc::clone(&change.serving), Arc::clone(image));
-            self.pairs.insert(key, pair);
+    /// Strain that filling tasks add to a serving image.
+    pub fn added(&self, serving: &Arc<str>, filling: &FillingLoad) -> f64 {
+        stretch_strain(self.stretch(serving, filling))
+    }
+
+    /// Learns from one report of a worker: strains of its serving tasks beside a load.
+    pub fn learn(&mut self, now: BootTime, samples: &[StrainSample], load: &FillingLoad) {
+        for sample in samples {
+            let serving = Arc::clone(&sample.serving);
+            let filter = self.filters.entry(serving).or_default();
+            filter.learn(now, sample.job, sample.strain, load);
         }
     }
 }
--- a/crates/guavavane_jobs/src/plan/room.rs
+++ b/crates/guavavane_jobs/src/plan/room.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::press::strain_limit;
+use super::press::strain_stretch;
 use super::press::FillingLoad;
 use super::press::PressTable;
 use crate::identity::StepKey;
@@ -20,13 +22,10 @@
 /// Serving tasks are sized for their peak; what they leave is for filling tasks.
 const SERVING_USE_PERCENT: u64 = 50;
 
-/// Part of the strain limit up to which filling tasks are placed beside serving ones: the
-/// serving tasks' own load may rise while they run.
-const BORNE_PART: f64 = 0.8;
-/// Strain that one task adds which no load makes matter.
-const WEIGHT_LIGHT: f64 = 0.03;
-/// Strain over which the chance to miss the target rises to certainty.
-const STRAIN_SPREAD: f64 = 0.3;
+/// Strain below the limit that is kept free: own loads rise while a filling task runs.
+const STRAIN_MARGIN: f64 = 0.1;
+/// Stretch for a whole processor below which a pair does not matter.
+const WEIGHT_LIGHT: f64 = 0.6;
 /// Strain of a serving task that no report tells of: its load is half of its peak.
 const STRAIN_UNSEEN: f64 = 0.45;
 
@@ -69,7 +68,7 @@
     pub filling: u32,
     /// Number of serving tasks of each image.
     pub serving_images: IndexMap<Arc<str>, u32>,
-    /// Filling tasks by image.
+    /// Shares of the processor that filling tasks could use, by image.
     pub load: FillingLoad,
     /// Number of runs of each step.
     pub steps: IndexMap<StepKey, u32>,
@@ -98,7 +97,8 @@
         if run.filling {
             self.filling_cpu += run.cpu_millis;
             self.filling += 1;
-            *self.load.entry(Arc::clone(&run.image)).or_insert(0.0) += 1.0;
+            let share = self.share(run.cpu_millis);
+            *self.load.entry(Arc::clone(&run.image)).or_insert(0.0) += share;
         } else if run.serving {
             self.busy_cpu += run.cpu_millis * SERVING_USE_PERCENT / 100;
             if run.latency_target_ms.is_some() {
@@ -114,6 +114,11 @@
         *self.steps.entry(task.step).or_insert(0) += 1;
     }
 
+    /// Share of the worker's processor.
+    fn share(&self, cpu_millis: u64) -> f64 {
+        cpu_millis as f64 / self.capacity.cpu_millis.max(1) as f64
+    }
+
     /// Whether a run with this reservation fits.
     pub fn fits(&self, reserved: &ResourceVector) -> bool {
         let sum = self.reserved.checked_add(reserved);
@@ -127,22 +132,53 @@
             - i64::try_from(used).unwrap_or(i64::MAX)
     }
 
-    /// How many of its serving tasks are expected to miss their target beside another filling
-    /// task of an image.
-    pub fn harm(&self, table: &PressTable, image: &Arc<str>) -> f64 {
-        let mut load = self.load.clone();
-        *load.entry(Arc::clone(image)).or_insert(0.0) += 1.0;
-        let harmed = self.serving_images.iter().map(|(served, count)| {
-            let own = self.outlook.own_strain(table, served);
-            // A tail that is over its target may be due to a pair that is thought light.
-            if own < strain_limit() && table.weight(served, image) < WEIGHT_LIGHT {
-                return 0.0;
+    /// Pace that the serving tasks are expected to leave to one more filling task, from 0 to 1,
+    /// without slowing down the filling tasks that are there.
+    pub fn spare_pace(&self, table: &PressTable, image: &Arc<str>, cpu_millis: u64) -> f64 {
+        let paces = self.serving_images.keys().map(|served| {
+            let weight = table.weight(served, image);
+            if weight < WEIGHT_LIGHT {
+                return 1.0;
             }
-            let over = own + table.added(served, &load) - strain_limit() * BORNE_PART;
-            let chance = (over / STRAIN_SPREAD).clamp(0.0, 1.0);
-            chance * f64::from(*count)
+            let own = self.outlook.own_strain(table, served);
+            let borne = strain_stretch(strain_limit() - STRAIN_MARGIN - own);
+            let left = borne - table.stretch(served, &self.load);
+            left / (weight * self.share(cpu_millis).max(f64::MIN_POSITIVE))
+        });
+        paces.fold(1.0, f64::min).max(0.0)
+    }
+
+    /// Part of these filling images that press on none of the serving tasks.
+    pub fn openness(&self, table: &PressTable, images: &IndexSet<&Arc<str>>) -> f64 {
+        let free = images.iter().map(|image| {
+            let spared = self
+                .serving_images
+                .keys()
+                .map(|served| 1.0 - table.presses(served, image));
+            spared.product::<f64>()
+        });
+        free.sum::<f64>() / images.len().max(1) as f64
+    }
+
+    /// Part of these filling images that press on none of the serving tasks, and would press on
+    /// a new one of this image.
+    pub fn closed_by(
+        &self,
+        table: &PressTable,
+        images: &IndexSet<&Arc<str>>,
+        serving: &Arc<str>,
+    ) -> f64 {
+        if self.serving_images.contains_key(serving) {
+            return 0.0;
+        }
+        let closed = images.iter().map(|image| {
+            let spared = self
+                .serving_images
+                .keys()
+                .map(|served| 1.0 - table.presses(served, image));
+            spared.product::<f64>() * table.presses(serving, image)
         });
-        harmed.sum()
+        closed.sum::<f64>() / images.len().max(1) as f64
     }
 
     /// Number of runs of a step.
--- a/crates/guavavane_jobs/src/plan/round.rs
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::order::waiting_steps;
 use super::order::WaitingStep;
 use super::place::pick_worker;
 use super::place::rack_label;
 use super::place::PlaceContext;
+use super::place::PACE_BORNE;
+use super::place::PACE_WANTED;
 use super::press::PressTable;
 use super::room::WorkerRoom;
 use super::slack::RunTimes;
@@ -17,6 +20,7 @@
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
 use crate::ledger::JobLedger;
+use crate::ledger::JobRecord;
 use crate::ledger::RunRecord;
 use crate::ledger::StartChoice;
 use crate::ledger::StepRecord;
@@ -27,6 +31,9 @@
 /// Most starts of one round: bounds the size of one command in the log.
 const ROUND_STARTS_MAX: usize = 256;
 
+/// Time after which a job of which nothing runs starts one filling task, however slowly.
+const IDLE_WAIT: Duration = Duration::from_millis(1_500);
+
 /// What a round needs besides the ledger.
 pub trait RoundInput {
     /// Latest progress that a worker reported for a task; the ledger's if there is none.
@@ -62,12 +69,13 @@
     input: &I,
     steps: &[WaitingStep],
 ) -> Vec<StartChoice> {
+    let images = input.press().filling_images();
     let mut choices = Vec::new();
     for waiting in steps {
         if choices.len() >= ROUND_STARTS_MAX {
             break;
         }
-        place_step(ledger, waiting, &mut rooms, input, &mut choices);
+        place_step(ledger, waiting, &images, &mut rooms, input, &mut choices);
     }
     choices
 }
@@ -81,6 +89,7 @@
     tasks: &[TaskKey],
 ) -> Vec<TaskKey> {
     rooms.shift_remove(&from);
+    let images = input.press().filling_images();
     let mut movable = Vec::new();
     for task in tasks {
         let (Some(spec), Some(job)) = (ledger.step_spec(task.step), ledger.job(task.step.job))
@@ -95,7 +104,8 @@
             pool: queue.map_or(&job.pool, |queue| &queue.pool),
             rack: None,
             press: input.press(),
-            overdue: false,
+            filling_images: &images,
+            least_pace: PACE_WANTED,
         };
         let Some(worker) = pick_worker(&context, &rooms) else {
             continue;
@@ -111,6 +121,7 @@
 fn place_step<I: RoundInput>(
     ledger: &JobLedger,
     waiting: &WaitingStep,
+    images: &IndexSet<&Arc<str>>,
     rooms: &mut IndexMap<WorkerIndex, WorkerRoom>,
     input: &I,
     choices: &mut Vec<StartChoice>,
@@ -130,11 +141,13 @@
         pool: queue.map_or(&job.pool, |queue| &queue.pool),
         rack: None,
         press: input.press(),
-        overdue: input.waited(key) >= waiting.patience,
+        filling_images: images,
+        least_pace: least_pace(job, waiting, input.waited(key)),
     };
     if spec.gang {
         return place_gang(&mut context, step, rooms, input, choices);
     }
+    let later_pace = context.least_pace.max(PACE_BORNE);
     for (index, task) in step.tasks.iter().enumerate() {
         if task.phase != TaskPhase::Waiting {
             continue;
@@ -154,6 +167,18 @@
             context.rack = rack_label(ledger, worker);
         }
         choices.push(choice);
+        context.least_pace = context.least_pace.max(later_pace);
+    }
+}
+
+/// Pace that serving tasks have to leave to a filling task of a step.
+fn least_pace(job: &JobRecord, waiting: &WaitingStep, waited: Duration) -> f64 {
+    if waited >= IDLE_WAIT && !job.has_runs() {
+        0.0
+    } else if waited >= waiting.patience {
+        PACE_BORNE
+    } else {
+        PACE_WANTED
     }
 }
 
