Pace filling tasks from their start; count tails near the target as over it

New filling tasks ran at full speed until the next report, also while the guard held all others, and a tail that wavered around its target began the count anew. Agents also give a new leader what earlier leaders had learned.

--- a/crates/guavavane_cell/src/agent/order_flow.rs
+++ b/crates/guavavane_cell/src/agent/order_flow.rs
@@ -99,10 +99,22 @@
             }
             OrderResult::Started => {
                 self.started.insert(id, BootClock.now());
+                self.pace_new_run(order);
             }
             // The leader sees at the next report that the run is not there.
             OrderResult::Unanswered => self.reported = false,
             _ => {}
         }
     }
+
+    /// Slows down a filling task at its start where the worker has no room for it.
+    fn pace_new_run(&mut self, order: &FinishedOrder) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if let Some(pace) = worker.begin_pace(order.task, order.run) {
+            let percent = WorkerOrder::Pace(pace.percent);
+            self.spawn_order(order.key.clone(), order.task, order.run, percent);
+        }
+    }
 }
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -33,6 +33,7 @@
                 .map(|row| (row.task, row.run))
                 .collect(),
             ends: worker.ends.clone(),
+            pairs: worker.pace.known_pairs(),
         };
         worker.passed_end = worker
             .ends
--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -139,6 +139,19 @@
         orders
     }
 
+    /// Pace at which a run has to begin, if not at full speed.
+    pub(super) fn begin_pace(&mut self, task: TaskKey, run: RunNumber) -> Option<PaceOrder> {
+        let row = RunRow {
+            task,
+            run,
+            saved: Arc::from(""),
+            percent: 0,
+            figure: 0,
+        };
+        let paced = self.paced(&row);
+        self.pace.begin(&paced)
+    }
+
     /// Filling tasks that nearly stand still.
     pub(super) fn stalled_runs(&self) -> Vec<(TaskKey, RunNumber)> {
         let runs = self.running.iter().map(|row| (row.task, row.run));
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -55,7 +55,7 @@
         &mut self,
         session: SessionId,
         index: WorkerIndex,
-        report: WorkerReport,
+        mut report: WorkerReport,
     ) {
         let now = BootClock.now();
         let lease = self.settings.timing.agent_lease;
@@ -69,6 +69,7 @@
         if let SessionRole::Agent { worker, .. } = &mut open.role {
             *worker = Some(index);
         }
+        memory.press.adopt_better(std::mem::take(&mut report.pairs));
         let entry = memory.workers.entry(index);
         let entry = entry.or_insert_with(|| WorkerMemory::new(lapses_at));
         entry.session = Some(session);
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -103,7 +103,7 @@
 }
 
 /// What a worker's agent reports when it starts to speak for it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The incarnation.
     pub key: WorkerKey,
@@ -115,6 +115,8 @@
     pub running: Vec<(TaskKey, RunNumber)>,
     /// Ends that are not noted.
     pub ends: Vec<RunEnd>,
+    /// What earlier leaders have told of its images.
+    pub pairs: Vec<KnownPair>,
 }
 
 /// An order to start a run.
--- a/crates/guavavane_jobs/src/plan/pace.rs
+++ b/crates/guavavane_jobs/src/plan/pace.rs
@@ -25,6 +25,8 @@
 
 /// Strain below the limit that is kept free: own loads rise by as much between two reports.
 const STRAIN_MARGIN: f64 = 0.07;
+/// Strain below the limit from which a task counts as over its target: figures are rough.
+const OVER_MARGIN: f64 = 0.02;
 /// Part of the room that filling tasks get while a serving task is over its target.
 const OVER_PART: f64 = 0.5;
 /// Stretch for a whole processor below which a pair does not matter.
@@ -112,6 +114,8 @@
     /// Pace that was carried out for each run.
     ordered: PaceMap,
     report: StrainReport,
+    /// Stretch that serving images still bear; below 0 where all filling tasks stand still.
+    left: IndexMap<Arc<str>, f64>,
     observed_at: BootTime,
     /// How long a serving task may be over its target before all filling tasks stand still.
     patience: Duration,
@@ -143,21 +147,39 @@
         self.table.adopt(pairs);
     }
 
+    /// What the leader has learned and this worker was told.
+    pub fn known_pairs(&self) -> Vec<KnownPair> {
+        self.table.all_pairs()
+    }
+
     /// Takes a fresh report; returns the runs whose pace has to change.
     pub fn observe(&mut self, now: BootTime, tasks: &[PacedTask]) -> Vec<PaceOrder> {
         let load = std::mem::take(&mut self.report.load);
         self.report = strain_report(tasks);
         self.report.load = followed(load, &self.report.load, now, self.observed_at);
         self.observed_at = now;
-        self.paces = if self.is_over_for_long(now, tasks) {
-            let filling = filling_tasks(tasks);
-            filling.map(|task| ((task.task, task.run), 0)).collect()
-        } else {
-            self.allocate(tasks)
-        };
+        self.left = self.room();
+        if self.is_over_for_long(now, tasks) {
+            self.left.values_mut().for_each(|left| *left = f64::NEG_INFINITY);
+        }
+        self.allocate(tasks);
         self.orders(tasks)
     }
 
+    /// Takes a filling task that has just started; returns its pace, if it is slowed down.
+    pub fn begin(&mut self, task: &PacedTask) -> Option<PaceOrder> {
+        let PaceRole::Filling { wanted, .. } = task.role else {
+            return None;
+        };
+        let pace = self.take_room(task, wanted);
+        let order = PaceOrder {
+            task: task.task,
+            run: task.run,
+            percent: pace,
+        };
+        (pace < PACE_FULL).then_some(order)
+    }
+
     /// Whether a run nearly stands still.
     pub fn is_stalled(&self, task: TaskKey, run: RunNumber) -> bool {
         let pace = self.ordered.get(&(task, run));
@@ -176,7 +198,7 @@
             let PaceRole::Serving { tail_ms, target_ms } = task.role else {
                 continue;
             };
-            if strain(tail_ms, target_ms) >= strain_limit() {
+            if strain(tail_ms, target_ms) >= strain_limit() - OVER_MARGIN {
                 let key = (task.task, task.run);
                 let since = self.over_since.get(&key).copied().unwrap_or(now);
                 over_since.insert(key, since);
@@ -204,28 +226,38 @@
     }
 
     /// Gives the room to the filling tasks.
-    fn allocate(&self, tasks: &[PacedTask]) -> PaceMap {
-        let mut room = self.room();
-        let mut paces = PaceMap::new();
-        for (task, wanted) in self.in_order(tasks, &room) {
-            let mut share: f64 = 1.0;
-            for (served, left) in &room {
-                let weight = self.table.weight(served, &task.image);
-                if weight >= WEIGHT_LEAST {
-                    share = share.min(left / (weight * wanted));
-                }
-            }
+    fn allocate(&mut self, tasks: &[PacedTask]) {
+        let before = std::mem::take(&mut self.paces);
+        for (task, wanted) in self.in_order(tasks) {
+            let pace = self.take_room(task, wanted);
             let key = (task.task, task.run);
-            let pace = self.rounded(key, (share * f64::from(PACE_FULL)) as u32);
-            for (served, left) in &mut room {
-                let used = wanted * f64::from(pace) / f64::from(PACE_FULL);
-                *left = (*left - self.table.weight(served, &task.image) * used).max(0.0);
-            }
+            let current = before.get(&key).copied().unwrap_or(PACE_FULL);
+            let small = pace > current && pace - current < PACE_RISE && pace < PACE_FULL;
+            let pace = if small { current } else { pace };
             if pace < PACE_FULL {
-                paces.insert(key, pace);
+                self.paces.insert(key, pace);
             }
         }
-        paces
+    }
+
+    /// Takes room for one filling task; returns its pace.
+    fn take_room(&mut self, task: &PacedTask, wanted: f64) -> u32 {
+        let wanted = wanted.max(f64::MIN_POSITIVE);
+        let mut share: f64 = 1.0;
+        for (served, left) in &self.left {
+            let weight = self.table.weight(served, &task.image);
+            if weight >= WEIGHT_LEAST {
+                share = share.min(left / (weight * wanted));
+            } else if *left == f64::NEG_INFINITY {
+                share = 0.0;
+            }
+        }
+        let pace = whole_pace(share);
+        let used = wanted * f64::from(pace) / f64::from(PACE_FULL);
+        for (served, left) in &mut self.left {
+            *left -= self.table.weight(served, &task.image) * used;
+        }
+        pace
     }
 
     /// Filling tasks with the shares that they want: first those that press on nobody, then the
@@ -233,10 +265,10 @@
     fn in_order<'tasks>(
         &self,
         tasks: &'tasks [PacedTask],
-        room: &IndexMap<Arc<str>, f64>,
     ) -> Vec<(&'tasks PacedTask, f64)> {
         let presses = |image: &Arc<str>| {
-            let weights = room.keys().map(|served| self.table.weight(served, image));
+            let served = self.left.keys();
+            let weights = served.map(|served| self.table.weight(served, image));
             weights.fold(0.0, f64::max) >= WEIGHT_LEAST
         };
         let filling = filling_tasks(tasks).map(|task| {
@@ -247,7 +279,7 @@
                 _ => (0.0, u64::MAX),
             };
             let rank = (presses(&task.image), urgency, task.task);
-            (rank, task, wanted.max(f64::MIN_POSITIVE))
+            (rank, task, wanted)
         });
         let mut ranked: Vec<_> = filling.collect();
         ranked.sort_by_key(|(rank, _, _)| *rank);
@@ -255,22 +287,6 @@
         ranked.collect()
     }
 
-    /// Avoids orders that change little.
-    fn rounded(&self, key: (TaskKey, RunNumber), pace: u32) -> u32 {
-        if pace < PACE_LEAST {
-            return 0;
-        }
-        if pace >= PACE_MOST {
-            return PACE_FULL;
-        }
-        let current = self.paces.get(&key).copied().unwrap_or(PACE_FULL);
-        if pace > current && pace - current < PACE_RISE {
-            current
-        } else {
-            pace
-        }
-    }
-
     fn orders(&mut self, tasks: &[PacedTask]) -> Vec<PaceOrder> {
         let mut orders = Vec::new();
         let mut ordered = PaceMap::new();
@@ -292,6 +308,16 @@
     }
 }
 
+/// Pace in percent for a share of the work that a task could do.
+fn whole_pace(share: f64) -> u32 {
+    let pace = (share.clamp(0.0, 1.0) * f64::from(PACE_FULL)) as u32;
+    match pace {
+        0..PACE_LEAST => 0,
+        PACE_MOST.. => PACE_FULL,
+        pace => pace,
+    }
+}
+
 fn filling_tasks(tasks: &[PacedTask]) -> impl Iterator<Item = &PacedTask> {
     let filling = |task: &&PacedTask| matches!(task.role, PaceRole::Filling { .. });
     tasks.iter().filter(filling)
--- a/crates/guavavane_jobs/src/plan/press.rs
+++ b/crates/guavavane_jobs/src/plan/press.rs
@@ -154,6 +154,26 @@
         }
     }
 
+    /// Takes what another table has learned of pairs that this one knows less of.
+    pub fn adopt_better(&mut self, pairs: Vec<KnownPair>) {
+        let better = pairs.into_iter().filter(|known| {
+            let own = self.pair(&known.serving, &known.filling);
+            known.weight.variance < own.variance
+        });
+        let better = better.collect();
+        self.adopt(better);
+    }
+
+    /// All pairs that were learned.
+    pub fn all_pairs(&self) -> Vec<KnownPair> {
+        let filters = self.filters.iter();
+        let names = filters.flat_map(|(serving, filter)| {
+            let images = filter.filling_images();
+            images.map(move |filling| (serving, filling))
+        });
+        self.known_pairs(names)
+    }
+
     /// Stretch that filling tasks cause in a serving image.
     pub fn stretch(&self, serving: &Arc<str>, filling: &FillingLoad) -> f64 {
         let parts = filling
