Let submissions wait out an election

An election takes up to 0.8 s; a submission waited 0.2 s for it. Change: 0.6 s; a submission that may have been taken is told so after 1.3 s, less than half of its time.

--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -27,10 +27,10 @@
 use guavavane_transport::prelude::StreamSender;
 
 /// Longest wait of a question while no leader is known: an election takes about as long.
-const LEADERLESS_WAIT: Duration = Duration::from_millis(1_500);
-/// Longest wait of a submission while no leader is known: its caller does better to return
-/// than to wait for an outage of unknown length.
-const LEADERLESS_SUBMIT_WAIT: Duration = Duration::from_millis(200);
+const LEADERLESS_WAIT: Duration = Duration::from_millis(1_300);
+/// Longest wait of a submission while no leader is known: an election is over by then, and for
+/// a longer outage its caller does better to return.
+const LEADERLESS_SUBMIT_WAIT: Duration = Duration::from_millis(600);
 /// Time kept back from a caller's deadline to answer within it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(60);
 /// Time between two looks for requests that are out of time.
@@ -103,6 +103,15 @@
         matches!(self.request.action, CallerAction::Submit(_))
     }
 
+    /// Longest wait while no leader is known.
+    fn leaderless_wait(&self) -> Duration {
+        if self.is_submission() && !self.maybe_taken {
+            LEADERLESS_SUBMIT_WAIT
+        } else {
+            LEADERLESS_WAIT
+        }
+    }
+
     fn answer(self, reply: CallerReply) {
         let denies = matches!(
             reply,
@@ -248,13 +257,8 @@
         let lost_at = self.session_lost_at;
         let due = |call: &WaitingCall| {
             let since = call.arrived.max(lost_at);
-            let untaken = call.is_submission() && !call.maybe_taken;
-            let wait = if untaken {
-                LEADERLESS_SUBMIT_WAIT
-            } else {
-                LEADERLESS_WAIT
-            };
-            now >= call.deadline || leaderless && now.saturating_since(since) >= wait
+            let waited = now.saturating_since(since);
+            now >= call.deadline || leaderless && waited >= call.leaderless_wait()
         };
         let tickets: Vec<u64> = self
             .waiting
