Order nothing of a worker whose loss is not committed; soak connections, too

An agent that had stood still told the leader that its worker's lease had run out, and at once spoke for the worker again. The leader compared that report with a ledger in which the loss was proposed and not yet committed, ordered the runs once more, and then freed them for others. Beside it, an agent could tell the same lapse twice, and could carry out a start that was ordered before the lapse.

Change: a report that comes while the loss is not committed waits for it; starts carry the epoch of the worker's lease and are void after it; a lapse is told once for each lease.

--- a/crates/guavavane_cell/src/agent/hold.rs
+++ b/crates/guavavane_cell/src/agent/hold.rs
@@ -230,7 +230,9 @@
         self.under_way.clear();
         self.started.clear();
         self.reported = false;
-        tracing::warn!(event = "worker_lapsed", worker = %key);
+        self.lease.note_lapse();
+        self.epoch += 1;
+        tracing::warn!(event = "worker_lapsed", worker = %key, epoch = self.epoch);
         self.lost.push((key, false));
         self.tell_lost();
     }
--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -22,8 +22,8 @@
     deadline_ms: Option<u64>,
     /// Whether the worker has left the latest hold unanswered.
     silent: bool,
-    /// When everything on the worker has surely lapsed.
-    lapsed_at: BootTime,
+    /// When everything on the worker has surely lapsed; none while it holds no lease.
+    lapsed_at: Option<BootTime>,
 }
 
 impl LeaseState {
@@ -34,7 +34,7 @@
             clock: None,
             deadline_ms: None,
             silent: false,
-            lapsed_at: BootTime::default(),
+            lapsed_at: None,
         }
     }
 
@@ -54,7 +54,7 @@
         self.clock = None;
         self.deadline_ms = None;
         self.silent = false;
-        self.lapsed_at = now + self.timing.surely_over(self.timing.worker_lease);
+        self.lapsed_at = Some(now + self.timing.surely_over(self.timing.worker_lease));
     }
 
     /// The worker's clock, as it arrived at `now`.
@@ -88,13 +88,18 @@
         let passed = now.saturating_since(read_at);
         let ahead = u64::try_from((passed + lease).as_millis()).ok()?;
         let over = now + self.timing.surely_over(passed + lease);
-        self.lapsed_at = self.lapsed_at.max(over);
+        self.lapsed_at = self.lapsed_at.max(Some(over));
         self.deadline_ms = self.deadline_ms.max(Some(clock_ms + ahead));
         self.deadline_ms
     }
 
     /// Whether everything on the worker has surely lapsed at `now`.
     pub(super) fn is_lapsed(&self, now: BootTime) -> bool {
-        now > self.lapsed_at
+        self.lapsed_at.is_some_and(|at| now > at)
+    }
+
+    /// The lease has run out: the worker holds none until the next one is given.
+    pub(super) fn note_lapse(&mut self) {
+        self.lapsed_at = None;
     }
 }
--- a/crates/guavavane_cell/src/agent/order_flow.rs
+++ b/crates/guavavane_cell/src/agent/order_flow.rs
@@ -20,6 +20,11 @@
 impl<P: WorkerPort> AgentLoop<P> {
     pub(super) fn start_task(&mut self, key: WorkerKey, order: StartTask) {
         let (task, run) = (order.task, order.run);
+        if order.epoch != self.epoch {
+            let epoch = self.epoch;
+            tracing::info!(event = "start_void", %task, %run, ordered = order.epoch, epoch);
+            return;
+        }
         let Some(worker) = &mut self.worker else {
             return;
         };
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -27,6 +27,7 @@
             key: worker.key.clone(),
             facts: worker.facts.clone(),
             draining: worker.draining,
+            epoch: self.epoch,
             running: worker
                 .running
                 .iter()
@@ -47,7 +48,7 @@
         let mut report = report;
         report.running.extend(under_way);
         report.running.extend(self.started.keys().copied());
-        tracing::info!(event = "worker_reported", worker = %report.key, running = report.running.len(), ends = report.ends.len(), draining = report.draining);
+        tracing::info!(event = "worker_reported", worker = %report.key, running = report.running.len(), ends = report.ends.len(), draining = report.draining, epoch = report.epoch);
         let silent = self.lease.is_silent();
         let key = report.key.clone();
         self.tell(ToControl::Worker(Box::new(report)));
--- a/crates/guavavane_cell/src/agent/run.rs
+++ b/crates/guavavane_cell/src/agent/run.rs
@@ -68,6 +68,8 @@
     /// Whether the worker was reported on this session.
     pub(super) reported: bool,
     pub(super) lease: LeaseState,
+    /// Rises whenever the worker's lease has run out: starts that were ordered before are void.
+    pub(super) epoch: u64,
     pub(super) worker: Option<LocalWorker>,
     /// Incarnations that are lost and that no leader was told of.
     pub(super) lost: Vec<(WorkerKey, bool)>,
@@ -94,6 +96,7 @@
             session: None,
             reported: false,
             lease: LeaseState::new(timing),
+            epoch: 0,
             worker: None,
             lost: Vec::new(),
             hold: HoldPlan::DueAt(BootTime::default()),
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -48,6 +48,7 @@
         ends: Vec<RunEnd>,
     },
     Start(Vec<StartChoice>),
+    Lose(WorkerIndex),
     /// A change that only calls for a round of placement.
     Freed,
     /// A change that calls for nothing.
@@ -103,8 +104,10 @@
             (purpose, Ok(outcome)) if current => self.follow_up(purpose, outcome),
             (purpose, result) => {
                 tracing::info!(event = "proposal_lost", ?purpose, ?result, current);
-                if let (CommitPurpose::Start(_), Some(memory)) = (&purpose, &mut self.memory) {
-                    memory.placing = false;
+                match (purpose, &mut self.memory) {
+                    (CommitPurpose::Start(_), Some(memory)) => memory.placing = false,
+                    (CommitPurpose::Lose(worker), Some(_)) if current => self.finish_loss(worker),
+                    _ => {}
                 }
             }
         }
@@ -165,6 +168,7 @@
                     self.place();
                 }
             }
+            (CommitPurpose::Lose(worker), _) => self.finish_loss(worker),
             (CommitPurpose::Freed, _) => self.place(),
             _ => {}
         }
@@ -230,10 +234,11 @@
         let Some(session) = memory.worker_session(worker) else {
             return;
         };
-        let urgency = |ledger: &JobLedger| memory.urgency(ledger, task);
-        let order = self
-            .quorum
-            .local(|ledger| run_order(ledger, urgency(ledger), worker, task, run));
+        let epoch = memory.workers.get(&worker).map_or(0, |known| known.epoch);
+        let order = self.quorum.local(|ledger| {
+            let urgency = memory.urgency(ledger, task);
+            run_order(ledger, (urgency, epoch), worker, task, run)
+        });
         let Some(order) = order else {
             return;
         };
@@ -263,7 +268,7 @@
 
 fn run_order(
     ledger: &JobLedger,
-    urgency: u64,
+    (urgency, epoch): (u64, u64),
     worker: WorkerIndex,
     task: TaskKey,
     run: RunNumber,
@@ -291,6 +296,7 @@
         image: Arc::clone(&run_record.image),
         cpu_millis: run_record.cpu_millis,
         urgency,
+        epoch,
     };
     Some(FromControl::Start {
         key,
--- a/crates/guavavane_cell/src/control/memory.rs
+++ b/crates/guavavane_cell/src/control/memory.rs
@@ -9,6 +9,7 @@
 use super::session::LeaderSession;
 use super::session::SessionId;
 use super::session::SessionRole;
+use crate::message::WorkerReport;
 use crate::timing::LeaseTiming;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::plan::order::step_urgency;
@@ -38,6 +39,8 @@
     pub(super) draining: bool,
     /// Whether it leaves its agent's calls unanswered.
     pub(super) silent: bool,
+    /// How often its lease has run out, as its agent says.
+    pub(super) epoch: u64,
     /// When everything on it has surely lapsed, if its agent stays silent.
     pub(super) lapses_at: BootTime,
     /// Failed runs since the last that was done.
@@ -54,6 +57,7 @@
             session: None,
             draining: false,
             silent: false,
+            epoch: 0,
             lapses_at,
             failures_in_row: 0,
             strains: IndexMap::new(),
@@ -62,12 +66,21 @@
     }
 }
 
+/// A report that came while the loss of its worker was not committed.
+#[derive(Clone, Debug)]
+pub(super) struct DeferredReport {
+    pub(super) session: SessionId,
+    pub(super) report: Box<WorkerReport>,
+}
+
 /// Memory of one term.
 #[derive(Debug)]
 pub(super) struct LeaderMemory {
     pub(super) term: u64,
     pub(super) sessions: IndexMap<SessionId, LeaderSession>,
     pub(super) workers: IndexMap<WorkerIndex, WorkerMemory>,
+    /// Workers whose loss is proposed and not committed, with what was reported meanwhile.
+    pub(super) losing: IndexMap<WorkerIndex, Option<DeferredReport>>,
     /// Latest progress that agents reported.
     pub(super) saved: IndexMap<TaskKey, Arc<str>>,
     /// Since when steps have had waiting tasks.
@@ -101,6 +114,7 @@
             term,
             sessions: IndexMap::new(),
             workers: workers.collect(),
+            losing: IndexMap::new(),
             saved: IndexMap::new(),
             waiting_since: IndexMap::new(),
             run_times: RunTimes::default(),
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -6,6 +6,7 @@
 
 use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
+use super::memory::DeferredReport;
 use super::memory::WorkerMemory;
 use super::session::SessionId;
 use super::session::SessionRole;
@@ -63,6 +64,12 @@
         let Some(memory) = &mut self.memory else {
             return;
         };
+        if let Some(deferred) = memory.losing.get_mut(&index) {
+            // What the ledger has of it is about to be freed: nothing of that may be ordered.
+            let report = Box::new(report);
+            *deferred = Some(DeferredReport { session, report });
+            return;
+        }
         let Some(open) = memory.sessions.get_mut(&session) else {
             return;
         };
@@ -74,6 +81,7 @@
         let entry = entry.or_insert_with(|| WorkerMemory::new(lapses_at));
         entry.session = Some(session);
         entry.draining = report.draining;
+        entry.epoch = report.epoch;
         entry.lapses_at = entry.lapses_at.max(lapses_at);
         tracing::info!(event = "worker_adopted", worker = %report.key, index = index.0, draining = report.draining, running = report.running.len());
         self.drop_predecessors(index);
@@ -191,8 +199,23 @@
                 known.session = None;
             }
         }
+        if let Some(memory) = &mut self.memory {
+            memory.losing.entry(worker).or_insert(None);
+        }
         let command = LedgerCommand::LoseWorker { worker, ended };
-        self.propose(command, CommitPurpose::Freed);
+        self.propose(command, CommitPurpose::Lose(worker));
+    }
+
+    /// Goes on after a worker's loss, with what its agent has reported meanwhile.
+    pub(super) fn finish_loss(&mut self, worker: WorkerIndex) {
+        let deferred = self
+            .memory
+            .as_mut()
+            .and_then(|m| m.losing.swap_remove(&worker));
+        self.place();
+        if let Some(Some(DeferredReport { session, report })) = deferred {
+            self.take_report(session, *report);
+        }
     }
 
     /// Frees the workers whose agents have been silent for longer than their lease.
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -111,6 +111,8 @@
     pub facts: WorkerFacts,
     /// Whether it takes no new work.
     pub draining: bool,
+    /// How often its lease has run out; starts name it.
+    pub epoch: u64,
     /// Runs that are on it.
     pub running: Vec<(TaskKey, RunNumber)>,
     /// Ends that are not noted.
@@ -140,6 +142,8 @@
     pub cpu_millis: u64,
     /// Those with less go first where not all can work.
     pub urgency: u64,
+    /// Epoch of the worker that the order was made for.
+    pub epoch: u64,
 }
 
 /// To a control process.
--- a/crates/guavavane_cell/tests/cell.rs
+++ b/crates/guavavane_cell/tests/cell.rs
@@ -77,6 +77,38 @@
     assert!(begun.elapsed() < Duration::from_secs(5));
 }
 
+#[tokio::test]
+async fn tasks_run_once_while_workers_go_dark_and_come_back() {
+    let cell = TestCell::start(2, WORK).await;
+    for worker in cell.workers.clone() {
+        // Time passes behind a silence, too.
+        tokio::spawn(async move {
+            loop {
+                worker.pass();
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        });
+    }
+    // More tasks than room all the while, so that a worker that is back gets starts at once.
+    let jobs = 12;
+    for key in 1..=jobs {
+        let steps = vec![step(24, vec![])];
+        assert_eq!(cell.submit(key, steps).await, CallerReply::Accepted);
+    }
+    for round in 0..4 {
+        let dark = &cell.workers[round % 2].dark;
+        dark.store(true, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(1_100)).await;
+        dark.store(false, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    for key in 1..=jobs {
+        cell.wait_state(key, JobState::Completed, Duration::from_secs(20))
+            .await;
+    }
+    cell.history.check();
+}
+
 #[tokio::test]
 async fn a_start_that_a_worker_refuses_goes_to_another() {
     let cell = TestCell::start(2, WORK).await;
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -54,6 +54,8 @@
 /// A running cell.
 pub(crate) struct TestCell {
     pub(crate) control: ControlHandle,
+    /// Where control takes streams.
+    pub(crate) address: SocketAddr,
     pub(crate) entry: EntryHandle,
     pub(crate) workers: Vec<SimulatedWorker>,
     pub(crate) agents: Vec<AgentHandle>,
@@ -114,6 +116,7 @@
         let history = RunHistory::default();
         let mut cell = Self {
             control,
+            address,
             entry,
             workers: Vec::new(),
             agents: Vec::new(),
--- a/crates/guavavane_jobs/src/plan/pace.rs
+++ b/crates/guavavane_jobs/src/plan/pace.rs
@@ -160,7 +160,9 @@
         self.observed_at = now;
         self.left = self.room();
         if self.is_over_for_long(now, tasks) {
-            self.left.values_mut().for_each(|left| *left = f64::NEG_INFINITY);
+            self.left
+                .values_mut()
+                .for_each(|left| *left = f64::NEG_INFINITY);
         }
         self.allocate(tasks);
         self.orders(tasks)
@@ -262,10 +264,7 @@
 
     /// Filling tasks with the shares that they want: first those that press on nobody, then the
     /// most urgent.
-    fn in_order<'tasks>(
-        &self,
-        tasks: &'tasks [PacedTask],
-    ) -> Vec<(&'tasks PacedTask, f64)> {
+    fn in_order<'tasks>(&self, tasks: &'tasks [PacedTask]) -> Vec<(&'tasks PacedTask, f64)> {
         let presses = |image: &Arc<str>| {
             let served = self.left.keys();
             let weights = served.map(|served| self.table.weight(served, image));
--- a/crates/guavavane_standin/src/relay.rs
+++ b/crates/guavavane_standin/src/relay.rs
@@ -27,6 +27,8 @@
 
 /// Time between two looks at the mode.
 const LOOK_INTERVAL_MS: u64 = 5;
+/// Delay of a chunk.
+const DELAY_MS: u64 = 250;
 /// Bytes that are passed on at once.
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Time-out of a connection to the target.
@@ -46,6 +48,8 @@
     DropBack,
     /// Closes all connections and takes none.
     Close,
+    /// Passes each chunk on after a while.
+    Delay,
 }
 
 impl FromStr for RelayMode {
@@ -58,7 +62,8 @@
             "drop-forward" => Self::DropForward,
             "drop-back" => Self::DropBack,
             "close" => Self::Close,
-            _ => bail!("{text:?} is not one of pass, drop, drop-forward, drop-back, close"),
+            "delay" => Self::Delay,
+            _ => bail!("{text:?} is not one of pass, drop, drop-forward, drop-back, close, delay"),
         })
     }
 }
@@ -222,6 +227,9 @@
         while self.drops(direction) {
             thread::sleep(Duration::from_millis(LOOK_INTERVAL_MS));
         }
+        if self.relay.mode() == RelayMode::Delay {
+            thread::sleep(Duration::from_millis(DELAY_MS));
+        }
         to.write_all(chunk).is_ok()
     }
 
@@ -237,7 +245,7 @@
 
 fn drops(mode: RelayMode, direction: RelayDirection) -> bool {
     match mode {
-        RelayMode::Pass | RelayMode::Close => false,
+        RelayMode::Pass | RelayMode::Close | RelayMode::Delay => false,
         RelayMode::Drop => true,
         RelayMode::DropForward => direction == RelayDirection::Forward,
         RelayMode::DropBack => direction == RelayDirection::Back,
--- a/tools/soak/src/programs.rs
+++ b/tools/soak/src/programs.rs
@@ -12,6 +12,9 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 
+/// Last part of the address at which the first worker's relay listens.
+pub const RELAY_BASE: u8 = 90;
+
 /// Role of a program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProgramRole {
@@ -100,7 +103,7 @@
             inner = ports.inner,
             seeds = seeds.join(","),
             data = data.display(),
-            worker_ip = 70 + number,
+            worker_ip = RELAY_BASE + number,
             worker = ports.worker,
             front = ports.front,
             ready = ports.ready,
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -19,10 +19,25 @@
 use crate::programs::ProgramRole;
 use crate::programs::SoakPorts;
 use crate::programs::SoakProgram;
+use crate::programs::RELAY_BASE;
 use crate::worker::run_worker;
+use guavavane_standin::prelude::RelayMode;
+use guavavane_standin::prelude::TcpRelay;
 use guavavane_standin::simulated_worker::RunHistory;
 use guavavane_standin::simulated_worker::SimulatedWorker;
 
+/// Number of entries.
+const ENTRIES: u8 = 2;
+/// Last part of the address at which the first entry's relay listens.
+const ENTRY_RELAY_BASE: u8 = 110;
+/// What a relay may do to the connections through it.
+const RELAY_FAULTS: [RelayMode; 5] = [
+    RelayMode::Drop,
+    RelayMode::DropForward,
+    RelayMode::DropBack,
+    RelayMode::Close,
+    RelayMode::Delay,
+];
 /// Workers, each with its agent.
 const WORKERS: u8 = 3;
 /// Run time of a task.
@@ -49,6 +64,8 @@
 
 struct SoakCell {
     programs: Vec<SoakProgram>,
+    /// Between callers and entries, and between agents and workers.
+    relays: Vec<TcpRelay>,
     ports: SoakPorts,
     net: u8,
     history: RunHistory,
@@ -57,7 +74,7 @@
 impl SoakCell {
     fn entry(&self, number: u8) -> SocketAddr {
         SocketAddr::from((
-            Ipv4Addr::new(127, 0, self.net, 30 + number % 2),
+            Ipv4Addr::new(127, 0, self.net, ENTRY_RELAY_BASE + number % ENTRIES),
             self.ports.front,
         ))
     }
@@ -79,7 +96,7 @@
     let mut programs = Vec::new();
     for (role, count) in [
         (ProgramRole::Control, 3),
-        (ProgramRole::Entry, 2),
+        (ProgramRole::Entry, ENTRIES),
         (ProgramRole::Agent, WORKERS),
     ] {
         for number in 0..count {
@@ -90,6 +107,7 @@
     }
     let cell = SoakCell {
         programs,
+        relays: start_relays(net, ports)?,
         ports,
         net,
         history: RunHistory::default(),
@@ -108,6 +126,20 @@
     Ok(cell)
 }
 
+/// Starts the relays in front of entries and workers.
+fn start_relays(net: u8, ports: SoakPorts) -> anyhow::Result<Vec<TcpRelay>> {
+    let address = |last: u8, port: u16| SocketAddr::from((Ipv4Addr::new(127, 0, net, last), port));
+    let entries = (0..ENTRIES).map(|number| {
+        let listen = address(ENTRY_RELAY_BASE + number, ports.front);
+        TcpRelay::start(listen, address(30 + number, ports.front))
+    });
+    let workers = (0..WORKERS).map(|number| {
+        let listen = address(RELAY_BASE + number, ports.worker);
+        TcpRelay::start(listen, address(70 + number, ports.worker))
+    });
+    entries.chain(workers).collect()
+}
+
 /// Starts the simulated workers on a thread of their own.
 fn start_workers(cell: &SoakCell) -> anyhow::Result<()> {
     let (net, ports, history) = (cell.net, cell.ports, cell.history.clone());
@@ -143,39 +175,73 @@
     Ok(())
 }
 
+/// What a fault does, and to which program or relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SoakFault {
+    /// A process stands still.
+    Frozen(usize),
+    /// A process is killed or asked to end, and comes back.
+    Ended(usize),
+    /// The connections of a relay suffer.
+    Relayed(usize),
+}
+
 /// A fault that goes on.
 struct OpenFault {
-    program: usize,
+    fault: SoakFault,
     until: Instant,
-    frozen: bool,
 }
 
-/// Begins a fault on a program, and never on a second control process.
+impl OpenFault {
+    fn program(&self) -> Option<usize> {
+        match self.fault {
+            SoakFault::Frozen(program) | SoakFault::Ended(program) => Some(program),
+            SoakFault::Relayed(_) => None,
+        }
+    }
+}
+
+/// Begins a fault, and never on a second control process.
 fn inject(cell: &mut SoakCell, random: &mut ChaCha8Rng, open: &mut Vec<OpenFault>) -> bool {
+    let fault = if random.random_bool(0.35) {
+        let relay = random.random_range(0..cell.relays.len());
+        let mode = RELAY_FAULTS[random.random_range(0..RELAY_FAULTS.len())];
+        cell.relays[relay].set_mode(mode);
+        SoakFault::Relayed(relay)
+    } else {
+        let Some(fault) = inject_process(cell, random, open) else {
+            return false;
+        };
+        fault
+    };
+    let length = Duration::from_millis(random.random_range(100..4_000));
+    let until = Instant::now() + length;
+    open.push(OpenFault { fault, until });
+    true
+}
+
+fn inject_process(
+    cell: &mut SoakCell,
+    random: &mut ChaCha8Rng,
+    open: &[OpenFault],
+) -> Option<SoakFault> {
     let program = random.random_range(0..cell.programs.len());
     let is_control = |index: usize| cell.programs[index].role == ProgramRole::Control;
-    let taken = open
-        .iter()
-        .any(|fault| fault.program == program || is_control(fault.program) && is_control(program));
-    if taken {
-        return false;
+    let mut taken = open.iter().filter_map(OpenFault::program);
+    if taken.any(|other| other == program || is_control(other) && is_control(program)) {
+        return None;
     }
-    let frozen = random.random_bool(0.4);
     let target = &mut cell.programs[program];
-    if frozen {
+    if random.random_bool(0.4) {
         target.signal(Signal::STOP);
-    } else if random.random_bool(0.5) {
+        return Some(SoakFault::Frozen(program));
+    }
+    if random.random_bool(0.5) {
         target.kill();
     } else {
         target.signal(Signal::TERM);
     }
-    let length = Duration::from_millis(random.random_range(100..4_000));
-    open.push(OpenFault {
-        program,
-        until: Instant::now() + length,
-        frozen,
-    });
-    true
+    Some(SoakFault::Ended(program))
 }
 
 fn end_faults(
@@ -190,22 +256,30 @@
         .partition::<Vec<_>, _>(|fault| all || fault.until <= now);
     *open = left;
     for fault in ended {
-        let target = &mut cell.programs[fault.program];
-        if fault.frozen {
-            target.signal(Signal::CONT);
-        } else {
-            target.kill();
-            target.start(program)?;
+        match fault.fault {
+            SoakFault::Frozen(index) => cell.programs[index].signal(Signal::CONT),
+            SoakFault::Ended(index) => {
+                cell.programs[index].kill();
+                cell.programs[index].start(program)?;
+            }
+            SoakFault::Relayed(index) => {
+                let still = open
+                    .iter()
+                    .any(|other| other.fault == SoakFault::Relayed(index));
+                if !still {
+                    cell.relays[index].set_mode(RelayMode::Pass);
+                }
+            }
         }
     }
     Ok(())
 }
 
-/// Runs one seed for `length` and judges it.
+/// Runs one seed for `length` and judges it; the logs of a failure are kept.
 ///
 /// # Errors
 ///
-/// Fails with what was promised and not kept.
+/// Fails with what was promised and not kept, and with the folder of the logs.
 pub fn run_soak(
     program: &Path,
     seed: u64,
@@ -214,8 +288,20 @@
     ports: SoakPorts,
 ) -> anyhow::Result<SoakReport> {
     let folder = tempfile::tempdir()?;
+    let judged = soak(program, folder.path(), seed, length, net, ports);
+    judged.with_context(|| format!("logs are in {}", folder.keep().display()))
+}
+
+fn soak(
+    program: &Path,
+    folder: &Path,
+    seed: u64,
+    length: Duration,
+    net: u8,
+    ports: SoakPorts,
+) -> anyhow::Result<SoakReport> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut cell = start_cell(program, folder.path(), net, ports)?;
+    let mut cell = start_cell(program, folder, net, ports)?;
     let mut report = SoakReport::default();
     let mut accepted = Vec::new();
     let mut open = Vec::new();
--- a/tools/soak/src/worker.rs
+++ b/tools/soak/src/worker.rs
@@ -88,6 +88,9 @@
         OrderAnswer::Refused(OrderRefusal::Old) => {
             json_response(StatusCode::CONFLICT, r#"{"ClockMs":1,"Reason":"old"}"#)
         }
+        OrderAnswer::Refused(OrderRefusal::Late) => {
+            json_response(StatusCode::CONFLICT, r#"{"ClockMs":1,"Reason":"late"}"#)
+        }
         OrderAnswer::Refused(_) => {
             json_response(StatusCode::CONFLICT, r#"{"ClockMs":1,"Reason":"room"}"#)
         }
