Ask which workers may run the steps of advised queues

Cause: queues with advice were refused (429): a true answer, but nothing of them was served, and other deployments may have them.

Change: a pure book of tickets (which workers to ask about, how long an answer is used, what is asked again), the leader's questions, a client in the adapter, tickets on starts. A start that comes to nothing has its worker asked about again. Where nobody can be asked, the refusal stays.

--- a/crates/guavavane_cell/src/agent/order_flow.rs
+++ b/crates/guavavane_cell/src/agent/order_flow.rs
@@ -52,6 +52,7 @@
             payload: order.payload,
             saved: order.saved,
             deadline_ms,
+            ticket: order.ticket,
         };
         self.spawn_order(key, task, run, WorkerOrder::Start(order));
     }
--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -57,7 +57,7 @@
         return Err(CallerReply::NoQueue);
     };
     let name = Arc::clone(&queue.name);
-    let advised = queue.advised;
+    let advised = queue.advice.is_some();
     if rest.is_empty() {
         return Ok(CallTarget::Queue { queue: name });
     }
@@ -160,8 +160,8 @@
             Ok(spec) => spec,
             Err(fault) => return self.reply(ticket, CallerReply::Invalid(fault.to_string())),
         };
-        if advised {
-            // Tickets are not asked for yet: the job could never start.
+        if advised && self.settings.advice.is_none() {
+            // Nobody can be asked for tickets: the job could never start.
             tracing::info!(event = "job_refused", job = %key, reason = "advised_queue");
             let retry_after_ms = UNSERVED_RETRY_MS;
             return self.reply(ticket, CallerReply::Refused { retry_after_ms });
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -249,7 +249,7 @@
             }
             _ => tracing::info!(event = "stop_ordered", %task, %run, worker = worker.0),
         }
-        session.sender.send(order);
+        session.sender.send(memory.with_ticket(order, worker));
     }
 }
 
@@ -297,6 +297,7 @@
         cpu_millis: run_record.cpu_millis,
         urgency,
         epoch,
+        ticket: Arc::from(""),
     };
     Some(FromControl::Start {
         key,
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -7,6 +7,7 @@
 use flume::Sender;
 use tokio::time::timeout;
 
+use super::advice::AdviceAnswer;
 use super::caller::time_of_day_ms;
 use super::caller::CallTicket;
 use super::commit::CommitPurpose;
@@ -23,6 +24,7 @@
 use crate::metric;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::plan::room::rooms;
+use guavavane_jobs::plan::round::advised_steps;
 use guavavane_jobs::plan::round::choose_starts;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
@@ -55,6 +57,10 @@
         purpose: CommitPurpose,
         result: CommitResult,
     },
+    Advised {
+        term: u64,
+        answer: AdviceAnswer,
+    },
 }
 
 /// State of the loop.
@@ -166,6 +172,7 @@
                 purpose,
                 result,
             } => self.take_commit(term, purpose, result),
+            EngineInput::Advised { term, answer } => self.take_advice(term, answer),
         }
     }
 
@@ -307,11 +314,21 @@
             return;
         }
         memory.place_again = false;
-        let choices = self.quorum.local(|ledger| {
+        let asks = self.settings.advice.is_some();
+        let (choices, advised) = self.quorum.local(|ledger| {
             memory.note_waiting(ledger);
             let rooms = rooms(ledger, |index: WorkerIndex| memory.outlook(index));
-            choose_starts(ledger, rooms, memory)
+            let advised = if asks {
+                advised_steps(ledger, &rooms, memory)
+            } else {
+                Vec::new()
+            };
+            (choose_starts(ledger, rooms, memory), advised)
         });
+        self.ask_advice(advised);
+        let Some(memory) = &mut self.memory else {
+            return;
+        };
         if choices.is_empty() {
             return;
         }
@@ -376,6 +393,7 @@
         let Some(memory) = &mut self.memory else {
             return;
         };
+        self.quorum.local(|ledger| memory.advice.trim(ledger));
         let old = memory.ended_at.iter();
         let old = old.filter(|(_, at)| now.saturating_since(**at) > retention);
         let jobs: Vec<JobKey> = old.map(|(job, _)| *job).collect();
--- a/crates/guavavane_cell/src/control/memory.rs
+++ b/crates/guavavane_cell/src/control/memory.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::caller::time_of_day_ms;
 use super::session::LeaderSession;
 use super::session::SessionId;
 use super::session::SessionRole;
+use crate::message::FromControl;
 use crate::message::WorkerReport;
 use crate::timing::LeaseTiming;
 use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::plan::advice::AdviceBook;
 use guavavane_jobs::plan::order::step_urgency;
 use guavavane_jobs::plan::press::FillingLoad;
 use guavavane_jobs::plan::press::PressTable;
@@ -81,6 +84,8 @@
     pub(super) workers: IndexMap<WorkerIndex, WorkerMemory>,
     /// Workers whose loss is proposed and not committed, with what was reported meanwhile.
     pub(super) losing: IndexMap<WorkerIndex, Option<DeferredReport>>,
+    /// What another service allows.
+    pub(super) advice: AdviceBook,
     /// Latest progress that agents reported.
     pub(super) saved: IndexMap<TaskKey, Arc<str>>,
     /// Since when steps have had waiting tasks.
@@ -115,6 +120,7 @@
             sessions: IndexMap::new(),
             workers: workers.collect(),
             losing: IndexMap::new(),
+            advice: AdviceBook::default(),
             saved: IndexMap::new(),
             waiting_since: IndexMap::new(),
             run_times: RunTimes::default(),
@@ -159,6 +165,15 @@
         step_urgency(ledger, &self.run_times, task.step, time_of_day_ms()).unwrap_or(u64::MAX)
     }
 
+    /// An order with the ticket that it needs, if there is one.
+    pub(super) fn with_ticket(&self, mut order: FromControl, worker: WorkerIndex) -> FromControl {
+        if let FromControl::Start { order, .. } = &mut order {
+            let ticket = self.advice.ticket(BootClock.now(), order.task.step, worker);
+            order.ticket = ticket.unwrap_or_else(|| Arc::from(""));
+        }
+        order
+    }
+
     /// Notes which steps have waiting tasks.
     pub(super) fn note_waiting(&mut self, ledger: &JobLedger) {
         let now = BootClock.now();
@@ -232,6 +247,10 @@
         time_of_day_ms()
     }
 
+    fn advised(&self, step: StepKey) -> IndexSet<WorkerIndex> {
+        self.advice.allowed(BootClock.now(), step)
+    }
+
     fn waited(&self, step: StepKey) -> Duration {
         let since = self.waiting_since.get(&step);
         since.map_or(Duration::ZERO, |since| {
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! streams, and `engine` is the one loop that answers, decides and orders. What only a
 //! leader knows is in `memory` and starts anew with each term.
 
+mod advice;
 mod caller;
 mod commit;
 mod engine;
@@ -26,6 +27,7 @@
 use self::engine::ControlEngine;
 use self::engine::EngineInput;
 use self::operator::OperatorCall;
+use crate::port::AdviceCall;
 use crate::timing::LeaseTiming;
 use guavavane_jobs::prelude::QueueCatalog;
 
@@ -53,6 +55,8 @@
     pub retention_ms: u64,
     /// Lengths of leases.
     pub timing: LeaseTiming,
+    /// Takes questions to the service that allows workers, where there is one.
+    pub advice: Option<Sender<AdviceCall>>,
 }
 
 /// Answer to an operator.
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -178,6 +178,9 @@
     pub(super) fn withdraw(&mut self, key: &WorkerKey, task: TaskKey, run: RunNumber) {
         tracing::info!(event = "run_withdrawn", %task, %run, worker = %key);
         if let Some(worker) = self.quorum.local(|ledger| ledger.worker_index(key)) {
+            if let Some(memory) = &mut self.memory {
+                memory.advice.forget_ticket(task.step, worker);
+            }
             let command = LedgerCommand::Withdraw { worker, task, run };
             self.propose(command, CommitPurpose::Freed);
         }
--- a/crates/guavavane_cell/src/lib.rs
+++ b/crates/guavavane_cell/src/lib.rs
@@ -34,6 +34,8 @@
     pub use crate::message::CallerAction;
     pub use crate::message::CallerReply;
     pub use crate::message::JobState;
+    pub use crate::port::AdviceCall;
+    pub use crate::port::AdvisedWorker;
     pub use crate::port::HoldAnswer;
     pub use crate::port::HoldReport;
     pub use crate::port::OrderAnswer;
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -144,6 +144,8 @@
     pub urgency: u64,
     /// Epoch of the worker that the order was made for.
     pub epoch: u64,
+    /// Proof that another service allows this worker; empty if none has to.
+    pub ticket: Arc<str>,
 }
 
 /// To a control process.
--- a/crates/guavavane_cell/src/port.rs
+++ b/crates/guavavane_cell/src/port.rs
@@ -4,8 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::oneshot;
+
+use guavavane_jobs::prelude::AdviceTiming;
 use guavavane_jobs::prelude::RunEnd;
 use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerKey;
 
@@ -22,6 +26,8 @@
     pub saved: Arc<str>,
     /// Until when everything on the worker holds, on the worker's clock.
     pub deadline_ms: u64,
+    /// Proof that another service allows this worker; empty if none has to.
+    pub ticket: Arc<str>,
 }
 
 /// Why a worker refused an order; it has done nothing.
@@ -35,6 +41,8 @@
     Late,
     /// There is no room.
     Room,
+    /// Its ticket is missing or no longer holds.
+    Ticket,
     /// Another reason, such as bad health.
     Other,
 }
@@ -95,6 +103,28 @@
     Unanswered,
 }
 
+/// A worker that may run a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdvisedWorker {
+    /// Name of the worker.
+    pub name: Arc<str>,
+    /// What a start on it has to carry.
+    pub ticket: Arc<str>,
+}
+
+/// A question to the service that allows workers for the steps of some queues.
+#[derive(Debug)]
+pub struct AdviceCall {
+    /// The step.
+    pub step: StepKey,
+    /// Names of the workers that it is about.
+    pub workers: Vec<Arc<str>>,
+    /// How long the answer takes and holds.
+    pub timing: AdviceTiming,
+    /// Takes the workers that may run the step; dropped if there is no answer.
+    pub reply: oneshot::Sender<Vec<AdvisedWorker>>,
+}
+
 /// Calls to one worker, each for one incarnation of it.
 pub trait WorkerPort: Clone + Send + Sync + 'static {
     /// Starts a run.
--- a/crates/guavavane_cell/tests/membership.rs
+++ b/crates/guavavane_cell/tests/membership.rs
@@ -44,6 +44,7 @@
             worker_lease: Duration::from_millis(600),
             thaw_slack: Duration::from_millis(50),
         },
+        advice: None,
     }
 }
 
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -8,10 +8,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use flume::Sender;
+
 use guavavane_cell::entry::CallerRequest;
+use guavavane_cell::message::FromControl;
+use guavavane_cell::message::StartTask;
+use guavavane_cell::message::ToControl;
+use guavavane_cell::message::WorkerReport;
 use guavavane_cell::prelude::start_agent;
 use guavavane_cell::prelude::start_control;
 use guavavane_cell::prelude::start_entry;
+use guavavane_cell::prelude::AdviceCall;
 use guavavane_cell::prelude::AgentHandle;
 use guavavane_cell::prelude::AgentSettings;
 use guavavane_cell::prelude::CallerAction;
@@ -24,6 +31,7 @@
 use guavavane_cell::prelude::LeaseTiming;
 use guavavane_cell::prelude::OperatorReply;
 use guavavane_cell::prelude::WorkerNotice;
+use guavavane_jobs::prelude::AdviceTiming;
 use guavavane_jobs::prelude::QueueCatalog;
 use guavavane_jobs::prelude::RawCatalog;
 use guavavane_jobs::prelude::RawJob;
@@ -35,11 +43,20 @@
 use guavavane_model::prelude::ResourceVector;
 use guavavane_standin::simulated_worker::RunHistory;
 use guavavane_standin::simulated_worker::SimulatedWorker;
+use guavavane_transport::prelude::open_stream;
+use guavavane_transport::prelude::StreamReceiver;
+use guavavane_transport::prelude::StreamSender;
 
 /// Host of the queue.
 pub(crate) const HOST: &str = "queue.example";
 /// What the paths of jobs begin with.
 pub(crate) const PREFIX: &str = "/tally/";
+/// How the advising service answers.
+pub(crate) const ADVICE_TIMING: AdviceTiming = AdviceTiming {
+    decision_ms: 10,
+    interval_ms: 1,
+    validity_ms: 1_000,
+};
 /// Lease step of the simulated workers.
 pub(crate) const WORKER_LEASE: Duration = Duration::from_millis(600);
 
@@ -68,7 +85,7 @@
     listener.local_addr().unwrap()
 }
 
-pub(crate) fn catalog(version: u64) -> (QueueCatalog, Arc<str>) {
+pub(crate) fn catalog(version: u64, advice: Option<AdviceTiming>) -> (QueueCatalog, Arc<str>) {
     let raw = RawCatalog {
         version,
         queues: vec![RawQueue {
@@ -81,7 +98,7 @@
             pool: "pool".to_owned(),
             attempts_max: 3,
             stretch: 2.0,
-            advised: false,
+            advice,
         }],
         pools: vec![RawPool {
             name: "pool".to_owned(),
@@ -96,6 +113,16 @@
 impl TestCell {
     /// A cell with workers whose tasks take `work`, ready to take jobs.
     pub(crate) async fn start(workers: usize, work: Duration) -> Self {
+        Self::start_advised(workers, work, None).await
+    }
+
+    /// A cell that asks a service which workers may run the steps of its queue, if there is one.
+    pub(crate) async fn start_advised(
+        workers: usize,
+        work: Duration,
+        advice: Option<Sender<AdviceCall>>,
+    ) -> Self {
+        let advised = advice.as_ref().map(|_| ADVICE_TIMING);
         let data = tempfile::tempdir().unwrap();
         let address = free_address();
         let control = start_control(ControlSettings {
@@ -107,6 +134,7 @@
             voters: 1,
             retention_ms: 60_000,
             timing: timing(),
+            advice,
         });
         let control = control.await.unwrap();
         let entry = start_entry(EntrySettings {
@@ -138,13 +166,17 @@
             cell.workers.push(worker);
             cell.agents.push(agent);
         }
-        cell.put_catalog(1).await;
+        cell.put_catalog_with(1, advised).await;
         cell
     }
 
     pub(crate) async fn put_catalog(&self, version: u64) {
+        self.put_catalog_with(version, None).await;
+    }
+
+    pub(crate) async fn put_catalog_with(&self, version: u64, advice: Option<AdviceTiming>) {
         loop {
-            let (catalog, text) = catalog(version);
+            let (catalog, text) = catalog(version, advice);
             if self.control.put_catalog(catalog, text).await == OperatorReply::Done {
                 return;
             }
@@ -214,3 +246,44 @@
         ..RawStep::default()
     }
 }
+
+/// What an agent says of the worker with this index, of which nothing runs.
+pub(crate) fn idle_report(index: usize, epoch: u64) -> WorkerReport {
+    let notice = notice(index);
+    WorkerReport {
+        key: notice.key,
+        facts: notice.facts,
+        draining: false,
+        epoch,
+        running: Vec::new(),
+        ends: Vec::new(),
+        pairs: Vec::new(),
+    }
+}
+
+/// Opens a session as the agent of the worker with this index.
+pub(crate) async fn speak_for(
+    cell: &TestCell,
+    index: usize,
+) -> (StreamSender<ToControl>, StreamReceiver<FromControl>) {
+    let opened = open_stream::<ToControl, FromControl>(cell.address, Duration::from_secs(1)).await;
+    let (sender, receiver) = opened.unwrap();
+    let node = Arc::from(format!("vm-{index}"));
+    sender.send(ToControl::AgentHello { node });
+    sender.send(ToControl::Worker(Box::new(idle_report(index, 0))));
+    (sender, receiver)
+}
+
+/// Starts that are ordered until the stream is quiet for `quiet`.
+pub(crate) async fn ordered_starts(
+    receiver: &mut StreamReceiver<FromControl>,
+    quiet: Duration,
+) -> Vec<StartTask> {
+    let mut starts = Vec::new();
+    while let Ok(Some(message)) = tokio::time::timeout(quiet, receiver.receive()).await {
+        if let FromControl::Start { order, .. } = message {
+            starts.push(*order);
+        }
+    }
+    starts
+}
--- a/crates/guavavane_jobs/src/lib.rs
+++ b/crates/guavavane_jobs/src/lib.rs
@@ -32,6 +32,7 @@
     pub use crate::ledger::RunEnd;
     pub use crate::ledger::RunEnding;
     pub use crate::ledger::StartChoice;
+    pub use crate::queue::AdviceTiming;
     pub use crate::queue::CatalogFault;
     pub use crate::queue::QueueCatalog;
     pub use crate::queue::QueueSpec;
--- a/crates/guavavane_jobs/src/plan/place.rs
+++ b/crates/guavavane_jobs/src/plan/place.rs
@@ -63,6 +63,8 @@
     pub press: &'ledger PressTable,
     /// Filling images that were seen beside serving ones.
     pub filling_images: &'ledger IndexSet<&'ledger Arc<str>>,
+    /// Workers that another service allows, if one must.
+    pub advised: Option<&'ledger IndexSet<WorkerIndex>>,
     /// Least pace that serving tasks have to leave to a filling task.
     pub least_pace: f64,
 }
@@ -80,6 +82,9 @@
     let spec = context.spec;
     let doubted = room.outlook.failures_in_row >= FAILURES_DOUBTED;
     room.outlook.usable
+        && context
+            .advised
+            .is_none_or(|allowed| allowed.contains(&index))
         && &*worker.facts.pool == context.pool
         && spec
             .required_label
@@ -166,6 +171,21 @@
     best.map(|(_, index)| index)
 }
 
+/// Workers with room for a task of a step, the best first.
+pub fn rank_workers(
+    context: &PlaceContext<'_>,
+    rooms: &IndexMap<WorkerIndex, WorkerRoom>,
+) -> Vec<WorkerIndex> {
+    let allowed = rooms
+        .iter()
+        .filter(|(index, room)| is_allowed(context, **index, room));
+    let mut scored: Vec<(i64, WorkerIndex)> = allowed
+        .map(|(index, room)| (score(context, *index, room), *index))
+        .collect();
+    scored.sort_by_key(|(score, index)| (std::cmp::Reverse(*score), *index));
+    scored.into_iter().map(|(_, index)| index).collect()
+}
+
 /// The rack of a worker, to keep the next tasks of a step on it.
 pub fn rack_label(ledger: &JobLedger, index: WorkerIndex) -> Option<Arc<str>> {
     rack_of(ledger, index).cloned()
--- a/crates/guavavane_jobs/src/plan/round.rs
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -10,6 +10,7 @@
 use super::order::WaitingStep;
 use super::place::pick_worker;
 use super::place::rack_label;
+use super::place::rank_workers;
 use super::place::PlaceContext;
 use super::place::PACE_BORNE;
 use super::place::PACE_WANTED;
@@ -27,6 +28,7 @@
 use crate::ledger::TaskPhase;
 use crate::ledger::TaskRecord;
 use crate::ledger::WorkerIndex;
+use crate::queue::AdviceTiming;
 
 /// Most starts of one round: bounds the size of one command in the log.
 const ROUND_STARTS_MAX: usize = 256;
@@ -48,6 +50,9 @@
     /// The leader's time of day in milliseconds since 1970.
     fn time_of_day_ms(&self) -> u64;
 
+    /// Workers that another service allows for a step.
+    fn advised(&self, step: StepKey) -> IndexSet<WorkerIndex>;
+
     /// How long a step has had waiting tasks.
     fn waited(&self, step: StepKey) -> Duration;
 }
@@ -97,6 +102,8 @@
             continue;
         };
         let queue = ledger.catalog().queue(&job.queue);
+        let advised = queue.filter(|queue| queue.advice.is_some());
+        let advised = advised.map(|_| input.advised(task.step));
         let context = PlaceContext {
             ledger,
             key: task.step,
@@ -105,6 +112,7 @@
             rack: None,
             press: input.press(),
             filling_images: &images,
+            advised: advised.as_ref(),
             least_pace: PACE_WANTED,
         };
         let Some(worker) = pick_worker(&context, &rooms) else {
@@ -118,6 +126,50 @@
     movable
 }
 
+/// A step whose workers another service has to allow, and those with room for its tasks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdvisedStep {
+    /// The step.
+    pub key: StepKey,
+    /// How its queue is advised.
+    pub timing: AdviceTiming,
+    /// Workers with room, the best first.
+    pub candidates: Vec<WorkerIndex>,
+}
+
+/// Waiting steps whose workers another service has to allow, the most urgent first.
+pub fn advised_steps<I: RoundInput>(
+    ledger: &JobLedger,
+    rooms: &IndexMap<WorkerIndex, WorkerRoom>,
+    input: &I,
+) -> Vec<AdvisedStep> {
+    let images = input.press().filling_images();
+    let steps = waiting_steps(ledger, input.run_times(), input.time_of_day_ms());
+    let advised = steps.iter().filter_map(|waiting| {
+        let key = waiting.key;
+        let queue = ledger.catalog().queue(&ledger.job(key.job)?.queue)?;
+        let timing = queue.advice?;
+        let context = PlaceContext {
+            ledger,
+            key,
+            spec: ledger.step_spec(key)?,
+            pool: &queue.pool,
+            rack: None,
+            press: input.press(),
+            filling_images: &images,
+            advised: None,
+            least_pace: PACE_BORNE,
+        };
+        let candidates = rank_workers(&context, rooms);
+        Some(AdvisedStep {
+            key,
+            timing,
+            candidates,
+        })
+    });
+    advised.collect()
+}
+
 fn place_step<I: RoundInput>(
     ledger: &JobLedger,
     waiting: &WaitingStep,
@@ -134,6 +186,8 @@
         return;
     };
     let queue = ledger.catalog().queue(&job.queue);
+    let advised = queue.filter(|queue| queue.advice.is_some());
+    let advised = advised.map(|_| input.advised(key));
     let mut context = PlaceContext {
         ledger,
         key,
@@ -142,6 +196,7 @@
         rack: None,
         press: input.press(),
         filling_images: images,
+        advised: advised.as_ref(),
         least_pace: least_pace(job, waiting, input.waited(key)),
     };
     if spec.gang {
--- a/crates/guavavane_jobs/src/queue.rs
+++ b/crates/guavavane_jobs/src/queue.rs
@@ -10,6 +10,25 @@
 use serde::Serialize;
 use thiserror::Error;
 
+/// How another service allows workers for the steps of a queue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdviceTiming {
+    /// Time of a question, besides its workers.
+    pub decision_ms: u64,
+    /// Time of a question for each worker.
+    pub interval_ms: u64,
+    /// How long an answer holds.
+    pub validity_ms: u64,
+}
+
+impl AdviceTiming {
+    /// Time that a question about some workers takes.
+    pub fn answer_ms(&self, workers: usize) -> u64 {
+        let each = self.interval_ms.saturating_mul(workers as u64);
+        self.decision_ms.saturating_add(each)
+    }
+}
+
 /// A queue as configured.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RawQueue {
@@ -31,8 +50,8 @@
     pub attempts_max: u64,
     /// Part of a job's objective for each millisecond of its longest chain.
     pub stretch: f64,
-    /// Whether another service must allow each worker for a step.
-    pub advised: bool,
+    /// How another service allows each worker for a step, if one must.
+    pub advice: Option<AdviceTiming>,
 }
 
 /// A pool as configured.
@@ -101,8 +120,8 @@
     pub attempts_max: u32,
     /// Part of a job's objective for each millisecond of its longest chain.
     pub stretch: f64,
-    /// Whether another service must allow each worker for a step.
-    pub advised: bool,
+    /// How another service allows each worker for a step, if one must.
+    pub advice: Option<AdviceTiming>,
 }
 
 impl QueueSpec {
@@ -158,7 +177,7 @@
         pool: Arc::from(raw.pool),
         attempts_max: u32::try_from(raw.attempts_max.max(1)).unwrap_or(u32::MAX),
         stretch: raw.stretch,
-        advised: raw.advised,
+        advice: raw.advice,
     })
 }
 
--- a/crates/guavavane_jobs/tests/support/mod.rs
+++ b/crates/guavavane_jobs/tests/support/mod.rs
@@ -42,7 +42,7 @@
         pool: "pool".to_owned(),
         attempts_max: ATTEMPTS_MAX,
         stretch: 2.0,
-        advised: false,
+        advice: None,
     }
 }
 
--- a/crates/guavavane_jobs/tests/support/replay.rs
+++ b/crates/guavavane_jobs/tests/support/replay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::apply;
 use guavavane_jobs::ledger::WorkerIndex;
@@ -52,6 +53,10 @@
         self.now_ms
     }
 
+    fn advised(&self, _step: StepKey) -> IndexSet<WorkerIndex> {
+        IndexSet::new()
+    }
+
     fn waited(&self, step: StepKey) -> Duration {
         let since = self.waiting_since.get(&step).copied();
         Duration::from_millis(self.now_ms - since.unwrap_or(self.now_ms))
--- a/tools/soak/src/worker.rs
+++ b/tools/soak/src/worker.rs
@@ -137,6 +137,7 @@
                 payload: Arc::from(body["Spec"].as_str().unwrap_or("")),
                 saved: Arc::from(""),
                 deadline_ms: body["DeadlineMs"].as_u64().unwrap_or(0),
+                ticket: Arc::from(body["Ticket"].as_str().unwrap_or("")),
             };
             order_response(worker.start(key, fence, order).await)
         }
