Describe where a step's tasks may run in one place

Change: RoundScope and one iterator over suitable workers; no change of behaviour (tests of the crate as before). Ruled out: nothing to measure.

--- a/crates/guavavane_jobs/src/plan/place.rs
+++ b/crates/guavavane_jobs/src/plan/place.rs
@@ -5,6 +5,7 @@
 //! Filling tasks go where most processor is idle and wait rather than share it thinly. All
 //! other tasks are spread. Data on another rack and a gang on several cost run time.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -64,7 +65,7 @@
     /// Filling images that were seen beside serving ones.
     pub filling_images: &'ledger IndexSet<&'ledger Arc<str>>,
     /// Workers that another service allows, if one must.
-    pub advised: Option<&'ledger IndexSet<WorkerIndex>>,
+    pub advised: Option<IndexSet<WorkerIndex>>,
     /// Least pace that serving tasks have to leave to a filling task.
     pub least_pace: f64,
 }
@@ -84,6 +85,7 @@
     room.outlook.usable
         && context
             .advised
+            .as_ref()
             .is_none_or(|allowed| allowed.contains(&index))
         && &*worker.facts.pool == context.pool
         && spec
@@ -158,17 +160,24 @@
     score - i64::from(room.outlook.failures_in_row) * DOUBT_WEIGHT
 }
 
+/// Workers with room for a task of a step, with how well they suit.
+fn suitable_workers<'rooms, 'ledger>(
+    context: &'rooms PlaceContext<'ledger>,
+    rooms: &'rooms IndexMap<WorkerIndex, WorkerRoom>,
+) -> impl Iterator<Item = (i64, Reverse<WorkerIndex>)> + use<'rooms, 'ledger> {
+    let allowed = rooms
+        .iter()
+        .filter(|(index, room)| is_allowed(context, **index, room));
+    allowed.map(|(index, room)| (score(context, *index, room), Reverse(*index)))
+}
+
 /// The best worker for one more task of a step.
 pub fn pick_worker(
     context: &PlaceContext<'_>,
     rooms: &IndexMap<WorkerIndex, WorkerRoom>,
 ) -> Option<WorkerIndex> {
-    let allowed = rooms
-        .iter()
-        .filter(|(index, room)| is_allowed(context, **index, room));
-    let scored = allowed.map(|(index, room)| (score(context, *index, room), *index));
-    let best = scored.max_by_key(|(score, index)| (*score, std::cmp::Reverse(*index)));
-    best.map(|(_, index)| index)
+    let best = suitable_workers(context, rooms).max();
+    best.map(|(_, Reverse(index))| index)
 }
 
 /// Workers with room for a task of a step, the best first.
@@ -176,14 +185,10 @@
     context: &PlaceContext<'_>,
     rooms: &IndexMap<WorkerIndex, WorkerRoom>,
 ) -> Vec<WorkerIndex> {
-    let allowed = rooms
-        .iter()
-        .filter(|(index, room)| is_allowed(context, **index, room));
-    let mut scored: Vec<(i64, WorkerIndex)> = allowed
-        .map(|(index, room)| (score(context, *index, room), *index))
-        .collect();
-    scored.sort_by_key(|(score, index)| (std::cmp::Reverse(*score), *index));
-    scored.into_iter().map(|(_, index)| index).collect()
+    let mut suitable: Vec<_> = suitable_workers(context, rooms).collect();
+    suitable.sort_by_key(|worker| Reverse(*worker));
+    let suitable = suitable.into_iter().map(|(_, Reverse(index))| index);
+    suitable.collect()
 }
 
 /// The rack of a worker, to keep the next tasks of a step on it.
--- a/crates/guavavane_jobs/src/plan/round.rs
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -67,6 +67,41 @@
     choose_in_order(ledger, rooms, input, &steps)
 }
 
+/// What all steps of a round share.
+struct RoundScope<'round, I> {
+    ledger: &'round JobLedger,
+    input: &'round I,
+    filling_images: IndexSet<&'round Arc<str>>,
+}
+
+impl<'round, I: RoundInput> RoundScope<'round, I> {
+    fn new(ledger: &'round JobLedger, input: &'round I) -> Self {
+        Self {
+            ledger,
+            input,
+            filling_images: input.press().filling_images(),
+        }
+    }
+
+    /// Where the tasks of a step may run; none if its job has ended.
+    fn context(&self, key: StepKey, least_pace: f64) -> Option<PlaceContext<'_>> {
+        let job = self.ledger.job(key.job)?;
+        let queue = self.ledger.catalog().queue(&job.queue);
+        let advised = queue.filter(|queue| queue.advice.is_some());
+        Some(PlaceContext {
+            ledger: self.ledger,
+            key,
+            spec: self.ledger.step_spec(key)?,
+            pool: queue.map_or(&job.pool, |queue| &queue.pool),
+            rack: None,
+            press: self.input.press(),
+            filling_images: &self.filling_images,
+            advised: advised.map(|_| self.input.advised(key)),
+            least_pace,
+        })
+    }
+}
+
 /// Chooses the starts of one round, the steps in the given order.
 pub fn choose_in_order<I: RoundInput>(
     ledger: &JobLedger,
@@ -74,13 +109,13 @@
     input: &I,
     steps: &[WaitingStep],
 ) -> Vec<StartChoice> {
-    let images = input.press().filling_images();
+    let scope = RoundScope::new(ledger, input);
     let mut choices = Vec::new();
     for waiting in steps {
         if choices.len() >= ROUND_STARTS_MAX {
             break;
         }
-        place_step(ledger, waiting, &images, &mut rooms, input, &mut choices);
+        place_step(&scope, waiting, &mut rooms, &mut choices);
     }
     choices
 }
@@ -94,32 +129,17 @@
     tasks: &[TaskKey],
 ) -> Vec<TaskKey> {
     rooms.shift_remove(&from);
-    let images = input.press().filling_images();
+    let scope = RoundScope::new(ledger, input);
     let mut movable = Vec::new();
     for task in tasks {
-        let (Some(spec), Some(job)) = (ledger.step_spec(task.step), ledger.job(task.step.job))
-        else {
+        let Some(context) = scope.context(task.step, PACE_WANTED) else {
             continue;
         };
-        let queue = ledger.catalog().queue(&job.queue);
-        let advised = queue.filter(|queue| queue.advice.is_some());
-        let advised = advised.map(|_| input.advised(task.step));
-        let context = PlaceContext {
-            ledger,
-            key: task.step,
-            spec,
-            pool: queue.map_or(&job.pool, |queue| &queue.pool),
-            rack: None,
-            press: input.press(),
-            filling_images: &images,
-            advised: advised.as_ref(),
-            least_pace: PACE_WANTED,
-        };
         let Some(worker) = pick_worker(&context, &rooms) else {
             continue;
         };
         if let Some(room) = rooms.get_mut(&worker) {
-            room.take(*task, &RunRecord::new(RunNumber(0), spec));
+            room.take(*task, &RunRecord::new(RunNumber(0), context.spec));
         }
         movable.push(*task);
     }
@@ -143,66 +163,41 @@
     rooms: &IndexMap<WorkerIndex, WorkerRoom>,
     input: &I,
 ) -> Vec<AdvisedStep> {
-    let images = input.press().filling_images();
+    let scope = RoundScope::new(ledger, input);
     let steps = waiting_steps(ledger, input.run_times(), input.time_of_day_ms());
     let advised = steps.iter().filter_map(|waiting| {
         let key = waiting.key;
         let queue = ledger.catalog().queue(&ledger.job(key.job)?.queue)?;
         let timing = queue.advice?;
-        let context = PlaceContext {
-            ledger,
-            key,
-            spec: ledger.step_spec(key)?,
-            pool: &queue.pool,
-            rack: None,
-            press: input.press(),
-            filling_images: &images,
-            advised: None,
-            least_pace: PACE_BORNE,
-        };
-        let candidates = rank_workers(&context, rooms);
+        let mut context = scope.context(key, PACE_BORNE)?;
+        // All that could run it, allowed or not.
+        context.advised = None;
         Some(AdvisedStep {
             key,
             timing,
-            candidates,
+            candidates: rank_workers(&context, rooms),
         })
     });
     advised.collect()
 }
 
 fn place_step<I: RoundInput>(
-    ledger: &JobLedger,
+    scope: &RoundScope<'_, I>,
     waiting: &WaitingStep,
-    images: &IndexSet<&Arc<str>>,
     rooms: &mut IndexMap<WorkerIndex, WorkerRoom>,
-    input: &I,
     choices: &mut Vec<StartChoice>,
 ) {
-    let key = waiting.key;
-    let (Some(spec), Some(step)) = (ledger.step_spec(key), ledger.step(key)) else {
+    let (key, input) = (waiting.key, scope.input);
+    let (Some(step), Some(job)) = (scope.ledger.step(key), scope.ledger.job(key.job)) else {
         return;
     };
-    let Some(job) = ledger.job(key.job) else {
+    let least_pace = least_pace(job, waiting, input.waited(key));
+    let Some(mut context) = scope.context(key, least_pace) else {
         return;
     };
-    let queue = ledger.catalog().queue(&job.queue);
-    let advised = queue.filter(|queue| queue.advice.is_some());
-    let advised = advised.map(|_| input.advised(key));
-    let mut context = PlaceContext {
-        ledger,
-        key,
-        spec,
-        pool: queue.map_or(&job.pool, |queue| &queue.pool),
-        rack: None,
-        press: input.press(),
-        filling_images: images,
-        advised: advised.as_ref(),
-        least_pace: least_pace(job, waiting, input.waited(key)),
-    };
-    if spec.gang {
+    if context.spec.gang {
         return place_gang(&mut context, step, rooms, input, choices);
     }
-    let later_pace = context.least_pace.max(PACE_BORNE);
     for (index, task) in step.tasks.iter().enumerate() {
         if task.phase != TaskPhase::Waiting {
             continue;
@@ -216,13 +211,13 @@
         let task_key = key.task(u32::try_from(index).expect("the number of tasks is bounded"));
         let choice = start_choice(task_key, task, worker, input);
         if let Some(room) = rooms.get_mut(&worker) {
-            room.take(task_key, &RunRecord::new(choice.run, spec));
+            room.take(task_key, &RunRecord::new(choice.run, context.spec));
         }
-        if spec.single_rack && context.rack.is_none() {
-            context.rack = rack_label(ledger, worker);
+        if context.spec.single_rack && context.rack.is_none() {
+            context.rack = rack_label(scope.ledger, worker);
         }
         choices.push(choice);
-        context.least_pace = context.least_pace.max(later_pace);
+        context.least_pace = context.least_pace.max(PACE_BORNE);
     }
 }
 
