Wait without a leader for at most 40 % of a caller's own wait

Change: the wait for a leader is bounded by the caller's. Ruled out: the wait of 0.6 s as such (a caller that waits for 3 s is answered in a fifth of it).

--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -31,6 +31,8 @@
 /// Longest wait of a submission while no leader is known: an election is over by then, and for
 /// a longer outage its caller does better to return.
 const LEADERLESS_SUBMIT_WAIT: Duration = Duration::from_millis(600);
+/// Longest part of a caller's own wait that passes without a leader, in percent.
+const LEADERLESS_PERCENT: u32 = 40;
 /// Time kept back from a caller's deadline to answer within it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(60);
 /// Time between two looks for requests that are out of time.
@@ -103,13 +105,16 @@
         matches!(self.request.action, CallerAction::Submit(_))
     }
 
-    /// Longest wait while no leader is known.
+    /// Longest wait while no leader is known: a caller that waits for little longer itself is
+    /// told early enough to return.
     fn leaderless_wait(&self) -> Duration {
-        if self.is_submission() && !self.maybe_taken {
+        let longest = if self.is_submission() && !self.maybe_taken {
             LEADERLESS_SUBMIT_WAIT
         } else {
             LEADERLESS_WAIT
-        }
+        };
+        let patience = self.deadline.saturating_since(self.arrived);
+        longest.min(patience * LEADERLESS_PERCENT / 100)
     }
 
     fn answer(self, reply: CallerReply) {
