--- a/crates/guavavane_cell/tests/leaderless.rs
+++ b/crates/guavavane_cell/tests/leaderless.rs
@@ -12,7 +12,6 @@
 use guavavane_cell::prelude::CallerAction;
 use guavavane_cell::prelude::CallerReply;
 use guavavane_cell::prelude::EntrySettings;
-use guavavane_jobs::prelude::RawJob;
 
 /// Time for the entry's own looks at what waits.
 const SLACK: Duration = Duration::from_millis(150);
@@ -29,7 +28,7 @@
         let request = CallerRequest {
             host: "queue.example".to_owned(),
             path: "/tally/0000000000000001".to_owned(),
-            action: CallerAction::Submit(Box::new(RawJob::default())),
+            action: CallerAction::Submit(Box::default()),
         };
         let begun = Instant::now();
         let reply = entry.call(request, Duration::from_millis(wait_ms)).await;
