Rank the waiting steps once a round; ask in one place what a worker spares

No change of behaviour. Ruled out: asking the catalog first whether a queue is advised (a special case beside the cause).

--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -23,9 +23,10 @@
 use crate::message::ToControl;
 use crate::metric;
 use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::plan::order::waiting_steps;
 use guavavane_jobs::plan::room::rooms;
 use guavavane_jobs::plan::round::advised_steps;
-use guavavane_jobs::plan::round::choose_starts;
+use guavavane_jobs::plan::round::choose_in_order;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::JobPhase;
@@ -318,12 +319,13 @@
         let (choices, advised) = self.quorum.local(|ledger| {
             memory.note_waiting(ledger);
             let rooms = rooms(ledger, |index: WorkerIndex| memory.outlook(index));
+            let steps = waiting_steps(ledger, &memory.run_times, time_of_day_ms());
             let advised = if asks {
-                advised_steps(ledger, &rooms, memory)
+                advised_steps(ledger, &rooms, memory, &steps)
             } else {
                 Vec::new()
             };
-            (choose_starts(ledger, rooms, memory), advised)
+            (choose_in_order(ledger, rooms, memory, &steps), advised)
         });
         self.ask_advice(advised);
         let Some(memory) = &mut self.memory else {
--- a/crates/guavavane_jobs/src/plan/room.rs
+++ b/crates/guavavane_jobs/src/plan/room.rs
@@ -148,15 +148,16 @@
         paces.fold(1.0, f64::min).max(0.0)
     }
 
+    /// How surely a filling image presses on none of the serving tasks, from 0 to 1.
+    fn spared(&self, table: &PressTable, image: &Arc<str>) -> f64 {
+        let served = self.serving_images.keys();
+        let spared = served.map(|served| 1.0 - table.presses(served, image));
+        spared.product()
+    }
+
     /// Part of these filling images that press on none of the serving tasks.
     pub fn openness(&self, table: &PressTable, images: &IndexSet<&Arc<str>>) -> f64 {
-        let free = images.iter().map(|image| {
-            let spared = self
-                .serving_images
-                .keys()
-                .map(|served| 1.0 - table.presses(served, image));
-            spared.product::<f64>()
-        });
+        let free = images.iter().map(|image| self.spared(table, image));
         free.sum::<f64>() / images.len().max(1) as f64
     }
 
@@ -171,13 +172,9 @@
         if self.serving_images.contains_key(serving) {
             return 0.0;
         }
-        let closed = images.iter().map(|image| {
-            let spared = self
-                .serving_images
-                .keys()
-                .map(|served| 1.0 - table.presses(served, image));
-            spared.product::<f64>() * table.presses(serving, image)
-        });
+        let closed = images
+            .iter()
+            .map(|image| self.spared(table, image) * table.presses(serving, image));
         closed.sum::<f64>() / images.len().max(1) as f64
     }
 
--- a/crates/guavavane_jobs/src/plan/round.rs
+++ b/crates/guavavane_jobs/src/plan/round.rs
@@ -6,7 +6,6 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use super::order::waiting_steps;
 use super::order::WaitingStep;
 use super::place::pick_worker;
 use super::place::rack_label;
@@ -57,16 +56,6 @@
     fn waited(&self, step: StepKey) -> Duration;
 }
 
-/// Chooses the starts of one round, the most urgent steps first.
-pub fn choose_starts<I: RoundInput>(
-    ledger: &JobLedger,
-    rooms: IndexMap<WorkerIndex, WorkerRoom>,
-    input: &I,
-) -> Vec<StartChoice> {
-    let steps = waiting_steps(ledger, input.run_times(), input.time_of_day_ms());
-    choose_in_order(ledger, rooms, input, &steps)
-}
-
 /// What all steps of a round share.
 struct RoundScope<'round, I> {
     ledger: &'round JobLedger,
@@ -157,14 +146,14 @@
     pub candidates: Vec<WorkerIndex>,
 }
 
-/// Waiting steps whose workers another service has to allow, the most urgent first.
+/// Those of the waiting steps whose workers another service has to allow, in their order.
 pub fn advised_steps<I: RoundInput>(
     ledger: &JobLedger,
     rooms: &IndexMap<WorkerIndex, WorkerRoom>,
     input: &I,
+    steps: &[WaitingStep],
 ) -> Vec<AdvisedStep> {
     let scope = RoundScope::new(ledger, input);
-    let steps = waiting_steps(ledger, input.run_times(), input.time_of_day_ms());
     let advised = steps.iter().filter_map(|waiting| {
         let key = waiting.key;
         let queue = ledger.catalog().queue(&ledger.job(key.job)?.queue)?;
