--- a/crates/guavavane_quorum/tests/replication.rs
+++ b/crates/guavavane_quorum/tests/replication.rs
@@ -10,7 +10,10 @@
 
 use crate::memory_disk::MemoryDisk;
 use crate::threads::address;
+use crate::threads::append_all;
 use crate::threads::init_voters;
+use crate::threads::read_all;
+use crate::threads::values;
 use crate::threads::wait_for;
 use crate::threads::wait_for_leader;
 use crate::threads::AddValue;
@@ -38,32 +41,6 @@
     }
 }
 
-/// Appends each value exactly once, through whichever replica leads.
-fn append_all(handles: &[&TestHandle], values: std::ops::Range<u64>) {
-    for value in values {
-        wait_for("a command", || {
-            let leader = handles[wait_for_leader(handles)];
-            let done = leader.read(TIMEOUT, |m| m.values.contains(&value)).ok()?;
-            if done {
-                return Some(());
-            }
-            let proposed = leader.propose(AddValue::new(value), TIMEOUT);
-            proposed.ok().map(drop)
-        });
-    }
-}
-
-fn read_all(handles: &[&TestHandle]) -> Vec<u64> {
-    wait_for("a read", || {
-        let leader = wait_for_leader(handles);
-        handles[leader].read(TIMEOUT, values).ok()
-    })
-}
-
-fn values(machine: &ListMachine) -> Vec<u64> {
-    machine.values.clone()
-}
-
 /// Guards against states that differ between replicas, or from the state before a restart.
 #[test]
 fn three_replicas_elect_replicate_and_restart() {
--- a/crates/guavavane_quorum/tests/threads/mod.rs
+++ b/crates/guavavane_quorum/tests/threads/mod.rs
@@ -19,10 +19,14 @@
 use serde::Serialize;
 
 use guavavane_model::identity::CellId;
+use guavavane_quorum::plugin::start_on_folder;
 use guavavane_quorum::prelude::*;
+use guavavane_quorum::storage::DiskFolder;
 
 /// Maximum time to wait for an expected condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+/// Timeout of one proposal or read.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(20);
 
 static NEXT_FOLDER_NUMBER: AtomicU64 = AtomicU64::new(0);
 
@@ -101,11 +105,31 @@
 }
 
 impl LocalNetwork {
-    /// Starts a replica on an initialised folder.
+    /// Starts a replica on an initialised folder of the file system.
     pub(crate) fn start(&self, settings: QuorumSettings, folder: PathBuf) -> TestHandle {
+        let (inbox, outbox) = self.connect(settings.address);
+        let plugin = QuorumPlugin {
+            settings: settings.try_into().unwrap(),
+            data_folder: folder,
+            machine: ListMachine::default(),
+        };
+        plugin.start(inbox, outbox).unwrap()
+    }
+
+    /// Starts a replica on an initialised folder of any kind.
+    pub(crate) fn start_on<D: DiskFolder>(&self, settings: QuorumSettings, disk: D) -> TestHandle {
+        let (inbox, outbox) = self.connect(settings.address);
+        let settings = settings.try_into().unwrap();
+        start_on_folder(disk, settings, ListMachine::default(), inbox, outbox).unwrap()
+    }
+
+    /// Connects a replica at `address`; returns its inbox and outbox.
+    fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> (flume::Receiver<PeerMessage>, flume::Sender<OutgoingMessage>) {
         let (sender, inbox) = flume::bounded(10_000);
         let (outbox, outgoing) = flume::bounded::<OutgoingMessage>(10_000);
-        let address = settings.address;
         self.inboxes.lock().unwrap().insert(address, sender);
         let network = self.clone();
         thread::spawn(move || {
@@ -113,12 +137,7 @@
                 network.deliver(address, message);
             }
         });
-        let plugin = QuorumPlugin {
-            settings: settings.try_into().unwrap(),
-            data_folder: folder,
-            machine: ListMachine::default(),
-        };
-        plugin.start(inbox, outbox).unwrap()
+        (inbox, outbox)
     }
 
     fn deliver(&self, from: SocketAddr, message: OutgoingMessage) {
@@ -146,6 +165,13 @@
 
 /// Initialises the folders of a new group's voters and returns the voters.
 pub(crate) fn init_voters(folders: &[PathBuf]) -> Vec<ReplicaMember> {
+    let open = |folder: &PathBuf| LocalFolder::open(folder).unwrap();
+    let folders: Vec<LocalFolder> = folders.iter().map(open).collect();
+    init_voters_on(&folders)
+}
+
+/// Initialises the folders, of any kind, of a new group's voters and returns the voters.
+pub(crate) fn init_voters_on<D: DiskFolder>(folders: &[D]) -> Vec<ReplicaMember> {
     let members: Vec<ReplicaMember> = (0..folders.len())
         .map(|n| ReplicaMember {
             id: ReplicaId::random(),
@@ -155,8 +181,7 @@
         .collect();
     let set: MemberSet = members.iter().copied().collect();
     for (folder, member) in folders.iter().zip(&members) {
-        let folder = LocalFolder::open(folder).unwrap();
-        init_cluster(&folder, CellId(0), member.id, set.clone()).unwrap();
+        init_cluster(folder, CellId(0), member.id, set.clone()).unwrap();
     }
     members
 }
@@ -183,3 +208,33 @@
         handles.iter().position(leads)
     })
 }
+
+/// Appends each value exactly once, through whichever replica leads.
+pub(crate) fn append_all(handles: &[&TestHandle], values: std::ops::Range<u64>) {
+    for value in values {
+        wait_for("a command", || {
+            let leader = handles[wait_for_leader(handles)];
+            let done = leader
+                .read(REQUEST_TIMEOUT, |m| m.values.contains(&value))
+                .ok()?;
+            if done {
+                return Some(());
+            }
+            let proposed = leader.propose(AddValue::new(value), REQUEST_TIMEOUT);
+            proposed.ok().map(drop)
+        });
+    }
+}
+
+/// Reads all values through whichever replica leads.
+pub(crate) fn read_all(handles: &[&TestHandle]) -> Vec<u64> {
+    wait_for("a read", || {
+        let leader = wait_for_leader(handles);
+        handles[leader].read(REQUEST_TIMEOUT, values).ok()
+    })
+}
+
+/// All values of a state machine.
+pub(crate) fn values(machine: &ListMachine) -> Vec<u64> {
+    machine.values.clone()
+}
