Quorum: bring a replica back after its disk failed for a time

Cause: ReplicaRunner::run left its loop for good at the first storage error (the log: storage_failed, no space left on device, 9.07 s) and only refused requests from then on, while its process lived on and answered. The group of three stood at two voters for 25 s; the next lost disk ended the quorum. Change: after a storage error the replica refuses requests, drops messages, and tries after 0.1 s to 0.8 s to read its folder again; then a new consensus core goes on in the stored term, as after a restart. LogStore::recover first cuts the log back to what was synced, since a failed sync may have left frames in memory only, and writes the hard state once, so that a full disk still counts as failed. The state machine stays: all it has applied was synced before; entries that are committed again are passed over. The order in install changed for that: state and index now move together. Ruled out: leaving the process to end at a storage error. It would be started again and end again for as long as the disk is full, and take the operators' and agents' redirects with it.

--- a/crates/guavavane_quorum/src/plugin.rs
+++ b/crates/guavavane_quorum/src/plugin.rs
@@ -62,7 +62,7 @@
     /// Starts the replica on its own thread.
     ///
     /// Messages that do not fit into `outbox` are dropped; the protocol sends them again. The
-    /// `inbox` is closed when the replica stops or its storage fails.
+    /// `inbox` is closed when the replica stops or its state machine fails.
     pub fn start(
         self,
         inbox: flume::Receiver<PeerMessage>,
--- a/crates/guavavane_quorum/src/runner.rs
+++ b/crates/guavavane_quorum/src/runner.rs
@@ -4,8 +4,12 @@
 //! writes all resulting records as one batch with one sync, and only then sends acknowledgements
 //! and applies entries. Requests that arrive during a sync share the sync of the next round
 //! (group commit).
+//!
+//! After a failed write or sync the replica takes no part in the group until `recovery` has read
+//! its folder again.
 
 mod pending;
+mod recovery;
 mod snapshots;
 
 use std::io;
@@ -16,6 +20,7 @@
 
 use self::pending::PendingReply;
 use self::pending::PendingRequests;
+use self::snapshots::SaveResult;
 use self::snapshots::SnapshotThread;
 use crate::core::ConsensusCore;
 use crate::core::CoreInput;
@@ -43,6 +48,8 @@
 /// Maximum time that a round waits for input, in milliseconds; bounds the time between two
 /// readings of the clock.
 const ROUND_WAIT_MAX_MS: u64 = 100;
+/// Time after a failed snapshot until the next one is taken.
+const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 enum RoundInput<M: StateMachine> {
     Message(PeerMessage),
@@ -76,6 +83,8 @@
     pending: PendingRequests<M>,
     applied: LogIndex,
     bytes_since_snapshot: u64,
+    /// Time before which no snapshot is taken, after one could not be written.
+    next_snapshot: BootTime,
     last_time: BootTime,
 }
 
@@ -101,6 +110,7 @@
             outbox,
             pending: PendingRequests::new(),
             bytes_since_snapshot: 0,
+            next_snapshot: BootTime::default(),
             last_time: BootTime::default(),
         })
     }
@@ -128,26 +138,40 @@
     }
 
     pub(crate) fn run(mut self) {
-        let stop = loop {
-            if let Err(stop) = self.run_round() {
-                break stop;
-            }
-        };
-        let failed = !matches!(stop, StopReason::Requested);
-        self.publish_stopped(failed);
-        self.pending.fail_all();
-        match stop {
-            StopReason::Requested => return self.refuse_queued(),
-            StopReason::Storage(error) => {
-                tracing::error!(event = "storage_failed", replica = %self.core.id(), %error);
+        loop {
+            match self.run_rounds() {
+                StopReason::Requested => {
+                    self.publish_stopped(false);
+                    self.pending.fail_all();
+                    return self.refuse_queued();
+                }
+                StopReason::Storage(error) => {
+                    tracing::error!(event = "storage_failed", replica = %self.core.id(), %error);
+                    self.publish_stopped(true);
+                    self.pending.fail_all();
+                    if self.recover_storage().is_err() {
+                        return self.refuse_queued();
+                    }
+                }
+                StopReason::StateMachine(error) => {
+                    tracing::error!(event = "machine_failed", replica = %self.core.id(), %error);
+                    self.publish_stopped(true);
+                    self.pending.fail_all();
+                    // Closes the inbox, so that a transport that waits for space in it does not
+                    // block forever.
+                    self.inbox = flume::bounded(0).1;
+                    return self.refuse_until_stopped();
+                }
             }
-            StopReason::StateMachine(error) => {
-                tracing::error!(event = "machine_failed", replica = %self.core.id(), %error);
+        }
+    }
+
+    fn run_rounds(&mut self) -> StopReason {
+        loop {
+            if let Err(stop) = self.run_round() {
+                return stop;
             }
         }
-        // Closes the inbox, so that a transport that waits for space in it does not block forever.
-        self.inbox = flume::bounded(0).1;
-        self.refuse_until_stopped();
     }
 
     fn run_round(&mut self) -> Result<(), StopReason> {
@@ -187,17 +211,7 @@
         let deadline = self.core.next_deadline();
         let timeout = deadline.saturating_since(BootClock.now());
         let timeout = timeout.min(Duration::from_millis(ROUND_WAIT_MAX_MS));
-        let first = Selector::new()
-            .recv(&self.inbox, |m| m.ok().map(RoundInput::Message))
-            .recv(&self.requests, |r| r.ok().map(RoundInput::Request))
-            .wait_timeout(timeout);
-        let mut inputs = Vec::new();
-        match first {
-            Ok(Some(input)) => inputs.push(input),
-            // The transport or all handles were dropped.
-            Ok(None) => return Err(StopReason::Requested),
-            Err(_) => {}
-        }
+        let mut inputs: Vec<RoundInput<M>> = self.receive(timeout)?.into_iter().collect();
         let messages = self.inbox.try_iter().take(ROUND_INPUTS_MAX);
         inputs.extend(messages.map(RoundInput::Message));
         let requests = self.requests.try_iter().take(ROUND_INPUTS_MAX);
@@ -205,6 +219,20 @@
         Ok(inputs)
     }
 
+    /// Waits for one input; none if none arrives before the timeout.
+    fn receive(&self, timeout: Duration) -> Result<Option<RoundInput<M>>, StopReason> {
+        let received = Selector::new()
+            .recv(&self.inbox, |m| m.ok().map(RoundInput::Message))
+            .recv(&self.requests, |r| r.ok().map(RoundInput::Request))
+            .wait_timeout(timeout);
+        match received {
+            Ok(Some(input)) => Ok(Some(input)),
+            // The transport or all handles were dropped.
+            Ok(None) => Err(StopReason::Requested),
+            Err(_) => Ok(None),
+        }
+    }
+
     fn process_outputs(&mut self, outputs: Vec<CoreOutput>) -> Result<(), StopReason> {
         let mut deferred = Vec::new();
         for output in outputs {
@@ -266,7 +294,9 @@
 
     fn apply(&mut self, entries: Vec<LogEntry>) -> Result<(), StopReason> {
         let mut machine = self.shared.lock_machine();
-        for entry in entries {
+        // After a recovery the core commits entries again that were applied before.
+        let applied = self.applied;
+        for entry in entries.into_iter().filter(|entry| entry.index > applied) {
             self.bytes_since_snapshot += entry.size_bytes() as u64;
             let outcome = match &entry.payload {
                 EntryPayload::Command(bytes) => {
@@ -288,20 +318,25 @@
     fn install(&mut self, image: SnapshotImage, keep_log: bool) -> Result<(), StopReason> {
         // No snapshot may be written while a received one is installed.
         if let Some(saved) = self.snapshots.wait() {
-            self.handle_saved_snapshot(saved?)?;
+            self.handle_saved_snapshot(saved)?;
+        }
+        if image.index > self.applied {
+            let restored = self.shared.lock_machine().restore(&image.bytes);
+            restored.map_err(|e| StopReason::StateMachine(e.to_string()))?;
+            self.applied = image.index;
+            self.bytes_since_snapshot = 0;
         }
-        let restored = self.shared.lock_machine().restore(&image.bytes);
-        restored.map_err(|e| StopReason::StateMachine(e.to_string()))?;
         self.store.install_snapshot(&image, keep_log)?;
-        self.applied = image.index;
-        self.bytes_since_snapshot = 0;
         tracing::info!(event = "snapshot_installed", replica = %self.core.id(), index = %image.index);
         Ok(())
     }
 
     fn snapshot_if_due(&mut self) -> Result<(), StopReason> {
         if let Some(saved) = self.snapshots.poll() {
-            self.handle_saved_snapshot(saved?)?;
+            self.handle_saved_snapshot(saved)?;
+        }
+        if self.core.commit() < self.applied || self.now() < self.next_snapshot {
+            return Ok(());
         }
         let entries = self.applied.0 - self.core.snapshot_index().0;
         let due = entries >= self.settings.snapshot_entries
@@ -328,11 +363,20 @@
         Ok(())
     }
 
-    /// Compacts the log up to a durable snapshot, on disk and in the core.
-    fn handle_saved_snapshot(&mut self, image: SnapshotImage) -> Result<(), StopReason> {
-        self.store.remove_covered_segments(image.index)?;
+    /// Compacts the log up to a durable snapshot, on disk and in the core. A snapshot that could not
+    /// be written leaves the log as it is; another one is taken later.
+    fn handle_saved_snapshot(&mut self, saved: SaveResult) -> Result<(), StopReason> {
         let now = self.now();
-        self.core.step(now, CoreInput::SnapshotSaved(image));
+        match saved {
+            Ok(image) => {
+                self.store.remove_covered_segments(image.index)?;
+                self.core.step(now, CoreInput::SnapshotSaved(image));
+            }
+            Err(error) => {
+                tracing::warn!(event = "snapshot_failed", replica = %self.core.id(), %error);
+                self.next_snapshot = now + SNAPSHOT_RETRY_INTERVAL;
+            }
+        }
         Ok(())
     }
 
--- a/crates/guavavane_quorum/src/runner/snapshots.rs
+++ b/crates/guavavane_quorum/src/runner/snapshots.rs
@@ -10,7 +10,7 @@
 use crate::storage::StorageError;
 
 /// Durable snapshot, or the reason why it could not be written.
-type SaveResult = Result<SnapshotImage, StorageError>;
+pub(super) type SaveResult = Result<SnapshotImage, StorageError>;
 
 /// Handle of the snapshot thread, which saves one snapshot at a time.
 pub(super) struct SnapshotThread {
--- a/crates/guavavane_quorum/src/storage.rs
+++ b/crates/guavavane_quorum/src/storage.rs
@@ -4,8 +4,9 @@
 //! segments; and the latest snapshot. Each batch of log records is one checksummed frame, and a
 //! frame is written only after the previous one was synced. A crash can therefore tear only the
 //! last frame: a torn last frame is truncated, and any other corruption is refused with file and
-//! offset. After an error while writing or syncing, the store refuses all further work, because
-//! the contents on disk after a failed sync are unknown until the folder is read again.
+//! offset. After an error while writing or syncing, the store refuses all further work until
+//! [`LogStore::recover`] has read the folder again, because the contents on disk after a failed
+//! sync are unknown.
 
 mod disk;
 mod frame;
@@ -65,7 +66,7 @@
         folder: String,
     },
     /// An earlier write or sync failed, so that the store accepts no further work.
-    #[error("storage failed earlier; restart the replica to read the folder again")]
+    #[error("storage failed earlier, and the folder was not read again since")]
     Failed,
 }
 
--- a/crates/guavavane_quorum/src/storage/segment.rs
+++ b/crates/guavavane_quorum/src/storage/segment.rs
@@ -56,18 +56,22 @@
     pub(super) number: u64,
     /// Offset of the end of the last frame.
     pub(super) bytes: u64,
+    /// Offset up to which the frames are durable.
+    pub(super) synced_bytes: u64,
     /// Length of the file, including the reserved zeros.
     reserved_end: u64,
     reserve_step_bytes: u64,
 }
 
 impl<F: DiskFile> OpenSegment<F> {
-    /// Wraps a file that holds `bytes` bytes of frames and will grow to about `segment_bytes`.
+    /// Wraps a file that holds `bytes` durable bytes of frames and will grow to about
+    /// `segment_bytes`.
     pub(super) fn new(file: F, number: u64, bytes: u64, segment_bytes: u64) -> Self {
         Self {
             file,
             number,
             bytes,
+            synced_bytes: bytes,
             reserved_end: bytes,
             reserve_step_bytes: segment_bytes.min(RESERVE_STEP_BYTES),
         }
@@ -112,7 +116,9 @@
 
     pub(super) fn sync(&mut self) -> Result<(), StorageError> {
         let synced = self.file.sync();
-        synced.map_err(StorageError::io(segment_name(self.number)))
+        synced.map_err(StorageError::io(segment_name(self.number)))?;
+        self.synced_bytes = self.bytes;
+        Ok(())
     }
 }
 
--- a/crates/guavavane_quorum/src/storage/store.rs
+++ b/crates/guavavane_quorum/src/storage/store.rs
@@ -9,6 +9,7 @@
 use super::replay::replay;
 use super::replay::ClosedSegment;
 use super::segment::segment_name;
+use super::segment::segment_number;
 use super::segment::OpenSegment;
 use super::segment::SegmentHeader;
 use super::segment::StoredRecord;
@@ -46,10 +47,31 @@
 impl<D: DiskFolder> LogStore<D> {
     /// Opens an initialised folder and truncates a torn last frame.
     pub fn open(folder: D, segment_bytes: u64) -> Result<(Self, StoredState), StorageError> {
-        let identity = read_identity(&folder)?;
-        let snapshot = snapshot_file::load(&folder)?;
+        Self::open_shared(Arc::new(folder), segment_bytes)
+    }
+
+    /// Reads the folder again after a failed write or sync, once the disk accepts writes.
+    ///
+    /// Discards what was written after the last successful sync, since a failed sync may have left
+    /// it in memory only. On an error the store stays failed; no snapshot may be written meanwhile.
+    pub fn recover(&mut self) -> Result<StoredState, StorageError> {
+        self.discard_unsynced()?;
+        let folder = Arc::clone(&self.folder);
+        let (mut store, state) = Self::open_shared(folder, self.segment_bytes)?;
+        store.save_hard_state(state.hard_state);
+        store.sync()?;
+        *self = store;
+        Ok(state)
+    }
+
+    fn open_shared(
+        folder: Arc<D>,
+        segment_bytes: u64,
+    ) -> Result<(Self, StoredState), StorageError> {
+        let identity = read_identity(&*folder)?;
+        let snapshot = snapshot_file::load(&*folder)?;
         let snapshot_index = snapshot.as_ref().map_or(LogIndex(0), |s| s.index);
-        let mut log = replay(&folder, identity.replica, snapshot_index)?;
+        let mut log = replay(&*folder, identity.replica, snapshot_index)?;
         let open = log
             .segments
             .pop()
@@ -59,7 +81,7 @@
         let file = reopened.map_err(StorageError::io(&name))?;
         let snapshot_term = snapshot.as_ref().map_or(Term(0), |s| s.term);
         let mut store = Self {
-            folder: Arc::new(folder),
+            folder,
             identity,
             segment_bytes,
             segment: OpenSegment::new(file, open.number, log.intact_bytes, segment_bytes),
@@ -208,6 +230,23 @@
         Ok(())
     }
 
+    /// Truncates the open segment to its durable frames and removes a later segment, whose creation
+    /// has failed.
+    fn discard_unsynced(&mut self) -> Result<(), StorageError> {
+        let names = self.folder.list();
+        let names = names.map_err(StorageError::io(self.folder.label()))?;
+        let open_number = self.segment.number;
+        let is_later = |name: &String| segment_number(name).is_some_and(|n| n > open_number);
+        for name in names.iter().filter(|name| is_later(name)) {
+            self.folder.remove(name).map_err(StorageError::io(name))?;
+        }
+        let synced = self.folder.sync_folder();
+        synced.map_err(StorageError::io(self.folder.label()))?;
+        let name = segment_name(open_number);
+        let truncated = self.folder.reopen(&name, self.segment.synced_bytes);
+        truncated.map(drop).map_err(StorageError::io(&name))
+    }
+
     fn remove_segments(&mut self, through: LogIndex) -> Result<(), StorageError> {
         let is_covered = |s: &ClosedSegment| s.last_index <= through;
         while let Some(segment) = self.closed_segments.front().copied().filter(is_covered) {
--- a/crates/guavavane_quorum/src/view.rs
+++ b/crates/guavavane_quorum/src/view.rs
@@ -39,7 +39,8 @@
     pub members: MemberSet,
     /// Whether the replica has stopped on an error of storage or the state machine.
     ///
-    /// It neither votes nor leads until it is restarted.
+    /// It neither votes nor leads until its disk accepts writes again; after an error of the state
+    /// machine, until it is restarted.
     pub storage_failed: bool,
 }
 
--- a/crates/guavavane_quorum/tests/disk_faults.rs
+++ b/crates/guavavane_quorum/tests/disk_faults.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
 use crate::memory_disk::MemoryDisk;
 use crate::threads::address;
 use crate::threads::append_all;
@@ -19,6 +22,7 @@
 use crate::threads::LocalNetwork;
 use crate::threads::TestHandle;
 use guavavane_quorum::prelude::*;
+use guavavane_testing::for_each_seed;
 
 /// Time after the end of a disk fault within which the replica has caught up: the platform counts
 /// it as lost until then.
@@ -37,6 +41,11 @@
     }
 }
 
+/// Number of seeds of generated disk faults; each takes several seconds.
+const SEED_COUNT: u64 = 2;
+/// Number of disk faults of one seed.
+const DISK_FAULTS: usize = 10;
+
 /// Three voters on disks with faults.
 struct FaultyGroup {
     disks: Vec<MemoryDisk>,
@@ -67,6 +76,27 @@
         kept.map(|n| &self.handles[n]).collect()
     }
 
+    /// Draws a disk fault of one replica, lets it last and ends it.
+    fn fail_any_disk(&self, random: &mut ChaCha8Rng, next_value: &mut u64) {
+        let disk = &self.disks[random.random_range(0..self.disks.len())];
+        if random.random() {
+            disk.limit_space(random.random_range(0..2_000));
+        } else {
+            disk.fail_syncs();
+        }
+        self.append_more(random, next_value);
+        disk.clear_faults();
+        if random.random() {
+            self.append_more(random, next_value);
+        }
+    }
+
+    fn append_more(&self, random: &mut ChaCha8Rng, next_value: &mut u64) {
+        let first = *next_value;
+        *next_value += random.random_range(1..60);
+        append_all(&self.all(), first..*next_value);
+    }
+
     /// Lets the disk of a replica fail until the replica has noticed it, and ends the fault.
     fn fail_disk(&self, replica: usize, fault: impl Fn(&MemoryDisk)) {
         fault(&self.disks[replica]);
@@ -129,3 +159,26 @@
     group.fail_disk(follower, MemoryDisk::fail_syncs);
     group.check_quorum_with(follower);
 }
+
+/// Guards against values that are lost, or applied twice, when a replica reads its folder again
+/// while others go on, with snapshots taken and installed meanwhile.
+#[test]
+fn disk_faults_in_any_order_lose_and_repeat_nothing() {
+    for_each_seed(SEED_COUNT, |seed, random| {
+        let group = FaultyGroup::start();
+        let mut next_value = 0;
+        for _ in 0..DISK_FAULTS {
+            group.fail_any_disk(random, &mut next_value);
+        }
+        let expected: Vec<u64> = (0..next_value).collect();
+        for (number, handle) in group.handles.iter().enumerate() {
+            wait_for("equal state", || {
+                let held = handle.read_local(values);
+                let is_prefix = expected.starts_with(&held);
+                assert!(is_prefix, "seed {seed}, replica {number}: {held:?}");
+                (held.len() == expected.len()).then_some(())
+            });
+        }
+        group.handles.iter().for_each(|handle| handle.stop());
+    });
+}
--- a/crates/guavavane_quorum/tests/network/memory_disk.rs
+++ b/crates/guavavane_quorum/tests/network/memory_disk.rs
@@ -3,10 +3,12 @@
 #![allow(dead_code, reason = "each test uses a subset of the faults")]
 
 use std::io;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Mutex;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -15,14 +17,35 @@
 
 /// Unit that the disk writes as a whole, in bytes.
 const SECTOR_BYTES: usize = 512;
+/// Unit in which written bytes become durable, in bytes; smaller than the frames of the tests.
+const PAGE_BYTES: usize = 16;
 
 #[derive(Clone, Default)]
 struct FileContent {
     bytes: Vec<u8>,
     synced: Vec<u8>,
+    /// Pages that were written since the last sync. A failed sync clears them, too, as operating
+    /// systems do: a later sync does not make them durable unless they are written again.
+    dirty: IndexSet<usize>,
 }
 
 impl FileContent {
+    /// Marks the pages of a range of bytes as written.
+    fn mark_dirty(&mut self, bytes: Range<usize>) {
+        let first = bytes.start / PAGE_BYTES;
+        self.dirty.extend(first..bytes.end.div_ceil(PAGE_BYTES));
+    }
+
+    /// Makes the pages durable that were written since the last sync.
+    fn sync_dirty(&mut self) {
+        self.synced.resize(self.bytes.len(), 0);
+        for page in std::mem::take(&mut self.dirty) {
+            let start = (page * PAGE_BYTES).min(self.bytes.len());
+            let end = (start + PAGE_BYTES).min(self.bytes.len());
+            self.synced[start..end].copy_from_slice(&self.bytes[start..end]);
+        }
+    }
+
     /// Gives each sector its synced or its written content at random, and the file a random length
     /// between the synced and the written one.
     fn tear_unsynced(&mut self, random: &mut ChaCha8Rng) {
@@ -43,6 +66,7 @@
         }
         self.synced = torn.clone();
         self.bytes = torn;
+        self.dirty.clear();
     }
 }
 
@@ -113,7 +137,11 @@
 
     pub(crate) fn write_synced(&self, name: &str, bytes: Vec<u8>) {
         let synced = bytes.clone();
-        let content = Arc::new(Mutex::new(FileContent { bytes, synced }));
+        let content = Arc::new(Mutex::new(FileContent {
+            bytes,
+            synced,
+            dirty: IndexSet::new(),
+        }));
         let mut state = self.0.lock().unwrap();
         state.files.insert(name.to_owned(), Arc::clone(&content));
         state.synced_files.insert(name.to_owned(), content);
@@ -137,6 +165,7 @@
         let length = content.bytes.len().max(at + written);
         content.bytes.resize(length, 0);
         content.bytes[at..at + written].copy_from_slice(&bytes[..written]);
+        content.mark_dirty(at..at + written);
         if written < bytes.len() {
             return Err(io::ErrorKind::StorageFull.into());
         }
@@ -157,11 +186,13 @@
     }
 
     fn sync(&mut self) -> io::Result<()> {
-        if self.disk.0.lock().unwrap().syncs_fail {
+        let syncs_fail = self.disk.0.lock().unwrap().syncs_fail;
+        let mut content = self.content.lock().unwrap();
+        if syncs_fail {
+            content.dirty.clear();
             return Err(io::Error::other("sync failed"));
         }
-        let mut content = self.content.lock().unwrap();
-        content.synced = content.bytes.clone();
+        content.sync_dirty();
         Ok(())
     }
 }
@@ -199,10 +230,15 @@
 
     fn reopen(&self, name: &str, length: u64) -> io::Result<MemoryFile> {
         let content = self.content(name)?;
+        let syncs_fail = self.0.lock().unwrap().syncs_fail;
         {
             let mut content = content.lock().unwrap();
             content.bytes.truncate(length as usize);
-            content.synced = content.bytes.clone();
+            if syncs_fail {
+                content.dirty.clear();
+                return Err(io::Error::other("sync failed"));
+            }
+            content.sync_dirty();
         }
         Ok(MemoryFile {
             disk: self.clone(),
--- a/crates/guavavane_quorum/tests/storage.rs
+++ b/crates/guavavane_quorum/tests/storage.rs
@@ -336,6 +336,8 @@
     Crash(u64),
     LimitSpace(u8),
     FailSyncs,
+    /// Reads the folder of a failed store again; ends the faults of the disk before if set.
+    Recover(bool),
 }
 
 /// Guards against the loss of synced state in any order of writes, crashes and disk faults.
@@ -403,6 +405,7 @@
             StoreEvent::Crash(seed) => self.crash(seed),
             StoreEvent::LimitSpace(free_bytes) => self.disk.limit_space(usize::from(free_bytes)),
             StoreEvent::FailSyncs => self.disk.fail_syncs(),
+            StoreEvent::Recover(end_faults) => self.recover(end_faults),
         }
     }
 
@@ -456,19 +459,37 @@
         self.record_result(result);
     }
 
+    /// Lets a failed store read its folder again; it must succeed on a sound disk.
+    fn recover(&mut self, end_faults: bool) {
+        if !self.failed {
+            return;
+        }
+        if end_faults {
+            self.disk.clear_faults();
+        }
+        match self.store.recover() {
+            Ok(state) => self.adopt(ExpectedState::of(state)),
+            Err(error) => assert!(!end_faults, "{error} on a sound disk"),
+        }
+    }
+
     /// Crashes the disk and checks that it holds the synced state or the written one.
     fn crash(&mut self, seed: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         self.disk.crash(&mut random);
         let (store, state) = (self.open)(&self.disk).unwrap();
-        let state = ExpectedState::of(state);
+        self.store = store;
+        self.adopt(ExpectedState::of(state));
+    }
+
+    /// Checks that the state on disk is the synced one or the written one, and goes on with it.
+    fn adopt(&mut self, state: ExpectedState) {
         let expected = state == self.synced || state == self.written;
         assert!(
             expected,
             "{state:#?} is neither {:#?} nor {:#?}",
             self.synced, self.written
         );
-        self.store = store;
         self.synced = state.clone();
         self.written = state;
         self.failed = false;
