Quorum: make each removal of a segment durable before the next

Found by asking where else a disk fault ends a replica for good; not seen on a VM. Cause: covered segments were removed one after the other with one sync of the folder at the end, and a power loss keeps or loses each removal by itself; the second without the first leaves a gap. Change: the folder is synced after each removal.

--- a/crates/guavavane_quorum/src/storage/store.rs
+++ b/crates/guavavane_quorum/src/storage/store.rs
@@ -247,15 +247,18 @@
         truncated.map(drop).map_err(StorageError::io(&name))
     }
 
+    /// Removes covered segments, oldest first. Each removal is durable before the next one, so that
+    /// no crash leaves a gap between the segments.
     fn remove_segments(&mut self, through: LogIndex) -> Result<(), StorageError> {
         let is_covered = |s: &ClosedSegment| s.last_index <= through;
         while let Some(segment) = self.closed_segments.front().copied().filter(is_covered) {
             let name = segment_name(segment.number);
             self.folder.remove(&name).map_err(StorageError::io(&name))?;
+            let synced = self.folder.sync_folder();
+            synced.map_err(StorageError::io(self.folder.label()))?;
             self.closed_segments.pop_front();
         }
-        let synced = self.folder.sync_folder();
-        synced.map_err(StorageError::io(self.folder.label()))
+        Ok(())
     }
 }
 
--- a/crates/guavavane_quorum/tests/network/memory_disk.rs
+++ b/crates/guavavane_quorum/tests/network/memory_disk.rs
@@ -79,6 +79,22 @@
     /// Number of bytes by which files may still grow, if the space is limited.
     free_bytes: Option<usize>,
     syncs_fail: bool,
+    /// Number of changes and syncs after which all further ones fail, if it is limited.
+    operations_left: Option<usize>,
+}
+
+impl DiskState {
+    /// Counts a change or sync; fails if none is left.
+    fn count_operation(&mut self) -> io::Result<()> {
+        match &mut self.operations_left {
+            Some(0) => Err(io::Error::other("the disk is gone")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
 }
 
 /// In-memory disk; clones share the same files.
@@ -97,12 +113,26 @@
 }
 
 impl MemoryDisk {
-    /// Simulates a crash: discards random unsynced sectors and either none or all of the unsynced
-    /// folder changes. Clears the other faults.
+    /// Simulates a crash: discards random unsynced sectors, and each unsynced creation, rename and
+    /// removal of a file independently of the others. Clears the other faults.
     pub(crate) fn crash(&self, random: &mut ChaCha8Rng) {
         let mut state = self.0.lock().unwrap();
-        if random.random() {
-            state.files = state.synced_files.clone();
+        let DiskState {
+            files,
+            synced_files,
+            ..
+        } = &mut *state;
+        let mut names: Vec<String> = files.keys().chain(synced_files.keys()).cloned().collect();
+        names.sort_unstable();
+        names.dedup();
+        for name in names {
+            if random.random() {
+                continue;
+            }
+            match synced_files.get(&name) {
+                Some(content) => files.insert(name, Arc::clone(content)),
+                None => files.swap_remove(&name),
+            };
         }
         state.synced_files = state.files.clone();
         for content in state.files.values() {
@@ -110,6 +140,7 @@
         }
         state.free_bytes = None;
         state.syncs_fail = false;
+        state.operations_left = None;
     }
 
     pub(crate) fn limit_space(&self, free_bytes: usize) {
@@ -120,6 +151,12 @@
         let mut state = self.0.lock().unwrap();
         state.free_bytes = None;
         state.syncs_fail = false;
+        state.operations_left = None;
+    }
+
+    /// Lets all changes and syncs fail after this number of further ones.
+    pub(crate) fn fail_after(&self, operations: usize) {
+        self.0.lock().unwrap().operations_left = Some(operations);
     }
 
     pub(crate) fn fail_syncs(&self) {
@@ -147,6 +184,16 @@
         state.synced_files.insert(name.to_owned(), content);
     }
 
+    /// Counts a sync; fails if syncs fail now.
+    fn start_sync(&self) -> io::Result<()> {
+        let mut state = self.0.lock().unwrap();
+        state.count_operation()?;
+        if state.syncs_fail {
+            return Err(io::Error::other("sync failed"));
+        }
+        Ok(())
+    }
+
     fn content(&self, name: &str) -> io::Result<SharedContent> {
         let state = self.0.lock().unwrap();
         state.files.get(name).cloned().ok_or_else(not_found)
@@ -157,6 +204,7 @@
     /// Writes as many bytes as the free space allows; fails unless all are written.
     fn write_at(&mut self, at: usize, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.disk.0.lock().unwrap();
+        state.count_operation()?;
         let mut content = self.content.lock().unwrap();
         let growth = (at + bytes.len()).saturating_sub(content.bytes.len());
         let free_bytes = state.free_bytes.unwrap_or(usize::MAX);
@@ -186,11 +234,11 @@
     }
 
     fn sync(&mut self) -> io::Result<()> {
-        let syncs_fail = self.disk.0.lock().unwrap().syncs_fail;
+        let syncing = self.disk.start_sync();
         let mut content = self.content.lock().unwrap();
-        if syncs_fail {
+        if syncing.is_err() {
             content.dirty.clear();
-            return Err(io::Error::other("sync failed"));
+            return syncing;
         }
         content.sync_dirty();
         Ok(())
@@ -220,6 +268,7 @@
     fn create(&self, name: &str) -> io::Result<MemoryFile> {
         let content = SharedContent::default();
         let mut state = self.0.lock().unwrap();
+        state.count_operation()?;
         state.files.insert(name.to_owned(), Arc::clone(&content));
         Ok(MemoryFile {
             disk: self.clone(),
@@ -230,13 +279,13 @@
 
     fn reopen(&self, name: &str, length: u64) -> io::Result<MemoryFile> {
         let content = self.content(name)?;
-        let syncs_fail = self.0.lock().unwrap().syncs_fail;
+        let syncing = self.start_sync();
         {
             let mut content = content.lock().unwrap();
             content.bytes.truncate(length as usize);
-            if syncs_fail {
+            if let Err(error) = syncing {
                 content.dirty.clear();
-                return Err(io::Error::other("sync failed"));
+                return Err(error);
             }
             content.sync_dirty();
         }
@@ -249,6 +298,7 @@
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         let mut state = self.0.lock().unwrap();
+        state.count_operation()?;
         let content = state.files.swap_remove(from).ok_or_else(not_found)?;
         state.files.insert(to.to_owned(), content);
         Ok(())
@@ -256,15 +306,14 @@
 
     fn remove(&self, name: &str) -> io::Result<()> {
         let mut state = self.0.lock().unwrap();
+        state.count_operation()?;
         let removed = state.files.swap_remove(name);
         removed.map(drop).ok_or_else(not_found)
     }
 
     fn sync_folder(&self) -> io::Result<()> {
+        self.start_sync()?;
         let mut state = self.0.lock().unwrap();
-        if state.syncs_fail {
-            return Err(io::Error::other("sync failed"));
-        }
         state.synced_files = state.files.clone();
         Ok(())
     }
--- a/crates/guavavane_quorum/tests/storage.rs
+++ b/crates/guavavane_quorum/tests/storage.rs
@@ -27,6 +27,11 @@
 /// Segment size of several sectors, in bytes.
 const LONG_SEGMENT_BYTES: u64 = 3_000;
 
+/// Number of operations up to which a snapshot and the removals after it are interrupted.
+const REMOVAL_OPERATIONS_MAX: usize = 40;
+/// Number of crashes after each of them.
+const REMOVAL_SEED_COUNT: u64 = 32;
+
 type OpenResult = Result<(LogStore<MemoryDisk>, StoredState), StorageError>;
 
 fn open(disk: &MemoryDisk) -> OpenResult {
@@ -323,6 +328,33 @@
     }
 }
 
+/// Guards against a folder that can't be opened after power was lost while several segments that a
+/// snapshot covers were removed: each removal may be durable or not.
+#[test]
+fn a_power_loss_between_removals_of_segments_leaves_a_readable_folder() {
+    for operations in 0..REMOVAL_OPERATIONS_MAX {
+        for seed in 0..REMOVAL_SEED_COUNT {
+            let disk = new_disk();
+            let (mut store, _) = open(&disk).unwrap();
+            let mut state = ExpectedState::default();
+            for _ in 0..20 {
+                store.append(state.append(5, 0, Term(1)));
+                store.sync().unwrap();
+            }
+            let (index, term) = state.last();
+            disk.fail_after(operations);
+            // The result doesn't matter: power is lost during the call or after it.
+            let _ = store.save_snapshot(&ExpectedState::image(index, term));
+            disk.crash(&mut ChaCha8Rng::seed_from_u64(seed));
+            let reopened = open(&disk).map(|(_, state)| ExpectedState::of(state).last());
+            let last = reopened.unwrap_or_else(|error| {
+                panic!("after {operations} operations, seed {seed}: {error}")
+            });
+            assert_eq!(last, (index, term));
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum StoreEvent {
     /// Number of entries to append, and number of last entries that they replace.
@@ -336,6 +368,8 @@
     Crash(u64),
     LimitSpace(u8),
     FailSyncs,
+    /// Lets the disk fail after this number of further operations.
+    FailAfter(#[generator(0..12)] u8),
     /// Reads the folder of a failed store again; ends the faults of the disk before if set.
     Recover(bool),
 }
@@ -405,6 +439,7 @@
             StoreEvent::Crash(seed) => self.crash(seed),
             StoreEvent::LimitSpace(free_bytes) => self.disk.limit_space(usize::from(free_bytes)),
             StoreEvent::FailSyncs => self.disk.fail_syncs(),
+            StoreEvent::FailAfter(operations) => self.disk.fail_after(usize::from(operations)),
             StoreEvent::Recover(end_faults) => self.recover(end_faults),
         }
     }
