--- a/crates/guavavane_quorum/src/core/membership.rs
+++ b/crates/guavavane_quorum/src/core/membership.rs
@@ -135,6 +135,22 @@
         !self.is_reachable(now, id) && others.any(|m| self.is_reachable(now, m.id))
     }
 
+    /// Whether the member would be replaced if a replacement existed.
+    fn is_unavailable(&self, now: BootTime, id: ReplicaId) -> bool {
+        self.is_silent(now, id) || self.is_superseded(now, id)
+    }
+
+    /// Voters that are unavailable at the latest time passed to the core; empty unless this
+    /// replica leads.
+    pub fn unavailable_voters(&self) -> Vec<ReplicaId> {
+        let RoleState::Leader(state) = &self.role else {
+            return Vec::new();
+        };
+        let now = state.latest_time;
+        let voters = self.members().voters().map(|m| m.id);
+        voters.filter(|id| self.is_unavailable(now, *id)).collect()
+    }
+
     /// Whether the member is reachable and lacks at most `promotion_lag_entries` entries.
     fn is_caught_up(&self, now: BootTime, id: ReplicaId) -> bool {
         let RoleState::Leader(state) = &self.role else {
@@ -170,8 +186,7 @@
         let members = self.members();
         let learners = || members.iter().filter(|m| m.role == MemberRole::Learner);
         let caught_up = learners().find(|m| self.is_caught_up(now, m.id));
-        let is_unavailable = |id| self.is_silent(now, id) || self.is_superseded(now, id);
-        let unavailable_voter = members.voters().find(|m| is_unavailable(m.id));
+        let unavailable_voter = members.voters().find(|m| self.is_unavailable(now, m.id));
         let voters = members.voter_count();
         if let Some(voter) = unavailable_voter.filter(|_| voters > self.settings.voters_min) {
             return Some(MemberChange::Remove(voter.id));
@@ -180,7 +195,7 @@
         if let Some(learner) = caught_up.filter(|_| needs_voter) {
             return Some(MemberChange::Promote(learner.id));
         }
-        let unavailable_learner = learners().find(|m| is_unavailable(m.id));
+        let unavailable_learner = learners().find(|m| self.is_unavailable(now, m.id));
         unavailable_learner.map(|m| MemberChange::Remove(m.id))
     }
 
--- a/crates/guavavane_quorum/src/lib.rs
+++ b/crates/guavavane_quorum/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 pub mod storage;
 pub mod view;
+pub mod watch;
 
 /// Commonly used items of this crate.
 pub mod prelude {
@@ -47,4 +48,6 @@
     pub use crate::storage::LocalFolder;
     pub use crate::storage::StorageError;
     pub use crate::view::LeadershipView;
+    pub use crate::watch::GroupChange;
+    pub use crate::watch::GroupWatch;
 }
--- a/crates/guavavane_quorum/src/runner.rs
+++ b/crates/guavavane_quorum/src/runner.rs
@@ -123,6 +123,7 @@
             last_snapshot: core.snapshot_index(),
             log_bytes: core.log_bytes(),
             members: core.members().clone(),
+            unavailable_voters: core.unavailable_voters(),
             storage_failed,
         }
     }
--- a/crates/guavavane_quorum/src/view.rs
+++ b/crates/guavavane_quorum/src/view.rs
@@ -37,6 +37,9 @@
     pub log_bytes: u64,
     /// Latest member set; a replica that is not a member must ask the leader to add it.
     pub members: MemberSet,
+    /// Voters that have not answered this replica for the removal timeout, or in whose place
+    /// another replica runs; empty unless this replica leads.
+    pub unavailable_voters: Vec<ReplicaId>,
     /// Whether the replica has stopped on an error of storage or the state machine.
     ///
     /// It neither votes nor leads until it is restarted.
@@ -48,4 +51,15 @@
     pub fn holds_lease(&self, now: BootTime) -> bool {
         self.lease_valid_until.is_some_and(|until| now < until)
     }
+
+    /// Number of voters that the group can still lose without losing its quorum; `None` unless
+    /// this replica leads.
+    pub fn spare_voters(&self) -> Option<usize> {
+        if self.role != ReplicaRole::Leader {
+            return None;
+        }
+        let voters = self.members.voter_count();
+        let available = voters.saturating_sub(self.unavailable_voters.len());
+        Some(available.saturating_sub(self.members.quorum()))
+    }
 }
--- a/crates/guavavane_quorum/tests/availability.rs
+++ b/crates/guavavane_quorum/tests/availability.rs
@@ -19,6 +19,8 @@
 /// Maximum time of a membership repair, in seconds: removal timeout, joining, and a margin for
 /// elections and lost messages.
 const REPAIR_TIMEOUT_SECONDS: u64 = 30;
+/// Removal timeout of the simulated replicas, in seconds.
+const REMOVAL_TIMEOUT_SECONDS: u64 = 5;
 
 /// Generated network faults and load of one run of a test.
 #[derive(Clone, Copy, Debug, TypeGenerator)]
@@ -161,6 +163,31 @@
     );
 }
 
+/// Guards against a voter that stops answering while the leader goes on and shows nothing.
+#[test]
+fn a_voter_without_answers_shows_as_unavailable_until_it_returns() {
+    for_each_seeded_value(
+        SEQUENCE_COUNT,
+        produce::<Scenario>(),
+        |seed, scenario: Scenario| {
+            let mut network = CoreNetwork::new(3, 3, seed);
+            let leader = wait_for_leader(&mut network, NetworkFaults::default());
+            let silent_slot = (leader + 1 + usize::from(scenario.first_slot) % 2) % 3;
+            let silent_id = network.nodes[silent_slot].id;
+            let unavailable = |network: &CoreNetwork| network.nodes[leader].unavailable_voters();
+            propose_commands(&mut network, scenario.commands, NetworkFaults::default());
+            assert_eq!(unavailable(&network), []);
+            network.nodes[silent_slot].partitioned = true;
+            let seconds = REMOVAL_TIMEOUT_SECONDS + 1;
+            network.run(seconds * ROUNDS_PER_SECOND, NetworkFaults::default());
+            assert_eq!(unavailable(&network), Vec::from_iter(silent_id));
+            network.nodes[silent_slot].partitioned = false;
+            network.run(ROUNDS_PER_SECOND, NetworkFaults::default());
+            assert_eq!(unavailable(&network), []);
+        },
+    );
+}
+
 /// Guards against a transfer after which the group waits 1 s or more for an election timeout.
 #[test]
 fn a_leadership_transfer_needs_no_election_timeout() {
--- a/crates/guavavane_quorum/tests/network/node.rs
+++ b/crates/guavavane_quorum/tests/network/node.rs
@@ -191,6 +191,11 @@
         leads.then(|| running.core.members().clone())
     }
 
+    pub(crate) fn unavailable_voters(&self) -> Vec<ReplicaId> {
+        let running = self.running.as_ref();
+        running.map_or_else(Vec::new, |r| r.core.unavailable_voters())
+    }
+
     pub(crate) fn term(&self) -> Term {
         self.running.as_ref().map_or(Term(0), |r| r.core.term())
     }
