--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -44,6 +44,9 @@
 /// Longest time that a membership change may block the loop.
 const MEMBERSHIP_CHANGE_TIMEOUT: Duration = Duration::from_millis(1);
 
+/// Gauges that only the leader sets.
+const LEDGER_GAUGES: [&str; 3] = ["jobs", "waiting_tasks", "workers"];
+
 /// Inputs of the event loop.
 pub(super) enum EngineInput {
     SessionMessage {
@@ -135,6 +138,9 @@
             return;
         };
         metric::count_event("leadership", "lost");
+        for amount in LEDGER_GAUGES {
+            metric::clear_gauge(amount);
+        }
         tracing::warn!(event = "leadership_lost", term = state.term);
         for session in state.sessions.values() {
             session.sender.send(self.redirect());
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -1,14 +1,15 @@
 //! Control process: keeps the replicated job ledger and, on the leader, schedules its tasks.
 //!
-//! `replica` bootstraps or joins the Raft group, `peer` sends messages to other replicas,
-//! `stream` accepts connections, and `engine` is the loop that answers requests, runs scheduling
-//! passes and sends orders to agents. `leader_state` holds the leader's volatile state, which
-//! each term builds anew.
+//! `replica` bootstraps or joins the Raft group, `group_report` reports its state, `peer` sends
+//! messages to other replicas, `stream` accepts connections, and `engine` is the loop that answers
+//! requests, runs scheduling passes and sends orders to agents. `leader_state` holds the leader's
+//! volatile state, which each term builds anew.
 
 mod advice;
 mod caller;
 mod commit;
 mod engine;
+mod group_report;
 mod leader_state;
 mod operator;
 mod peer;
@@ -130,6 +131,7 @@
         quorum.clone(),
         settings.clone(),
     ));
+    tokio::spawn(group_report::report_group(quorum.clone()));
     tokio::spawn(stream::accept_sessions(
         listener,
         inbox_sender,
--- a/crates/guavavane_cell/src/metric.rs
+++ b/crates/guavavane_cell/src/metric.rs
@@ -74,6 +74,12 @@
     gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
 }
 
+/// Removes the gauge of an amount that this process no longer knows.
+pub fn clear_gauge(amount: &str) {
+    // Fails only if the gauge was never set.
+    let _ = METRICS.gauges.remove_label_values(&[amount]);
+}
+
 /// Encodes all metrics in the Prometheus text format.
 pub fn render() -> String {
     let mut text = Vec::new();
