Cell: entries and agents show the end of a session by redirect

The leader had stepped down in good order and redirected its sessions, which was logged at debug only, so the runbook's first question (since when is there no leader?) had no answer.

Change: control_lost reason=redirected when a peer that led redirects; gauge control_found, 1 while a session with the leader is open.

--- a/crates/guavavane_cell/src/leader_client.rs
+++ b/crates/guavavane_cell/src/leader_client.rs
@@ -14,6 +14,7 @@
 
 use crate::message::FromControl;
 use crate::message::ToControl;
+use crate::metric;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
 use guavavane_transport::prelude::open_stream;
@@ -29,6 +30,9 @@
 /// Backoff after all known control processes have been tried.
 const RETRY_BACKOFF: Duration = Duration::from_millis(150);
 
+/// Gauge that is 1 while a session with the leader is open, and 0 otherwise.
+const FOUND_GAUGE: &str = "control_found";
+
 /// Events of the session with the leader.
 pub enum SessionEvent {
     /// The first answer to a ping has arrived: the peer leads and the session is open.
@@ -71,6 +75,7 @@
 
     /// Runs until the owner drops its receiver.
     pub async fn run(mut self) {
+        metric::set_gauge(FOUND_GAUGE, 0);
         let mut tried = IndexSet::new();
         while !self.events.is_disconnected() {
             let Some(peer) = self.choose_peer(&mut tried) else {
@@ -141,7 +146,7 @@
                 FromControl::Redirect { leader, members } => {
                     self.add_members(&members);
                     self.redirect = leader;
-                    tracing::debug!(event = "redirected", %peer, ?leader);
+                    log_redirect(peer, leader, led);
                     break;
                 }
                 FromControl::Pong {
@@ -151,6 +156,7 @@
                 } => {
                     if !led {
                         led = true;
+                        metric::set_gauge(FOUND_GAUGE, 1);
                         tracing::info!(event = "control_found", %peer, term);
                         self.emit(SessionEvent::Opened(sender.clone()));
                     }
@@ -161,6 +167,7 @@
             }
         }
         if led {
+            metric::set_gauge(FOUND_GAUGE, 0);
             self.emit(SessionEvent::Closed);
         }
         led
@@ -176,3 +183,12 @@
         self.control_addresses.extend(members.iter().copied());
     }
 }
+
+/// Logs a redirect: after an answered ping, the peer has lost the leadership.
+fn log_redirect(peer: SocketAddr, leader: Option<SocketAddr>, led: bool) {
+    if led {
+        tracing::warn!(event = "control_lost", %peer, ?leader, reason = "redirected");
+    } else {
+        tracing::debug!(event = "redirected", %peer, ?leader);
+    }
+}
