Scheduling passes bear numbers up to the largest of their types

What callers saw: nothing yet; found by reading. A caller's `EstimateMs`, a demand in `Cpu` or a configured `TargetLatencyMs` may be as large as u64::MAX, since the formats only ask for whole numbers.

Cause: the objective of a job, the expected use of a worker's processor and the score of a placement were added and multiplied unchecked. The release build wraps: a job with the largest estimate got the earliest deadline of its priority, and two best-effort tasks with a demand of 2^63 made their worker look idle. A build with overflow checks panics in the scheduling pass, which ends the leader's loop while the process lives on.

Why it works: these sums saturate, so a number that is too large stays the largest. `JobSpec::critical_path_ms`, which nobody called and which added the same way, is gone.

--- a/crates/guavavane_jobs/src/job.rs
+++ b/crates/guavavane_jobs/src/job.rs
@@ -204,16 +204,6 @@
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
     }
-
-    /// Critical path by the estimates: their longest sum along dependent steps, in milliseconds.
-    pub fn critical_path_ms(&self) -> u64 {
-        let mut end_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let begin_ms = step.after.iter().map(|after| end_ms[usize::from(*after)]);
-            end_ms.push(begin_ms.max().unwrap_or(0) + step.estimate_ms);
-        }
-        end_ms.into_iter().max().unwrap_or(0)
-    }
 }
 
 fn non_empty(text: String) -> Option<Arc<str>> {
--- a/crates/guavavane_jobs/src/plan/capacity.rs
+++ b/crates/guavavane_jobs/src/plan/capacity.rs
@@ -106,24 +106,22 @@
     pub fn reserve(&mut self, task: TaskKey, run: &RunRecord) {
         let sum = self.reserved.checked_add(&run.reserved);
         self.reserved = sum.unwrap_or(self.total);
+        let expected_cpu_millis = expected_cpu_millis(run);
+        self.expected_cpu_millis = self.expected_cpu_millis.saturating_add(expected_cpu_millis);
         if run.best_effort {
-            self.best_effort_cpu_millis += run.cpu_millis;
+            self.best_effort_cpu_millis =
+                self.best_effort_cpu_millis.saturating_add(run.cpu_millis);
             self.best_effort_tasks += 1;
             let fraction = self.cpu_fraction(run.cpu_millis);
             *self
                 .demanded_load
                 .entry(Arc::clone(&run.image))
                 .or_insert(0.0) += fraction;
-        } else if run.long_running {
-            self.expected_cpu_millis += run.cpu_millis * LONG_RUNNING_CPU_USE_PERCENT / 100;
-            if run.latency_target_ms.is_some() {
-                *self
-                    .latency_critical_images
-                    .entry(Arc::clone(&run.image))
-                    .or_insert(0) += 1;
-            }
-        } else {
-            self.expected_cpu_millis += run.cpu_millis;
+        } else if run.long_running && run.latency_target_ms.is_some() {
+            *self
+                .latency_critical_images
+                .entry(Arc::clone(&run.image))
+                .or_insert(0) += 1;
         }
         self.long_running_tasks += u32::from(run.long_running);
         *self.runs_by_step.entry(task.step).or_insert(0) += 1;
@@ -143,7 +141,9 @@
     /// Processor that no task is expected to use, in thousandths of a core; negative if best-effort
     /// tasks could use more than there is.
     pub fn idle_cpu_millis(&self) -> i64 {
-        let used = self.expected_cpu_millis + self.best_effort_cpu_millis;
+        let used = self
+            .expected_cpu_millis
+            .saturating_add(self.best_effort_cpu_millis);
         i64::try_from(self.total.cpu_millis).unwrap_or(i64::MAX)
             - i64::try_from(used).unwrap_or(i64::MAX)
     }
@@ -219,6 +219,18 @@
     }
 }
 
+/// Processor that a run is expected to use, in thousandths of a core; none for a best-effort run,
+/// which uses only what others leave.
+fn expected_cpu_millis(run: &RunRecord) -> u64 {
+    if run.best_effort {
+        0
+    } else if run.long_running {
+        run.cpu_millis.saturating_mul(LONG_RUNNING_CPU_USE_PERCENT) / 100
+    } else {
+        run.cpu_millis
+    }
+}
+
 /// Capacity of all workers of the ledger; those in an excluded data centre take no new tasks.
 pub fn worker_capacities(
     ledger: &JobLedger,
--- a/crates/guavavane_jobs/src/plan/placement.rs
+++ b/crates/guavavane_jobs/src/plan/placement.rs
@@ -167,18 +167,21 @@
                 * HARMLESS_WEIGHT;
             let idle_cpu_millis = capacity.idle_cpu_millis();
             let wanted_millis = i64::try_from(spec.demand.cpu_millis).unwrap_or(i64::MAX);
-            idle_cpu_millis.min(wanted_millis) * USABLE_CPU_WEIGHT
-                + idle_cpu_millis / SURPLUS_CPU_DIVISOR
-                + (cpu_share - harmless) as i64
+            let usable_millis = idle_cpu_millis.min(wanted_millis);
+            usable_millis
+                .saturating_mul(USABLE_CPU_WEIGHT)
+                .saturating_add(idle_cpu_millis / SURPLUS_CPU_DIVISOR)
+                .saturating_add((cpu_share - harmless) as i64)
         }
         StepKind::Finite => capacity.idle_cpu_millis(),
     };
     let rack = worker_rack(context.ledger, index);
     let preferred_rack = spec.data_rack.as_ref().or(context.rack.as_ref());
     if preferred_rack.is_some() && preferred_rack != rack {
-        score -= RACK_WEIGHT;
+        score = score.saturating_sub(RACK_WEIGHT);
     }
-    score - i64::from(capacity.condition.consecutive_failures) * FAILURE_WEIGHT
+    let failures = i64::from(capacity.condition.consecutive_failures);
+    score.saturating_sub(failures * FAILURE_WEIGHT)
 }
 
 /// Feasible workers with their scores.
--- a/crates/guavavane_jobs/src/queue.rs
+++ b/crates/guavavane_jobs/src/queue.rs
@@ -131,7 +131,8 @@
     /// Time in milliseconds from submission in which a job should end whose critical path takes
     /// `critical_path_ms`.
     pub fn objective_ms(&self, critical_path_ms: u64) -> u64 {
-        (self.objective_factor * critical_path_ms as f64) as u64 + self.latency_target_ms
+        let variable_ms = (self.objective_factor * critical_path_ms as f64) as u64;
+        variable_ms.saturating_add(self.latency_target_ms)
     }
 }
 
