An unreadable row in a worker's lists leaves the other rows valid

Cause: the answer to a lease renewal was decoded as a whole. One row of `Running` or `Finished` with another type, a number out of range, an unknown outcome, deep nesting or bytes that are no UTF-8 made the whole answer unreadable. The agent then counted the worker as silent, let its lease expire, and lost all of its runs, again after each restart of theirs.

A row of `Running` that can't be read is left out; the agent keeps the runs of its previous list that are in neither list, and confirms no stop by absence from such a list. `Finished` ends before its first unreadable row, so that no acknowledgement includes it and the worker lists it again; the agent then renews at the pace of unacknowledged completions, since a worker with a completion answers at once. The wait of a renewal doesn't get shorter for stops that such a list can't confirm.

Left open: an unreadable completion that never becomes readable holds up the later completions of that incarnation, since its end may be a `done`.

--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -102,7 +102,7 @@
         if !worker.has_list || !worker.completions.is_empty() || worker.silent {
             return Duration::ZERO;
         }
-        if !self.unconfirmed_stops.is_empty() {
+        if !self.unconfirmed_stops.is_empty() && !worker.omits_rows {
             return STOP_CONFIRMATION_WAIT;
         }
         let attributes = || worker.attributes.values();
@@ -145,7 +145,8 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        let new_completions = worker.update_lists(report.running, report.completions);
+        let omits_completions = report.omits_completions;
+        let new_completions = worker.update_lists(report);
         let sent_at = self.renewal_sent_at;
         self.recent_starts.retain(|_, at| *at >= sent_at);
         let new_checkpoints = worker.new_checkpoints();
@@ -155,7 +156,8 @@
         let is_report_due = now >= self.next_utilisation_report && !utilisation.samples.is_empty();
         let utilisation = is_report_due.then(|| utilisation.clone());
         let key = worker.key.clone();
-        if !worker.completions.is_empty() {
+        // The worker answers at once as long as it has a completion that is not acknowledged.
+        if !worker.completions.is_empty() || omits_completions {
             self.renewal = RenewalPlan::DueAt(now + ACKNOWLEDGEMENT_WAIT);
         }
         if self.reported {
@@ -211,7 +213,8 @@
         self.send_to_leader(ToControl::Silence { key, silent });
     }
 
-    /// Reports runs to the leader that were stopped and are in no list of the worker.
+    /// Reports runs to the leader that were stopped and are in no list of the worker. A list with
+    /// unreadable rows confirms none.
     pub(super) fn confirm_stops(&mut self, key: &WorkerKey) {
         let Some(worker) = &self.worker else {
             return;
@@ -219,7 +222,7 @@
         let mut withdrawn = Vec::new();
         let mut still_unconfirmed = IndexMap::new();
         for ((task, run), listed_next) in std::mem::take(&mut self.unconfirmed_stops) {
-            if !listed_next || worker.is_running(task, run) {
+            if !listed_next || worker.omits_rows || worker.is_running(task, run) {
                 still_unconfirmed.insert((task, run), listed_next);
             } else if !worker.has_ended(task, run) {
                 withdrawn.push((task, run));
--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use crate::worker_api::RenewalReport;
 use crate::worker_api::RunStatus;
 use guavavane_jobs::plan::throttle::ObservedTask;
 use guavavane_jobs::plan::throttle::ShareOrder;
@@ -48,6 +49,9 @@
     /// Completions that the leader has not acknowledged.
     pub(super) completions: Vec<RunCompletion>,
     pub(super) running: Vec<RunStatus>,
+    /// Whether the latest report had unreadable rows, so that a run that is in none of the lists may
+    /// still be running or may have ended.
+    pub(super) omits_rows: bool,
     /// Whether a list has arrived from the worker since it was found or its lease last expired.
     pub(super) has_list: bool,
     /// Attributes of the runs that this process of the agent was ordered to start. Other runs count
@@ -70,6 +74,7 @@
             reported_completion: 0,
             completions: Vec::new(),
             running: Vec::new(),
+            omits_rows: false,
             has_list: false,
             attributes: IndexMap::new(),
             checkpoints: IndexMap::new(),
@@ -89,19 +94,20 @@
             .any(|completion| completion.task == task && completion.run == run)
     }
 
-    /// Stores a list from the worker and returns the completions that are new in it, which then
-    /// count as reported. The next full report repeats those that are not acknowledged.
-    pub(super) fn update_lists(
-        &mut self,
-        running: Vec<RunStatus>,
-        completions: Vec<RunCompletion>,
-    ) -> Vec<RunCompletion> {
-        self.running = running;
+    /// Stores the lists of a renewal report and returns the completions that are new in it, which
+    /// then count as reported. The next full report repeats those that are not acknowledged.
+    pub(super) fn update_lists(&mut self, report: RenewalReport) -> Vec<RunCompletion> {
+        self.omits_rows = report.omits_runs || report.omits_completions;
         let acknowledged = self.acknowledged_completion;
-        self.completions = completions
+        self.completions = report
+            .completions
             .into_iter()
             .filter(|completion| completion.number > acknowledged)
             .collect();
+        let previous = std::mem::replace(&mut self.running, report.running);
+        if report.omits_runs {
+            self.keep_unlisted_runs(previous);
+        }
         self.has_list = true;
         let reported = self.reported_completion;
         let new_completions: Vec<RunCompletion> = self
@@ -126,6 +132,17 @@
         new_completions
     }
 
+    /// Keeps the runs of the previous list that are in neither of the new lists, since the
+    /// unreadable rows may be theirs.
+    fn keep_unlisted_runs(&mut self, previous: Vec<RunStatus>) {
+        for status in previous {
+            let (task, run) = (status.task, status.run);
+            if !self.is_running(task, run) && !self.has_ended(task, run) {
+                self.running.push(status);
+            }
+        }
+    }
+
     /// Checkpoints that have changed since the last call.
     pub(super) fn new_checkpoints(&mut self) -> Vec<(TaskKey, Arc<str>)> {
         let mut changed = Vec::new();
--- a/crates/guavavane_cell/src/worker_api.rs
+++ b/crates/guavavane_cell/src/worker_api.rs
@@ -89,6 +89,10 @@
     pub running: Vec<RunStatus>,
     /// Completions that have not been acknowledged to the worker.
     pub completions: Vec<RunCompletion>,
+    /// Whether rows of further runs were unreadable.
+    pub omits_runs: bool,
+    /// Whether rows of further completions follow, of which the first was unreadable.
+    pub omits_completions: bool,
 }
 
 /// Answer of a worker to a lease renewal.
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -153,15 +153,7 @@
         };
         for index in 0..workers {
             let worker = SimulatedWorker::new(index, work, history.clone());
-            let agent = start_agent(
-                AgentSettings {
-                    node: Arc::from(format!("vm-{index}")),
-                    seeds: vec![address],
-                    timing: timing(),
-                    violation_timeout: Duration::from_secs(2),
-                },
-                worker.clone(),
-            );
+            let agent = start_agent(agent_settings(index, address), worker.clone());
             assert!(agent.record_heartbeat(worker_heartbeat(index)).await);
             cell.workers.push(worker);
             cell.agents.push(agent);
@@ -219,6 +211,16 @@
     }
 }
 
+/// Settings of the agent of the worker with this index.
+pub(crate) fn agent_settings(index: usize, control: SocketAddr) -> AgentSettings {
+    AgentSettings {
+        node: Arc::from(format!("vm-{index}")),
+        seeds: vec![control],
+        timing: timing(),
+        violation_timeout: Duration::from_secs(2),
+    }
+}
+
 pub(crate) fn worker_heartbeat(index: usize) -> WorkerHeartbeat {
     WorkerHeartbeat {
         key: WorkerKey {
--- /dev/null
+++ b/crates/guavavane_cell/tests/unreadable_rows.rs
@@ -0,0 +1,186 @@
+//! An agent whose worker lists rows that can't be read.
+//!
+//! Guards against a run that is freed, and started elsewhere, because its row was unreadable;
+//! against a completion that the worker drops unread; and against an agent that calls its worker
+//! without pause because an unreadable completion is never acknowledged.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+mod support;
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::support::agent_settings;
+use crate::support::step;
+use crate::support::worker_heartbeat;
+use crate::support::TestCell;
+use guavavane_cell::prelude::start_agent;
+use guavavane_cell::prelude::AgentHandle;
+use guavavane_cell::prelude::CallerAction;
+use guavavane_cell::prelude::CallerReply;
+use guavavane_cell::prelude::JobState;
+use guavavane_cell::prelude::OrderAnswer;
+use guavavane_cell::prelude::RenewalAnswer;
+use guavavane_cell::prelude::StartOrder;
+use guavavane_cell::prelude::WorkerApi;
+use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::TaskKey;
+use guavavane_jobs::prelude::WorkerKey;
+use guavavane_standin::simulated_worker::SimulatedWorker;
+
+/// Longest wait for a job that nothing delays.
+const JOB_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which rows are unreadable, longer than the lease of the worker.
+const UNREADABLE_PERIOD: Duration = Duration::from_millis(1_500);
+/// Most renewals during that time, at the pace of unacknowledged completions.
+const RENEWALS_MAX: usize = 15;
+
+/// Worker whose rows are unreadable at times.
+#[derive(Clone)]
+struct OddLister {
+    worker: SimulatedWorker,
+    runs_unreadable: Arc<AtomicBool>,
+    completions_unreadable: Arc<AtomicBool>,
+    renewals: Arc<AtomicUsize>,
+}
+
+impl OddLister {
+    fn new(worker: SimulatedWorker) -> Self {
+        Self {
+            worker,
+            runs_unreadable: Arc::default(),
+            completions_unreadable: Arc::default(),
+            renewals: Arc::default(),
+        }
+    }
+}
+
+impl WorkerApi for OddLister {
+    async fn start(&self, worker: WorkerKey, fence: u64, order: StartOrder) -> OrderAnswer {
+        self.worker.start(worker, fence, order).await
+    }
+
+    /// Accepts the stop; the run goes on, as one does that takes its time to stop.
+    async fn stop(
+        &self,
+        worker: WorkerKey,
+        fence: u64,
+        task: TaskKey,
+        run: RunNumber,
+    ) -> OrderAnswer {
+        if self.runs_unreadable.load(Ordering::Relaxed) {
+            return OrderAnswer::Done;
+        }
+        self.worker.stop(worker, fence, task, run).await
+    }
+
+    async fn set_cpu_share(
+        &self,
+        worker: WorkerKey,
+        fence: u64,
+        task: TaskKey,
+        run: RunNumber,
+        percent: u32,
+    ) -> OrderAnswer {
+        let worker_api = &self.worker;
+        worker_api
+            .set_cpu_share(worker, fence, task, run, percent)
+            .await
+    }
+
+    async fn renew_lease(
+        &self,
+        worker: WorkerKey,
+        fence: u64,
+        last_completion: u64,
+        deadline_ms: Option<u64>,
+        wait: Duration,
+    ) -> RenewalAnswer {
+        self.renewals.fetch_add(1, Ordering::Relaxed);
+        let worker_api = &self.worker;
+        let mut answer = worker_api
+            .renew_lease(worker, fence, last_completion, deadline_ms, wait)
+            .await;
+        if let RenewalAnswer::Report(report) = &mut answer {
+            if self.runs_unreadable.load(Ordering::Relaxed) && !report.running.is_empty() {
+                report.running.clear();
+                report.omits_runs = true;
+            }
+            let is_unreadable = self.completions_unreadable.load(Ordering::Relaxed);
+            if is_unreadable && !report.completions.is_empty() {
+                report.completions.clear();
+                report.omits_completions = true;
+            }
+        }
+        answer
+    }
+}
+
+async fn start_cell(run_time: Duration) -> (TestCell, OddLister, AgentHandle) {
+    let cell = TestCell::start(0, run_time).await;
+    let worker = SimulatedWorker::new(0, run_time, cell.history.clone());
+    let worker = OddLister::new(worker);
+    let agent = start_agent(agent_settings(0, cell.address), worker.clone());
+    assert!(agent.record_heartbeat(worker_heartbeat(0)).await);
+    (cell, worker, agent)
+}
+
+/// A stopped run that is not listed counts as never started; one whose row is unreadable must not.
+#[tokio::test]
+async fn a_run_with_an_unreadable_row_is_not_withdrawn() {
+    let (cell, worker, _agent) = start_cell(Duration::from_secs(4)).await;
+    assert_eq!(
+        cell.submit(1, vec![step(1, vec![])]).await,
+        CallerReply::Accepted
+    );
+    cell.wait_for_state(1, JobState::Running, JOB_TIMEOUT).await;
+    while cell.history.all().is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    worker.runs_unreadable.store(true, Ordering::Relaxed);
+    assert_eq!(
+        cell.call(1, CallerAction::Cancel).await,
+        CallerReply::Cancelled
+    );
+    // The second job needs the whole worker, so it starts only once the run of the first has ended.
+    let mut whole_worker = step(1, vec![]);
+    whole_worker.demand = worker_heartbeat(0).facts.capacity;
+    assert_eq!(
+        cell.submit(2, vec![whole_worker]).await,
+        CallerReply::Accepted
+    );
+    tokio::time::sleep(UNREADABLE_PERIOD).await;
+    let reply = cell.call(2, CallerAction::Query).await;
+    assert_eq!(reply, CallerReply::State(JobState::Queued));
+    worker.runs_unreadable.store(false, Ordering::Relaxed);
+    cell.wait_for_state(2, JobState::Running, JOB_TIMEOUT).await;
+}
+
+#[tokio::test]
+async fn an_unreadable_completion_is_kept_without_pressing_the_worker() {
+    let (cell, worker, _agent) = start_cell(Duration::from_millis(300)).await;
+    worker.completions_unreadable.store(true, Ordering::Relaxed);
+    assert_eq!(
+        cell.submit(1, vec![step(1, vec![])]).await,
+        CallerReply::Accepted
+    );
+    while cell.history.all().iter().all(|run| run.ended.is_none()) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let renewals_before = worker.renewals.load(Ordering::Relaxed);
+    tokio::time::sleep(UNREADABLE_PERIOD).await;
+    let renewals = worker.renewals.load(Ordering::Relaxed) - renewals_before;
+    assert!(renewals <= RENEWALS_MAX, "{renewals} renewals");
+    let reply = cell.call(1, CallerAction::Query).await;
+    assert_eq!(reply, CallerReply::State(JobState::Running));
+    worker
+        .completions_unreadable
+        .store(false, Ordering::Relaxed);
+    cell.wait_for_state(1, JobState::Completed, JOB_TIMEOUT)
+        .await;
+    assert_eq!(cell.history.all().len(), 1, "the task ran once");
+}
--- a/crates/guavavane_standin/src/simulated_worker.rs
+++ b/crates/guavavane_standin/src/simulated_worker.rs
@@ -234,6 +234,8 @@
             started_ms: None,
             running: running.collect(),
             completions: state.completions.clone(),
+            omits_runs: false,
+            omits_completions: false,
         })
     }
 
