Control: close the streams of silent peers

Seen by callers: a VM that goes dark without a reset keeps its tasks for ever. Its session stays open at the leader, so the worker stays schedulable, and expire_agent_leases passes it over however long its lease is over. Each such stream also keeps its task and its descriptor. Cause: only the client judged the silence of a session (leader_client.rs); serve_stream waited without a limit for the next message. Change: serve_stream closes a stream on which nothing has arrived for 1.5 s. The sessions that tests play by hand now ping as an agent does; ordered_starts waits for a quiet time without starts, since answers to pings arrive meanwhile.

--- a/crates/guavavane_cell/src/control/stream.rs
+++ b/crates/guavavane_cell/src/control/stream.rs
@@ -1,11 +1,16 @@
 //! Accepts streams of replicas, entries and agents.
+//!
+//! All of them ping at short intervals. A stream on which nothing arrives is closed: its peer may
+//! be gone, or its connection broken, without a reset.
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 
 use flume::Sender;
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 use super::engine::EngineInput;
 use super::session::SessionId;
@@ -14,6 +19,11 @@
 use guavavane_quorum::prelude::PeerMessage;
 use guavavane_transport::prelude::accept_streams;
 use guavavane_transport::prelude::MessageStream;
+use guavavane_transport::prelude::StreamReceiver;
+
+/// Time without a message after which a stream is closed. By then its peer, which gets no answers to
+/// its pings, has given up the stream as well.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Accepts streams until the process ends.
 pub(super) async fn accept_sessions(
@@ -38,7 +48,7 @@
 ) {
     let (sender, mut receiver) = stream;
     let mut in_session = false;
-    while let Some(message) = receiver.receive().await {
+    while let Some(message) = receive_within(id, &mut receiver).await {
         match message {
             // A full inbox means a busy replica: Raft retransmits dropped messages.
             ToControl::Peer(message) => drop(inbox.try_send(*message)),
@@ -66,3 +76,17 @@
     // Sending fails only after the engine has stopped.
     let _ = inputs.send(EngineInput::SessionClosed(id));
 }
+
+/// Waits for the next message; none if the stream has ended or its peer is silent.
+async fn receive_within(
+    id: SessionId,
+    receiver: &mut StreamReceiver<ToControl>,
+) -> Option<ToControl> {
+    match timeout(SILENCE_TIMEOUT, receiver.receive()).await {
+        Ok(message) => message,
+        Err(_) => {
+            tracing::warn!(event = "stream_closed", stream = id.0, reason = "silent");
+            None
+        }
+    }
+}
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -40,6 +40,7 @@
 use guavavane_jobs::prelude::RawStep;
 use guavavane_jobs::prelude::WorkerFacts;
 use guavavane_jobs::prelude::WorkerKey;
+use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::ResourceVector;
 use guavavane_standin::simulated_worker::RunHistory;
 use guavavane_standin::simulated_worker::SimulatedWorker;
@@ -57,6 +58,8 @@
     interval_ms: 1,
     validity_ms: 1_000,
 };
+/// Time between two pings of an agent that a test plays.
+const PING_INTERVAL: Duration = Duration::from_millis(300);
 /// Lease that one renewal grants to a simulated worker.
 pub(crate) const WORKER_LEASE: Duration = Duration::from_millis(600);
 
@@ -261,10 +264,30 @@
     }
 }
 
-/// Opens a session as the agent of the worker with this index and reports the idle worker.
+/// Opens a session as the agent of the worker with this index, reports the idle worker and pings
+/// the leader until the session closes.
 pub(crate) async fn open_agent_session(
     cell: &TestCell,
     index: usize,
+) -> (StreamSender<ToControl>, StreamReceiver<FromControl>) {
+    let (sender, receiver) = open_silent_session(cell, index).await;
+    tokio::spawn(send_pings(sender.clone()));
+    (sender, receiver)
+}
+
+async fn send_pings(sender: StreamSender<ToControl>) {
+    while sender.send(ToControl::Ping {
+        sent_at: BootClock.now(),
+    }) {
+        tokio::time::sleep(PING_INTERVAL).await;
+    }
+}
+
+/// Opens a session as the agent of the worker with this index, reports the idle worker and sends
+/// nothing more.
+pub(crate) async fn open_silent_session(
+    cell: &TestCell,
+    index: usize,
 ) -> (StreamSender<ToControl>, StreamReceiver<FromControl>) {
     let opened = open_stream::<ToControl, FromControl>(cell.address, Duration::from_secs(1)).await;
     let (sender, receiver) = opened.unwrap();
@@ -274,16 +297,23 @@
     (sender, receiver)
 }
 
-/// Start orders received until no message has arrived for `quiet`.
+/// Start orders received until none has arrived for `quiet`.
 pub(crate) async fn ordered_starts(
     receiver: &mut StreamReceiver<FromControl>,
     quiet: Duration,
 ) -> Vec<StartTask> {
     let mut starts = Vec::new();
-    while let Ok(Some(message)) = tokio::time::timeout(quiet, receiver.receive()).await {
-        if let FromControl::Start { order, .. } = message {
-            starts.push(*order);
-        }
+    while let Ok(Some(start)) = tokio::time::timeout(quiet, next_start(receiver)).await {
+        starts.push(start);
     }
     starts
 }
+
+/// Next start order; none once the session is closed.
+async fn next_start(receiver: &mut StreamReceiver<FromControl>) -> Option<StartTask> {
+    loop {
+        if let FromControl::Start { order, .. } = receiver.receive().await? {
+            return Some(*order);
+        }
+    }
+}
