Agent: treat a start that is refused as old as not started

Seen by callers: a task that never runs again while its job is shown as running; for a long-running task that is LOST. It needs a stop whose withdrawal is lost: the agent restarts, or the leader is lost, after the worker has confirmed the stop of a refused start and before the ledger has the withdrawal. The next leader or session finds the run in the ledger and not on the worker and orders it again; the worker refuses it as old, and the agent took that for a start. No list ever names the run, so nothing ends it. Cause: order_executor.rs mapped Refused(Old) to Started. Change: Refused(Old) counts as NotStarted. The next list decides, as after a stop: a run that it lists as running or ended is left alone, any other is withdrawn and so gets a new run. A run whose end is already committed is withdrawn without effect.

--- a/crates/guavavane_cell/src/agent/order.rs
+++ b/crates/guavavane_cell/src/agent/order.rs
@@ -8,10 +8,10 @@
 /// Result of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum OrderResult {
-    /// The worker has accepted the run, now or before, or refuses it as over.
+    /// The worker has accepted the run, now or before.
     Started,
     /// The worker does not have the run and can't start it later, unless a later renewal report
-    /// lists it.
+    /// lists it as running or ended.
     NotStarted,
     /// The worker has confirmed the stop.
     Stopped,
--- a/crates/guavavane_cell/src/agent/order_executor.rs
+++ b/crates/guavavane_cell/src/agent/order_executor.rs
@@ -68,7 +68,7 @@
             match answer {
                 OrderAnswer::Done => return OrderResult::Started,
                 OrderAnswer::OtherIncarnation => return OrderResult::Unanswered,
-                OrderAnswer::Refused(OrderRefusal::Old) => return OrderResult::Started,
+                OrderAnswer::Refused(OrderRefusal::Old) => return OrderResult::NotStarted,
                 OrderAnswer::Refused(reason) => {
                     tracing::info!(event = "start_refused", %task, %run, ?reason, unanswered);
                     break;
