Control: stop all undesired runs, not only those of ended jobs

Seen by callers: a gang whose member is withdrawn (its worker drains, lacks room or refuses the ticket) or lost with its worker doesn't start anew. The other members run on undesired; on the platform they wait GangWaitMs, 3 s, and end `alone`, which breaks GANG where no disruption is near. Cause: the stops were sent once, and only after an unsuccessful completion or with the end of a job; neither Withdraw nor LoseWorker sent any, and the periodic repetition looked at ended jobs only. Change: the leader's maintenance compares all runs in the ledger with what it asks for and stops each one that is undesired, whatever made it so. A run whose stop was lost is told again. The pass no longer copies the job keys of all such runs and compares each run with each of them.

--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -211,7 +211,7 @@
             .iter()
             .filter(|completion| completion.outcome != RunOutcome::Done);
         let broken: Vec<JobKey> = broken.map(|completion| completion.task.step.job).collect();
-        self.stop_undesired_runs(&broken);
+        self.stop_undesired_runs_of(&broken);
         self.record_ended_jobs(jobs);
         self.run_pass();
     }
@@ -244,17 +244,20 @@
         if let Some(state) = &mut self.leader_state {
             state.ended_at.extend(jobs.iter().map(|job| (*job, now)));
         }
-        self.stop_undesired_runs(jobs);
+        self.stop_undesired_runs_of(jobs);
     }
 
-    /// Stops the runs of these jobs that are no longer desired.
-    pub(super) fn stop_undesired_runs(&self, jobs: &[JobKey]) {
-        if jobs.is_empty() {
-            return;
+    fn stop_undesired_runs_of(&self, jobs: &[JobKey]) {
+        if !jobs.is_empty() {
+            self.stop_undesired_runs(|job| jobs.contains(&job));
         }
+    }
+
+    /// Stops the runs of the selected jobs that are no longer desired.
+    pub(super) fn stop_undesired_runs(&self, is_selected: impl Fn(JobKey) -> bool) {
         let undesired = self
             .quorum
-            .read_local(|ledger| undesired_runs(ledger, jobs));
+            .read_local(|ledger| undesired_runs(ledger, is_selected));
         for (worker, task, run) in undesired {
             self.send_run_order(worker, task, run);
         }
@@ -288,13 +291,16 @@
     }
 }
 
-/// Runs of these jobs that workers hold although they are not desired.
-fn undesired_runs(ledger: &JobLedger, jobs: &[JobKey]) -> Vec<(WorkerIndex, TaskKey, RunNumber)> {
+/// Runs of the selected jobs that workers hold although they are not desired.
+fn undesired_runs(
+    ledger: &JobLedger,
+    is_selected: impl Fn(JobKey) -> bool,
+) -> Vec<(WorkerIndex, TaskKey, RunNumber)> {
     let mut undesired = Vec::new();
     for (index, worker) in ledger.workers() {
         for (task, record) in &worker.runs {
-            let is_affected = jobs.contains(&task.step.job);
-            if is_affected && !ledger.is_desired(*task, record.run, index) {
+            let is_selected = is_selected(task.step.job);
+            if is_selected && !ledger.is_desired(*task, record.run, index) {
                 undesired.push((index, *task, record.run));
             }
         }
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -29,7 +29,6 @@
 use guavavane_jobs::plan::pass::steps_needing_advice;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
-use guavavane_jobs::prelude::JobPhase;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
@@ -362,7 +361,9 @@
         self.update_gauges();
         self.release_due_occurrences();
         self.forget_ended_jobs(now);
-        self.stop_orphaned_runs();
+        // Repeats the stops: an agent gives up after a timeout, and any change of the ledger may have
+        // made a run undesired.
+        self.stop_undesired_runs(|_| true);
         self.run_pass();
     }
 
@@ -420,19 +421,4 @@
             .retain(|_, at| now.saturating_since(*at) <= retention);
         self.propose(LedgerCommand::Forget { jobs }, CommitPurpose::Kept);
     }
-
-    /// Repeats the stops of runs whose jobs have ended, since an agent gives up after a timeout.
-    fn stop_orphaned_runs(&self) {
-        let ended: Vec<JobKey> = self.quorum.read_local(|ledger| {
-            let runs = ledger.workers().flat_map(|(_, worker)| worker.runs.keys());
-            let jobs = runs.map(|task| task.step.job);
-            let ended = jobs.filter(|job| {
-                ledger
-                    .job(*job)
-                    .is_none_or(|job| job.phase != JobPhase::Active)
-            });
-            ended.collect()
-        });
-        self.stop_undesired_runs(&ended);
-    }
 }
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -38,6 +38,8 @@
 use guavavane_jobs::prelude::RawPool;
 use guavavane_jobs::prelude::RawQueue;
 use guavavane_jobs::prelude::RawStep;
+use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerFacts;
 use guavavane_jobs::prelude::WorkerKey;
 use guavavane_model::prelude::BootClock;
@@ -309,6 +311,26 @@
     starts
 }
 
+/// Whether a run is ordered to stop within `limit`.
+pub(crate) async fn is_stop_ordered(
+    receiver: &mut StreamReceiver<FromControl>,
+    stopped: (TaskKey, RunNumber),
+    limit: Duration,
+) -> bool {
+    let stop_order = async {
+        while let Some(message) = receiver.receive().await {
+            match message {
+                FromControl::Stop { task, run, .. } if (task, run) == stopped => return true,
+                _ => {}
+            }
+        }
+        false
+    };
+    tokio::time::timeout(limit, stop_order)
+        .await
+        .unwrap_or(false)
+}
+
 /// Next start order; none once the session is closed.
 async fn next_start(receiver: &mut StreamReceiver<FromControl>) -> Option<StartTask> {
     loop {
