--- a/crates/guavavane_control/src/daemon.rs
+++ b/crates/guavavane_control/src/daemon.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::context::ControlContext;
+use crate::group_watch::start_group_watch;
 use crate::replica;
 use crate::scheduler::start_scheduler;
 use crate::serve::start_serving;
@@ -58,6 +59,7 @@
     let context = ControlContext::new(settings, quorum, client, metrics);
     start_serving(&context, server.calls().clone(), inbox_sender)?;
     replica::start_join_loop(&context, &shutdown)?;
+    start_group_watch(&context, &shutdown)?;
     start_scheduler(&context, &shutdown)?;
     let status = start_status(&context, &shutdown)?;
     tracing::info!(
--- a/crates/guavavane_control/src/lib.rs
+++ b/crates/guavavane_control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod context;
 pub mod daemon;
 pub mod entry_registry;
+pub mod group_watch;
 pub mod lease;
 pub mod orders;
 pub mod replica;
--- a/crates/guavavane_control/src/status.rs
+++ b/crates/guavavane_control/src/status.rs
@@ -28,6 +28,9 @@
     log_bytes: u64,
     members: usize,
     voters: usize,
+    /// Voters that can still be lost without losing the quorum; only the leader knows.
+    spare_voters: Option<usize>,
+    unavailable_voters: Vec<String>,
     storage_failed: bool,
 }
 
@@ -87,7 +90,13 @@
         last_snapshot: view.last_snapshot.0,
         log_bytes: view.log_bytes,
         members: view.members.len(),
-        voters: view.members.voters().count(),
+        voters: view.members.voter_count(),
+        spare_voters: view.spare_voters(),
+        unavailable_voters: view
+            .unavailable_voters
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
         storage_failed: view.storage_failed,
     }
 }
--- a/tests/control_faults.rs
+++ b/tests/control_faults.rs
@@ -16,6 +16,7 @@
 use guavavane::protocol::prelude::AcceptedVersion;
 use guavavane::standin::clock::wait_until;
 use guavavane::standin::harness::cluster::READY_TIMEOUT;
+use guavavane::standin::http::http_get;
 
 /// Number of documents that the test with repeated kills applies.
 const CHANGES: u64 = 300;
@@ -59,6 +60,42 @@
     voter.unwrap().replica
 }
 
+/// Returns the status page of a control replica; `Null` if it gives none.
+fn replica_status(test: &ClusterTest, index: usize) -> serde_json::Value {
+    let http = test.cluster.replicas[index].http;
+    let response = http_get(format!("http://{http}/status")).send();
+    let status = response.and_then(attohttpc::Response::json);
+    status.unwrap_or_default()
+}
+
+/// Waits until the status page of some replica has these spare and unavailable voters.
+fn wait_for_spare_voters(test: &ClusterTest, spare: usize, unavailable: &[&str]) {
+    wait_until("the spare voters", READY_TIMEOUT, || {
+        (0..3).any(|index| {
+            let status = replica_status(test, index);
+            status["spare_voters"] == spare
+                && status["unavailable_voters"] == serde_json::json!(unavailable)
+        })
+    })
+    .unwrap();
+}
+
+/// Guards against a lost voter that no page shows: the next loss would end the quorum.
+#[test]
+fn a_killed_replica_shows_on_the_status_page_of_the_leader() {
+    let mut plan = cluster_plan("control-silent", 1);
+    plan.control_flags.push("--removal-ms=2500".to_owned());
+    let mut test = start_cluster(plan);
+    let silent = (test.leader_index() + 1) % 3;
+    let silent_id = replica_status(&test, silent)["replica"].clone();
+    let silent_name = format!("control-{}", silent + 1);
+    wait_for_spare_voters(&test, 1, &[]);
+    test.cluster.kill(&silent_name).unwrap();
+    wait_for_spare_voters(&test, 0, &[silent_id.as_str().unwrap()]);
+    test.cluster.group.restart(&silent_name).unwrap();
+    wait_for_spare_voters(&test, 1, &[]);
+}
+
 #[test]
 fn accepted_documents_survive_kills_and_restarts_of_replicas() {
     let mut test = start_cluster(cluster_plan("control-kills", 1));
