A heartbeat alone no longer replaces a worker that is running

What callers saw: nothing yet; found by reading. A heartbeat may be of another writer.

Cause: the agent took any heartbeat with another name or a later start for a new incarnation of its worker, reported the worker as ended, and followed the new one. If the heartbeat named no worker, the leader freed the runs that went on and started them again elsewhere, which is two runs of one task. A start far in the future did so, too, although the name was the worker's own.

Change: a worker that has answered keeps its place until a lease renewal shows that it has ended (the address answers for another name, or with another start of the incarnation); the later heartbeat is kept, and adopted at once then. A worker that has not answered gives way as before, but its loss is no longer reported: it may be the one that runs. The leader loses the other incarnations of the VM when the new worker is reported, which needs its answer.

Evidence: crates/guavavane_cell/tests/foreign_heartbeat.rs.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -35,8 +35,8 @@
     Heartbeat {
         /// Content of the heartbeat.
         heartbeat: WorkerHeartbeat,
-        /// Channel for whether the agent has accepted the heartbeat.
-        reply: oneshot::Sender<bool>,
+        /// Channel for the acknowledgement of the heartbeat.
+        reply: oneshot::Sender<()>,
     },
     /// The worker shuts down.
     Leave {
@@ -75,6 +75,9 @@
     /// leader ordered in an earlier epoch is void.
     pub(super) epoch: u64,
     pub(super) worker: Option<LocalWorker>,
+    /// Latest heartbeat of a later incarnation, while the current worker has not been seen to have
+    /// ended.
+    pub(super) successor: Option<WorkerHeartbeat>,
     /// Lost incarnations not yet reported to a leader, each with whether it has ended for good.
     pub(super) unreported_losses: Vec<(WorkerKey, bool)>,
     pub(super) renewal: RenewalPlan,
@@ -103,6 +106,7 @@
             lease: LeaseState::new(timing),
             epoch: 0,
             worker: None,
+            successor: None,
             unreported_losses: Vec::new(),
             renewal: RenewalPlan::DueAt(BootTime::default()),
             next_utilisation_report: BootTime::default(),
@@ -154,9 +158,9 @@
     fn handle_input(&mut self, input: AgentInput) {
         match input {
             AgentInput::Heartbeat { heartbeat, reply } => {
-                let is_accepted = self.handle_heartbeat(heartbeat);
+                self.handle_heartbeat(heartbeat);
                 // Sending fails only if the worker no longer waits for the answer.
-                let _ = reply.send(is_accepted);
+                let _ = reply.send(());
             }
             AgentInput::Leave { name } => {
                 if self
@@ -164,36 +168,63 @@
                     .as_ref()
                     .is_some_and(|worker| worker.key.name == name)
                 {
-                    self.remove_worker(true, "left");
+                    self.remove_worker("left");
+                    self.adopt_successor();
+                } else {
+                    self.successor
+                        .take_if(|successor| successor.key.name == name);
                 }
             }
         }
     }
 
-    /// Processes a heartbeat. One of a later incarnation replaces the worker; one of an earlier
-    /// incarnation is accepted and ignored.
-    fn handle_heartbeat(&mut self, heartbeat: WorkerHeartbeat) -> bool {
-        let now = BootClock.now();
+    /// Processes a heartbeat. One of an earlier incarnation is ignored. One of a later incarnation
+    /// replaces a worker that has not answered. A worker that has answered is replaced only when a
+    /// lease renewal shows that it has ended, because its runs go on if the heartbeat is of another
+    /// writer.
+    fn handle_heartbeat(&mut self, heartbeat: WorkerHeartbeat) {
         match &self.worker {
-            Some(worker) if worker.key == heartbeat.key => {}
-            Some(worker) if worker.key.started_ms > heartbeat.key.started_ms => return true,
-            _ => {
-                self.remove_worker(true, "replaced");
-                tracing::info!(event = "worker_found", worker = %heartbeat.key, pool = %heartbeat.facts.pool);
-                self.lease.reset_for_worker(now);
-                self.worker = Some(LocalWorker::new(
-                    heartbeat.key,
-                    heartbeat.facts,
-                    self.violation_timeout,
-                ));
-                self.renewal = RenewalPlan::DueAt(now);
+            Some(worker) if worker.key == heartbeat.key => self.update_worker(&heartbeat),
+            Some(worker) if worker.key.started_ms > heartbeat.key.started_ms => {}
+            Some(worker) if worker.has_list => {
+                tracing::info!(event = "successor_found", worker = %worker.key, successor = %heartbeat.key);
+                self.successor = Some(heartbeat);
+                self.renew_now();
             }
+            _ => self.adopt_worker(heartbeat),
         }
+    }
+
+    /// Adopts the sender of a heartbeat as the worker. The loss of a worker that has not answered is
+    /// not reported: the leader frees its runs once the new worker has answered.
+    fn adopt_worker(&mut self, heartbeat: WorkerHeartbeat) {
+        self.forget_worker("replaced");
+        tracing::info!(event = "worker_found", worker = %heartbeat.key, pool = %heartbeat.facts.pool);
+        let now = BootClock.now();
+        self.lease.reset_for_worker(now);
+        self.worker = Some(LocalWorker::new(
+            heartbeat.key.clone(),
+            heartbeat.facts.clone(),
+            self.violation_timeout,
+        ));
+        self.renewal = RenewalPlan::DueAt(now);
+        self.update_worker(&heartbeat);
+    }
+
+    /// Adopts the successor of a worker that has ended.
+    pub(super) fn adopt_successor(&mut self) {
+        if let Some(heartbeat) = self.successor.take() {
+            self.adopt_worker(heartbeat);
+        }
+    }
+
+    /// Updates the worker from one of its heartbeats, unless a later one has arrived.
+    fn update_worker(&mut self, heartbeat: &WorkerHeartbeat) {
         let Some(worker) = &mut self.worker else {
-            return false;
+            return;
         };
         if heartbeat.sequence <= worker.sequence {
-            return true;
+            return;
         }
         worker.sequence = heartbeat.sequence;
         if worker.draining != heartbeat.draining {
@@ -202,7 +233,6 @@
             self.reported = false;
             self.report_worker();
         }
-        true
     }
 
     fn handle_session_event(&mut self, event: SessionEvent) {
--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -126,11 +126,11 @@
                     .started_ms
                     .is_some_and(|started_ms| started_ms != result.key.started_ms);
                 if is_other_incarnation {
-                    return self.remove_worker(true, "born_again");
+                    return self.replace_worker("born_again");
                 }
                 self.handle_renewal_report(now, report);
             }
-            RenewalAnswer::OtherIncarnation => self.remove_worker(true, "other_incarnation"),
+            RenewalAnswer::OtherIncarnation => self.replace_worker("other_incarnation"),
             RenewalAnswer::Refused => self.renewal = RenewalPlan::DueAt(now + RENEWAL_BACKOFF),
             RenewalAnswer::Unreachable | RenewalAnswer::Unanswered => {
                 self.renewal = RenewalPlan::DueAt(now + RENEWAL_BACKOFF);
@@ -139,6 +139,12 @@
         }
     }
 
+    /// Forgets the worker, since another incarnation runs at its address.
+    fn replace_worker(&mut self, reason: &'static str) {
+        self.remove_worker(reason);
+        self.adopt_successor();
+    }
+
     pub(super) fn handle_renewal_report(&mut self, now: BootTime, report: RenewalReport) {
         self.lease.record_clock(now, report.clock_ms);
         self.record_silence(false);
--- a/crates/guavavane_cell/src/agent/mod.rs
+++ b/crates/guavavane_cell/src/agent/mod.rs
@@ -74,7 +74,7 @@
     pub async fn record_heartbeat(&self, heartbeat: WorkerHeartbeat) -> bool {
         let (reply, answer) = oneshot::channel();
         let input = AgentInput::Heartbeat { heartbeat, reply };
-        self.inputs.try_send(input).is_ok() && answer.await.unwrap_or(false)
+        self.inputs.try_send(input).is_ok() && answer.await.is_ok()
     }
 
     /// Tells the agent that its worker shuts down; returns whether the agent's queue had space.
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -6,6 +6,7 @@
 use crate::message::ToControl;
 use crate::message::WorkerReport;
 use crate::worker_api::WorkerApi;
+use guavavane_jobs::prelude::WorkerKey;
 
 impl<A: WorkerApi> AgentLoop<A> {
     pub(super) fn send_to_leader(&self, message: ToControl) {
@@ -73,17 +74,22 @@
         }
     }
 
-    /// Forgets the worker and reports its loss; `ended` says that it never comes back.
-    pub(super) fn remove_worker(&mut self, ended: bool, reason: &'static str) {
-        let Some(worker) = self.worker.take() else {
-            return;
-        };
+    /// Forgets the worker and reports that it has ended.
+    pub(super) fn remove_worker(&mut self, reason: &'static str) {
+        if let Some(key) = self.forget_worker(reason) {
+            self.unreported_losses.push((key, true));
+            self.report_losses();
+        }
+    }
+
+    /// Forgets the worker and returns its key.
+    pub(super) fn forget_worker(&mut self, reason: &'static str) -> Option<WorkerKey> {
+        let worker = self.worker.take()?;
         tracing::warn!(event = "worker_gone", worker = %worker.key, reason);
         self.unconfirmed_stops.clear();
         self.orders_in_flight.clear();
         self.recent_starts.clear();
         self.reported = false;
-        self.unreported_losses.push((worker.key, ended));
-        self.report_losses();
+        Some(worker.key)
     }
 }
--- /dev/null
+++ b/crates/guavavane_cell/tests/foreign_heartbeat.rs
@@ -0,0 +1,223 @@
+//! Heartbeats that another writer sends in the place of the worker.
+//!
+//! Guards against a heartbeat that takes the place of a worker that is still running: the leader
+//! frees its runs and starts them again elsewhere, and the agent follows a worker that does not
+//! exist.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support::agent_settings;
+use crate::support::step;
+use crate::support::worker_heartbeat;
+use crate::support::TestCell;
+use guavavane_cell::prelude::start_agent;
+use guavavane_cell::prelude::AgentHandle;
+use guavavane_cell::prelude::CallerReply;
+use guavavane_cell::prelude::JobState;
+use guavavane_cell::prelude::OrderAnswer;
+use guavavane_cell::prelude::RenewalAnswer;
+use guavavane_cell::prelude::StartOrder;
+use guavavane_cell::prelude::WorkerApi;
+use guavavane_cell::prelude::WorkerHeartbeat;
+use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::TaskKey;
+use guavavane_jobs::prelude::WorkerKey;
+use guavavane_standin::simulated_worker::SimulatedWorker;
+
+/// Run time of a task, longer than the lease of the worker.
+const TASK_RUN_TIME: Duration = Duration::from_millis(1_200);
+/// Longest wait for a job that nothing delays.
+const JOB_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// Worker that only answers calls that name it, and reports its incarnation.
+#[derive(Clone)]
+struct NamedWorker {
+    worker: SimulatedWorker,
+    key: Arc<Mutex<WorkerKey>>,
+}
+
+impl NamedWorker {
+    fn is_named(&self, key: &WorkerKey) -> bool {
+        self.key.lock().unwrap().name == key.name
+    }
+}
+
+impl WorkerApi for NamedWorker {
+    async fn start(&self, worker: WorkerKey, fence: u64, order: StartOrder) -> OrderAnswer {
+        if !self.is_named(&worker) {
+            return OrderAnswer::OtherIncarnation;
+        }
+        self.worker.start(worker, fence, order).await
+    }
+
+    async fn stop(
+        &self,
+        worker: WorkerKey,
+        fence: u64,
+        task: TaskKey,
+        run: RunNumber,
+    ) -> OrderAnswer {
+        if !self.is_named(&worker) {
+            return OrderAnswer::OtherIncarnation;
+        }
+        self.worker.stop(worker, fence, task, run).await
+    }
+
+    async fn set_cpu_share(
+        &self,
+        _worker: WorkerKey,
+        _fence: u64,
+        _task: TaskKey,
+        _run: RunNumber,
+        _percent: u32,
+    ) -> OrderAnswer {
+        OrderAnswer::Done
+    }
+
+    async fn renew_lease(
+        &self,
+        worker: WorkerKey,
+        fence: u64,
+        last_completion: u64,
+        deadline_ms: Option<u64>,
+        wait: Duration,
+    ) -> RenewalAnswer {
+        if !self.is_named(&worker) {
+            return RenewalAnswer::OtherIncarnation;
+        }
+        let worker_api = &self.worker;
+        let mut answer = worker_api
+            .renew_lease(worker, fence, last_completion, deadline_ms, wait)
+            .await;
+        if let RenewalAnswer::Report(report) = &mut answer {
+            report.started_ms = Some(self.key.lock().unwrap().started_ms);
+        }
+        answer
+    }
+}
+
+/// Starts a cell with one worker and lets it start a job of two tasks.
+async fn start_busy_cell() -> (TestCell, NamedWorker, AgentHandle) {
+    let cell = TestCell::start(0, TASK_RUN_TIME).await;
+    let worker = NamedWorker {
+        worker: SimulatedWorker::new(0, TASK_RUN_TIME, cell.history.clone()),
+        key: Arc::new(Mutex::new(worker_heartbeat(0).key)),
+    };
+    let agent = start_agent(agent_settings(0, cell.address), worker.clone());
+    assert!(agent.record_heartbeat(worker_heartbeat(0)).await);
+    assert_eq!(
+        cell.submit(1, vec![step(2, vec![])]).await,
+        CallerReply::Accepted
+    );
+    wait_for_starts(&cell, 2).await;
+    (cell, worker, agent)
+}
+
+async fn wait_for_starts(cell: &TestCell, starts: usize) {
+    let until = Instant::now() + JOB_TIMEOUT;
+    while cell.history.all().len() < starts {
+        assert!(Instant::now() < until, "{:?}", cell.history.all());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Heartbeats of other writers that look later than those of the worker.
+fn foreign_heartbeats() -> Vec<WorkerHeartbeat> {
+    let mut other_name = worker_heartbeat(0);
+    other_name.key.name = Arc::from("no-such-worker");
+    other_name.facts.pool = Arc::from("no-such-pool");
+    let mut far_future = worker_heartbeat(0);
+    far_future.key.started_ms = u64::MAX;
+    let mut both = other_name.clone();
+    both.key.started_ms = u64::MAX;
+    both.sequence = u64::MAX;
+    vec![other_name, far_future, both]
+}
+
+#[tokio::test]
+async fn a_foreign_heartbeat_does_not_free_the_runs_of_the_worker() {
+    let (cell, _worker, agent) = start_busy_cell().await;
+    for heartbeat in foreign_heartbeats() {
+        assert!(agent.record_heartbeat(heartbeat).await);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    cell.wait_for_state(1, JobState::Completed, JOB_TIMEOUT)
+        .await;
+    assert_eq!(cell.history.all().len(), 2, "{:?}", cell.history.all());
+    // The agent still knows its worker.
+    assert_eq!(
+        cell.submit(2, vec![step(1, vec![])]).await,
+        CallerReply::Accepted
+    );
+    cell.wait_for_state(2, JobState::Completed, JOB_TIMEOUT)
+        .await;
+}
+
+/// A heartbeat of another writer that arrives first is dropped once the worker disowns it.
+#[tokio::test]
+async fn a_foreign_heartbeat_does_not_keep_the_worker_out() {
+    for foreign in foreign_heartbeats() {
+        let cell = TestCell::start(0, TASK_RUN_TIME).await;
+        let worker = NamedWorker {
+            worker: SimulatedWorker::new(0, TASK_RUN_TIME, cell.history.clone()),
+            key: Arc::new(Mutex::new(worker_heartbeat(0).key)),
+        };
+        let agent = start_agent(agent_settings(0, cell.address), worker);
+        assert!(agent.record_heartbeat(foreign).await);
+        let mut heartbeat = worker_heartbeat(0);
+        assert_eq!(
+            cell.submit(1, vec![step(1, vec![])]).await,
+            CallerReply::Accepted
+        );
+        while cell.history.all().is_empty() {
+            assert!(heartbeat.sequence < 30, "the worker is not adopted");
+            assert!(agent.record_heartbeat(heartbeat.clone()).await);
+            heartbeat.sequence += 1;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+/// An agent that has just started knows nothing of the runs that an earlier process of it started.
+#[tokio::test]
+async fn a_foreign_heartbeat_at_a_new_agent_does_not_free_the_runs_of_the_worker() {
+    let (cell, worker, agent) = start_busy_cell().await;
+    drop(agent);
+    let agent = start_agent(agent_settings(0, cell.address), worker);
+    assert!(agent.record_heartbeat(worker_heartbeat(0)).await);
+    for heartbeat in foreign_heartbeats() {
+        assert!(agent.record_heartbeat(heartbeat).await);
+    }
+    let mut heartbeat = worker_heartbeat(0);
+    for sequence in 2..5 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        heartbeat.sequence = sequence;
+        assert!(agent.record_heartbeat(heartbeat.clone()).await);
+    }
+    cell.wait_for_state(1, JobState::Completed, JOB_TIMEOUT)
+        .await;
+    assert_eq!(cell.history.all().len(), 2, "{:?}", cell.history.all());
+}
+
+/// The real successor is adopted as soon as the worker's address answers for it, without another
+/// heartbeat.
+#[tokio::test]
+async fn a_restarted_worker_replaces_its_former_incarnation() {
+    for name in ["worker-0", "worker-new"] {
+        let (cell, worker, agent) = start_busy_cell().await;
+        let mut heartbeat = worker_heartbeat(0);
+        heartbeat.key.name = Arc::from(name);
+        heartbeat.key.started_ms = 2;
+        *worker.key.lock().unwrap() = heartbeat.key.clone();
+        assert!(agent.record_heartbeat(heartbeat).await);
+        // The runs of the former incarnation are freed and started again.
+        wait_for_starts(&cell, 4).await;
+    }
+}
