A drain is noticed whatever sequence number came before it

What callers saw: nothing yet; found by reading.

Cause: the agent ignored each heartbeat whose number is not above the highest seen. One heartbeat with a number near u64::MAX, which the format allows, made all later ones look late. The agent acknowledged that its worker drains and went on starting tasks on it.

Change: a heartbeat that says `draining` counts in any order. A worker that drains ends and accepts no runs again in that incarnation (PROTOCOL.md, Service discovery), so a late heartbeat of that kind is never outdated. A late `ready` still changes nothing.

Evidence: a_drain_is_noticed_after_a_foreign_sequence_number in crates/guavavane_cell/tests/foreign_heartbeat.rs; on the old code the job that was submitted after the acknowledgement of the drain started on the worker.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -218,15 +218,16 @@
         }
     }
 
-    /// Updates the worker from one of its heartbeats, unless a later one has arrived.
+    /// Updates the worker from one of its heartbeats, unless a later one has arrived. A worker that
+    /// drains ends without accepting runs again, so an earlier heartbeat that says so still holds.
     fn update_worker(&mut self, heartbeat: &WorkerHeartbeat) {
         let Some(worker) = &mut self.worker else {
             return;
         };
-        if heartbeat.sequence <= worker.sequence {
+        if heartbeat.sequence <= worker.sequence && !heartbeat.draining {
             return;
         }
-        worker.sequence = heartbeat.sequence;
+        worker.sequence = worker.sequence.max(heartbeat.sequence);
         if worker.draining != heartbeat.draining {
             worker.draining = heartbeat.draining;
             tracing::info!(event = "worker_draining", worker = %worker.key, draining = heartbeat.draining);
--- a/crates/guavavane_cell/tests/foreign_heartbeat.rs
+++ b/crates/guavavane_cell/tests/foreign_heartbeat.rs
@@ -2,7 +2,7 @@
 //!
 //! Guards against a heartbeat that takes the place of a worker that is still running: the leader
 //! frees its runs and starts them again elsewhere, and the agent follows a worker that does not
-//! exist.
+//! exist. Guards against a sequence number so high that the worker's drain goes unnoticed.
 
 #![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
 
@@ -35,6 +35,8 @@
 const TASK_RUN_TIME: Duration = Duration::from_millis(1_200);
 /// Longest wait for a job that nothing delays.
 const JOB_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time for which a draining worker must get no start.
+const DRAIN_PERIOD: Duration = Duration::from_millis(600);
 
 /// Worker that only answers calls that name it, and reports its incarnation.
 #[derive(Clone)]
@@ -221,3 +223,22 @@
         wait_for_starts(&cell, 4).await;
     }
 }
+
+#[tokio::test]
+async fn a_drain_is_noticed_after_a_foreign_sequence_number() {
+    let (cell, _worker, agent) = start_busy_cell().await;
+    let mut foreign = worker_heartbeat(0);
+    foreign.sequence = u64::MAX;
+    assert!(agent.record_heartbeat(foreign).await);
+    let mut draining = worker_heartbeat(0);
+    draining.sequence = 2;
+    draining.draining = true;
+    assert!(agent.record_heartbeat(draining).await);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(
+        cell.submit(2, vec![step(1, vec![])]).await,
+        CallerReply::Accepted
+    );
+    tokio::time::sleep(DRAIN_PERIOD).await;
+    assert_eq!(cell.history.all().len(), 2, "{:?}", cell.history.all());
+}
