One odd reading of a worker's clock no longer stops its agent

What callers saw: nothing yet; found by reading.

Cause: the deadline of a lease is the worker's reading of its clock plus the lease, added unchecked. A reading near u64::MAX panics in a build with overflow checks: the agent's loop ends, its process lives on and refuses each heartbeat (503). The release build wraps. A reading that is only far too high stayed: the highest deadline was kept, so every later renewal asked for the longest lease that the worker grants (`MaxHoldMs`, twice what the agent counts on), and a run could go on after its lease counts as expired.

Change: the sum saturates, and each deadline follows from the latest reading alone. A deadline that is earlier than one before it does no harm, since a worker never shortens its lease (PROTOCOL.md, Running tasks).

Evidence: crates/guavavane_cell/tests/worker_clock.rs; on the old code the loop panics (lease.rs:98, attempt to add with overflow), and with only that sum saturated the deadlines stay at the odd reading.

Left open: the one renewal that follows the odd reading still asks for too long a lease.

--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -80,7 +80,8 @@
 
     /// Extends the lease and returns its deadline, on the worker's clock and within the leader's
     /// grant. Returns the earlier deadline while the worker is silent, and none if its clock is
-    /// unknown or the grant is nearly over.
+    /// unknown or the grant is nearly over. A deadline may be earlier than one before it; it never
+    /// shortens the lease of the worker.
     pub(super) fn extend_deadline(&mut self, now: BootTime) -> Option<u64> {
         if self.silent {
             return self.deadline_ms;
@@ -95,7 +96,7 @@
         let ahead_ms = u64::try_from((clock_age + lease).as_millis()).ok()?;
         let expired_by = now + self.timing.expiry_bound(clock_age + lease);
         self.expired_by = self.expired_by.max(Some(expired_by));
-        self.deadline_ms = self.deadline_ms.max(Some(clock_ms + ahead_ms));
+        self.deadline_ms = Some(clock_ms.saturating_add(ahead_ms));
         self.deadline_ms
     }
 
