Daemons: a panic in any part ends the process

A panic of the engine is worse: the replica goes on leading and nobody answers. An agent or entry whose loop or leader client panics lives on likewise, and its worker's tasks lapse. Cause: nothing watches the ends of the threads and spawned tasks, and tokio and std contain a panic in its task or thread. Nobody restarts a process that lives. The platform restarts the process with its data. An HTTP handler that panics now ends its process too, where before only its request failed: a panic is a fault of the program in each case.

--- a/crates/guavavane_daemon/src/lib.rs
+++ b/crates/guavavane_daemon/src/lib.rs
@@ -5,12 +5,13 @@
 //! them with `TryFrom`. An invalid setting ends the process with status 2 and one line that names
 //! the flag, the value and the allowed values. The logs of a daemon go to standard error, in
 //! logfmt: one line of key=value pairs per event. A process that logs to standard output calls
-//! [`log::init_stdout_logging`] instead.
+//! [`log::init_stdout_logging`] instead. A panic in any thread ends the process ([`panic`]).
 
 pub mod http;
 pub mod incarnation;
 pub mod log;
 pub mod metric;
+pub mod panic;
 pub mod run;
 pub mod setting;
 pub mod shutdown;
@@ -23,6 +24,7 @@
     pub use crate::log::init_logging;
     pub use crate::log::init_stdout_logging;
     pub use crate::metric::MetricSink;
+    pub use crate::panic::abort_on_panic;
     pub use crate::run::run_daemon;
     pub use crate::setting::parse_checked_setting;
     pub use crate::setting::parse_setting;
--- a/crates/guavavane_daemon/src/run.rs
+++ b/crates/guavavane_daemon/src/run.rs
@@ -7,6 +7,7 @@
 use bpaf::ParseFailure;
 
 use crate::log;
+use crate::panic::abort_on_panic;
 use crate::setting::SettingError;
 
 /// Exit status for an invalid setting or command line.
@@ -38,6 +39,7 @@
         }
     };
     log::init_logging();
+    abort_on_panic();
     match main(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
