Soak: disk faults, overlapping restarts and a lost disk of control processes

Cause to reproduce: a replica that stops for good at an error of its disk while its process lives on. The soak had no faults of control disks, restarted one control process at a time, and asked only whether jobs complete; a long-running task that nobody runs again was not noticed.

Nothing from outside reaches an append to the open segment: that needs a fault-injecting folder. /dev/full is not put in the place of a segment, since a replay would read it without end. - An operator sends configurations of 100 KB, so that segments roll within a fault. - Series of restarts of all control processes, overlapping with each other and with a disk fault; control processes that exit by themselves are started again. - 4 s after the last fault (CatchUpS) a process whose disk was not the last faulty one loses its disk. The acknowledged configuration must be read and a new one be acknowledged within 7 s (3 s of ContactMs, 4 s of AckMs). In both scopes one job of ten has long-running tasks, and none of them may be idle for 3 s with no fault from 4 s before, from 6 s after its last run (LOST). Clients keep a connection to each control process and entry open until it exits. run.rs is split into cell, faults, checks and run; the draws of the old scope come from the same stream as before, those of control faults from another one.

--- a/crates/guavavane_standin/src/simulated_worker.rs
+++ b/crates/guavavane_standin/src/simulated_worker.rs
@@ -24,6 +24,9 @@
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerKey;
 
+/// Payload of tasks that run until they are stopped or their lease expires.
+pub const LONG_RUNNING_PAYLOAD: &str = "long-running";
+
 /// Run of a task, as recorded in the history that all workers share.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RecordedRun {
@@ -91,7 +94,8 @@
 struct ActiveRun {
     task: TaskKey,
     run: RunNumber,
-    ends_at: Instant,
+    /// Time at which the run succeeds; none for a long-running task.
+    ends_at: Option<Instant>,
 }
 
 /// State of the worker, shared by its clones.
@@ -201,7 +205,7 @@
         while let Some(index) = state
             .runs
             .iter()
-            .position(|run| lease_expired || run.ends_at <= now)
+            .position(|run| lease_expired || run.ends_at.is_some_and(|ends_at| ends_at <= now))
         {
             let outcome = if lease_expired {
                 RunOutcome::Lapsed
@@ -285,10 +289,11 @@
             .iter()
             .any(|completion| completion.task == order.task && completion.run == order.run);
         if !is_running && !has_completed {
+            let is_long_running = &*order.payload == LONG_RUNNING_PAYLOAD;
             state.runs.push(ActiveRun {
                 task: order.task,
                 run: order.run,
-                ends_at: Instant::now() + self.service_time,
+                ends_at: (!is_long_running).then(|| Instant::now() + self.service_time),
             });
             self.history
                 .0
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -1,10 +1,18 @@
 //! Randomised soak test: runs the real processes on loopback while it injects faults.
 //!
 //! [`programs`] starts and signals the processes, [`worker`] serves simulated workers over HTTP,
-//! [`caller`] submits jobs and queries their states, and [`run`] injects faults chosen by a seed
-//! and checks what callers and workers observed.
+//! [`cell`] holds both, and [`connection`] keeps connections to the processes open. [`caller`]
+//! submits jobs, queries their states and sends configurations, [`operator`] sends them in quick
+//! succession. [`faults`] and [`disk`] inject
+//! faults, [`run`] executes one seed, and [`checks`] checks what callers and workers observed.
 
 pub mod caller;
+pub mod cell;
+pub mod checks;
+pub mod connection;
+pub mod disk;
+pub mod faults;
+pub mod operator;
 pub mod programs;
 pub mod run;
 pub mod worker;
--- a/tools/soak/src/programs.rs
+++ b/tools/soak/src/programs.rs
@@ -60,6 +60,7 @@
     /// Loopback address of the process.
     pub ip: Ipv4Addr,
     settings: PathBuf,
+    data_dir: PathBuf,
     log: PathBuf,
     child: Option<Child>,
 }
@@ -118,20 +119,42 @@
             role,
             ip,
             settings,
+            data_dir,
             log: folder.join(format!("{name}.log")),
             child: None,
         })
     }
 
-    /// Starts the process unless it is running; its output is appended to its log.
+    /// Folder of the replicated log of a control process.
+    pub fn log_folder(&self) -> PathBuf {
+        self.data_dir.join("log")
+    }
+
+    /// Kills the process and removes its data; the next start finds an empty disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the data can't be removed or the settings can't be rewritten.
+    pub fn lose_disk(&mut self) -> anyhow::Result<()> {
+        self.kill();
+        fs::remove_dir_all(&self.data_dir)?;
+        let settings = fs::read_to_string(&self.settings)?;
+        // Only the first start of a cell finds empty disks on all control VMs.
+        let settings = settings.replace("Bootstrap = true", "Bootstrap = false");
+        fs::write(&self.settings, settings)?;
+        Ok(())
+    }
+
+    /// Starts the process unless it is running; its output is appended to its log. Returns whether
+    /// it was started.
     ///
     /// # Errors
     ///
     /// Fails if the log can't be opened or the program can't be started.
-    pub fn start(&mut self, program: &Path) -> anyhow::Result<()> {
+    pub fn start(&mut self, program: &Path) -> anyhow::Result<bool> {
         if let Some(child) = &mut self.child {
             if child.try_wait()?.is_none() {
-                return Ok(());
+                return Ok(false);
             }
         }
         let log = fs::OpenOptions::new()
@@ -146,7 +169,7 @@
             .stdout(log)
             .spawn()?;
         self.child = Some(child);
-        Ok(())
+        Ok(true)
     }
 
     /// Sends a signal to the process if it was started.
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -3,15 +3,13 @@
 //! A generator with the given seed draws the faults, the jobs and the entries. A seed doesn't
 //! repeat a run exactly: the processes run in real time, and a draw may depend on which faults are
 //! active. A run passes if all accepted jobs complete after the faults have ended, no two runs of
-//! a task overlap, and no run starts after one that succeeded.
-//!
-//! Loopback addresses by last octet: control processes from 10, entries from 30, agents from 50,
-//! workers from 70, relays of workers from 90, relays of entries from 110.
+//! a task overlap, no run starts after one that succeeded, and long-running tasks run again in
+//! time. With faults of the control processes, one of them loses its disk at the end, and the
+//! others must go on: an acknowledged configuration stays, and a new one is acknowledged in time.
 
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,42 +18,74 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use rustix::process::Signal;
 
 use crate::caller;
+use crate::caller::JobKind;
 use crate::caller::RequestResult;
-use crate::programs::ProgramRole;
+use crate::cell::start_cell;
+use crate::cell::SoakCell;
+use crate::cell::CONTROL_COUNT;
+use crate::checks::all_running;
+use crate::checks::find_idle_task;
+use crate::checks::wait_for_config;
+use crate::checks::wait_until_completed;
+use crate::checks::LongRunningTask;
+use crate::connection::OpenConnections;
+use crate::faults::FaultSchedule;
+use crate::faults::FaultSpan;
+use crate::operator::ConfigOperator;
+use crate::operator::SentVersions;
 use crate::programs::SoakPorts;
-use crate::programs::SoakProgram;
-use crate::programs::WORKER_RELAY_OCTET;
-use crate::worker::run_worker;
-use guavavane_standin::prelude::RelayMode;
-use guavavane_standin::prelude::TcpRelay;
-use guavavane_standin::simulated_worker::RunHistory;
-use guavavane_standin::simulated_worker::SimulatedWorker;
 
-/// Number of entries, each behind a relay.
-const ENTRY_COUNT: u8 = 2;
-/// Last octet of the address on which the relay of the first entry listens.
-const ENTRY_RELAY_OCTET: u8 = 110;
-/// Faults that a relay can inject into its connections.
-const RELAY_FAULTS: [RelayMode; 5] = [
-    RelayMode::Drop,
-    RelayMode::DropForward,
-    RelayMode::DropBack,
-    RelayMode::Close,
-    RelayMode::Delay,
-];
-/// Number of workers, each with an agent and behind a relay.
-const WORKER_COUNT: u8 = 3;
-/// Service time of a task.
-const TASK_SERVICE_TIME: Duration = Duration::from_millis(250);
 /// Time between two submitted jobs.
 const JOB_INTERVAL: Duration = Duration::from_millis(120);
-/// Timeout for the first acknowledged configuration after the start.
-const START_TIMEOUT: Duration = Duration::from_secs(20);
-/// Timeout for the completion of all accepted jobs after the faults have ended.
-const COMPLETION_TIMEOUT: Duration = Duration::from_secs(40);
+/// One of this many jobs has long-running tasks.
+const LONG_RUNNING_JOB_STEP: u64 = 10;
+/// Highest key of a job with long-running tasks; limits the capacity that they hold.
+const LONG_RUNNING_KEY_MAX: u64 = 100;
+/// Number of tasks of a job with long-running tasks.
+const LONG_RUNNING_TASKS: u64 = 2;
+/// Generator stream of the faults of control processes; other draws use stream 0.
+const CONTROL_FAULT_STREAM: u64 = 1;
+/// Time in which a control process catches up after a fault.
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+/// Time for which a control process is down when it loses its disk.
+const LOST_DISK_DOWNTIME: Duration = Duration::from_millis(500);
+/// Timeout for the acknowledgement of a configuration after the last fault: the group counts as
+/// stable after 3 s, and answers within 4 s then.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(7);
+/// Time for which long-running tasks are watched after a lost disk: longer than an agent's lease
+/// of 12 s, the time to the next run and the maximum idle time together.
+const LOST_DISK_WATCH_TIME: Duration = Duration::from_secs(24);
+/// Maximum time for which long-running tasks are watched after other faults.
+const WATCH_TIME_MAX: Duration = Duration::from_secs(40);
+/// Time between two checks of the long-running tasks.
+const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Which faults a run injects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultScope {
+    /// Faults of processes and networks; one control process at a time.
+    ProcessesAndNetwork,
+    /// In addition, disk faults and overlapping restarts of control processes, and a lost disk at
+    /// the end.
+    ControlProcesses,
+}
+
+/// Settings of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakSettings {
+    /// Seed of the generator.
+    pub seed: u64,
+    /// Time for which faults are injected.
+    pub fault_duration: Duration,
+    /// Faults to inject.
+    pub scope: FaultScope,
+    /// All addresses are `127.0.subnet.x`.
+    pub subnet: u8,
+    /// Ports of all processes.
+    pub ports: SoakPorts,
+}
 
 /// Counts of one run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -64,339 +94,246 @@
     pub accepted: usize,
     /// Jobs that were refused, or whose outcome the caller doesn't know.
     pub unclear: usize,
-    /// Injected faults.
+    /// Injected faults of processes and networks.
     pub faults: usize,
+    /// Injected disk faults.
+    pub disk_faults: usize,
+    /// Series of restarts of all control processes.
+    pub restart_series: usize,
+    /// Control processes that exited by themselves and were started again.
+    pub own_exits: usize,
+    /// Versions of configurations.
+    pub versions: SentVersions,
+    /// Long-running tasks of accepted jobs.
+    pub long_running_tasks: usize,
     /// Runs that workers started.
     pub runs: usize,
 }
 
-/// Processes, relays and workers of one run.
-struct SoakCell {
-    programs: Vec<SoakProgram>,
-    /// Relays between callers and entries, then those between agents and workers.
-    relays: Vec<TcpRelay>,
-    ports: SoakPorts,
-    subnet: u8,
-    history: RunHistory,
-}
-
-impl SoakCell {
-    /// Address of the relay of an entry; `number` wraps around after the last entry.
-    fn entry_address(&self, number: u8) -> SocketAddr {
-        SocketAddr::from((
-            Ipv4Addr::new(
-                127,
-                0,
-                self.subnet,
-                ENTRY_RELAY_OCTET + number % ENTRY_COUNT,
-            ),
-            self.ports.front,
-        ))
-    }
-
-    /// Address of a control process for operators' calls; `number` wraps around after the last one.
-    fn control_address(&self, number: u8) -> SocketAddr {
-        SocketAddr::from((
-            Ipv4Addr::new(127, 0, self.subnet, 10 + number % 3),
-            self.ports.control,
-        ))
-    }
-}
-
-/// Starts all processes, relays and workers, and puts a configuration in force.
-fn start_cell(
-    program: &Path,
-    folder: &Path,
-    subnet: u8,
-    ports: SoakPorts,
-) -> anyhow::Result<SoakCell> {
-    let mut programs = Vec::new();
-    for (role, count) in [
-        (ProgramRole::Control, 3),
-        (ProgramRole::Entry, ENTRY_COUNT),
-        (ProgramRole::Agent, WORKER_COUNT),
-    ] {
-        for number in 0..count {
-            let mut process = SoakProgram::new(role, number, subnet, ports, folder)?;
-            process.start(program)?;
-            programs.push(process);
-        }
-    }
-    let cell = SoakCell {
-        programs,
-        relays: start_relays(subnet, ports)?,
-        ports,
-        subnet,
-        history: RunHistory::default(),
-    };
-    start_workers(&cell)?;
-    let deadline = Instant::now() + START_TIMEOUT;
-    let mut control_number = 0;
-    let hosts = [cell.entry_address(0).ip(), cell.entry_address(1).ip()];
-    while !caller::put_config(cell.control_address(control_number), 1, &hosts) {
-        control_number += 1;
-        if Instant::now() > deadline {
-            bail!("no control process acknowledged the configuration");
-        }
-        thread::sleep(Duration::from_millis(200));
-    }
-    Ok(cell)
-}
-
-/// Starts the relays of the entries and the workers.
-fn start_relays(subnet: u8, ports: SoakPorts) -> anyhow::Result<Vec<TcpRelay>> {
-    let address =
-        |octet: u8, port: u16| SocketAddr::from((Ipv4Addr::new(127, 0, subnet, octet), port));
-    let entries = (0..ENTRY_COUNT).map(|number| {
-        let listen = address(ENTRY_RELAY_OCTET + number, ports.front);
-        TcpRelay::start(listen, address(30 + number, ports.front))
-    });
-    let workers = (0..WORKER_COUNT).map(|number| {
-        let listen = address(WORKER_RELAY_OCTET + number, ports.worker);
-        TcpRelay::start(listen, address(70 + number, ports.worker))
-    });
-    entries.chain(workers).collect()
+/// Job that a caller thread submits; the thread returns the result and its time.
+struct Submission {
+    key: u64,
+    thread: JoinHandle<(RequestResult, Instant)>,
 }
 
-/// Starts the simulated workers on a separate thread.
-fn start_workers(cell: &SoakCell) -> anyhow::Result<()> {
-    let (subnet, ports, history) = (cell.subnet, cell.ports, cell.history.clone());
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    thread::Builder::new()
-        .name("workers".to_owned())
-        .spawn(move || {
-            runtime.block_on(async {
-                for number in 0..WORKER_COUNT {
-                    let worker = SimulatedWorker::new(
-                        usize::from(number),
-                        TASK_SERVICE_TIME,
-                        history.clone(),
-                    );
-                    let advanced_worker = worker.clone();
-                    tokio::spawn(async move {
-                        loop {
-                            advanced_worker.advance();
-                            tokio::time::sleep(Duration::from_millis(5)).await;
-                        }
-                    });
-                    let worker_address = (Ipv4Addr::new(127, 0, subnet, 70 + number), ports.worker);
-                    let agent_address = (Ipv4Addr::new(127, 0, subnet, 50 + number), ports.control);
-                    let started = run_worker(
-                        worker,
-                        SocketAddr::from(worker_address),
-                        SocketAddr::from(agent_address),
-                        usize::from(number),
-                    );
-                    started.await.expect("the address of a worker is free");
-                }
-                std::future::pending::<()>().await;
-            });
-        })?;
-    Ok(())
+/// Accepted jobs, by the way in which they are checked.
+#[derive(Default)]
+struct AcceptedJobs {
+    batch_keys: Vec<u64>,
+    long_running: Vec<LongRunningTask>,
 }
 
-/// Kind of a fault, with the index of its process or relay.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SoakFault {
-    /// A process is suspended by SIGSTOP until SIGCONT.
-    Suspended(usize),
-    /// A process receives SIGKILL or SIGTERM and is restarted later.
-    Terminated(usize),
-    /// A relay drops, closes or delays its connections.
-    Network(usize),
+/// Runs one seed and checks the result. The logs of a failed run are kept.
+///
+/// # Errors
+///
+/// Fails if a process can't be started or a check fails; the error names the folder of the logs.
+pub fn run_soak(program: &Path, settings: SoakSettings) -> anyhow::Result<SoakReport> {
+    let folder = tempfile::tempdir()?;
+    let result = SoakRun::start(program, folder.path(), settings).and_then(SoakRun::finish);
+    result.with_context(|| format!("logs are in {}", folder.keep().display()))
 }
 
-/// Fault that has been injected and not ended yet.
-struct ActiveFault {
-    fault: SoakFault,
-    ends_at: Instant,
+/// Run of one seed, whose cell has started.
+struct SoakRun<'a> {
+    program: &'a Path,
+    settings: SoakSettings,
+    cell: SoakCell,
+    schedule: FaultSchedule,
+    control_random: ChaCha8Rng,
+    report: SoakReport,
+    submissions: Vec<Submission>,
+    /// Connections of clients that stay open until a process exits.
+    _connections: OpenConnections,
 }
 
-impl ActiveFault {
-    /// Index of the affected process; none for a network fault.
-    fn process_index(&self) -> Option<usize> {
-        match self.fault {
-            SoakFault::Suspended(process) | SoakFault::Terminated(process) => Some(process),
-            SoakFault::Network(_) => None,
-        }
+impl<'a> SoakRun<'a> {
+    fn start(program: &'a Path, folder: &Path, settings: SoakSettings) -> anyhow::Result<Self> {
+        let mut control_random = ChaCha8Rng::seed_from_u64(settings.seed);
+        control_random.set_stream(CONTROL_FAULT_STREAM);
+        let cell = start_cell(program, folder, settings.subnet, settings.ports)?;
+        Ok(Self {
+            program,
+            settings,
+            _connections: OpenConnections::keep(cell.client_addresses()),
+            cell,
+            schedule: FaultSchedule::default(),
+            control_random,
+            report: SoakReport::default(),
+            submissions: Vec::new(),
+        })
     }
-}
 
-/// Injects a random network or process fault; false if the chosen process can't take one.
-fn inject_fault(
-    cell: &mut SoakCell,
-    random: &mut ChaCha8Rng,
-    active: &mut Vec<ActiveFault>,
-) -> bool {
-    let fault = if random.random_bool(0.35) {
-        let relay = random.random_range(0..cell.relays.len());
-        let mode = RELAY_FAULTS[random.random_range(0..RELAY_FAULTS.len())];
-        cell.relays[relay].set_mode(mode);
-        SoakFault::Network(relay)
-    } else {
-        let Some(fault) = inject_process_fault(cell, random, active) else {
-            return false;
+    fn finish(mut self) -> anyhow::Result<SoakReport> {
+        let disturbs_control = self.settings.scope == FaultScope::ControlProcesses;
+        let operator = disturbs_control.then(|| self.start_operator());
+        self.inject_faults()?;
+        self.report.versions = match operator {
+            Some(operator) => operator.stop()?,
+            None => SentVersions {
+                sent: 1,
+                acknowledged: 1,
+            },
         };
-        fault
-    };
-    let duration = Duration::from_millis(random.random_range(100..4_000));
-    let ends_at = Instant::now() + duration;
-    active.push(ActiveFault { fault, ends_at });
-    true
-}
-
-/// Suspends or terminates a random process. A process takes one fault at a time, and at most one
-/// control process is faulty: more than one failure of three voters would cost the quorum.
-fn inject_process_fault(
-    cell: &mut SoakCell,
-    random: &mut ChaCha8Rng,
-    active: &[ActiveFault],
-) -> Option<SoakFault> {
-    let process = random.random_range(0..cell.programs.len());
-    let is_control = |index: usize| cell.programs[index].role == ProgramRole::Control;
-    let mut affected = active.iter().filter_map(ActiveFault::process_index);
-    if affected.any(|other| other == process || is_control(other) && is_control(process)) {
-        return None;
-    }
-    let target = &mut cell.programs[process];
-    if random.random_bool(0.4) {
-        target.signal(Signal::STOP);
-        return Some(SoakFault::Suspended(process));
+        let jobs = self.collect_submissions()?;
+        if disturbs_control {
+            self.lose_disk()?;
+        }
+        wait_until_completed(&self.cell, jobs.batch_keys)?;
+        self.watch_long_running(&jobs.long_running)?;
+        self.report.long_running_tasks = jobs.long_running.len();
+        self.report.runs = self.cell.history.all().len();
+        match self.cell.history.find_duplicate_run() {
+            Some(fault) => bail!("seed {}: {fault}", self.settings.seed),
+            None => Ok(self.report),
+        }
     }
-    if random.random_bool(0.5) {
-        target.kill();
-    } else {
-        target.signal(Signal::TERM);
+
+    fn start_operator(&self) -> ConfigOperator {
+        let controls = (0..CONTROL_COUNT).map(|number| self.cell.control_address(number));
+        ConfigOperator::start(1, controls.collect(), self.cell.config_hosts())
     }
-    Some(SoakFault::Terminated(process))
-}
 
-/// Ends the faults whose time is over, or all of them, and restarts terminated processes.
-fn end_faults(
-    cell: &mut SoakCell,
-    program: &Path,
-    active: &mut Vec<ActiveFault>,
-    end_all: bool,
-) -> anyhow::Result<()> {
-    let now = Instant::now();
-    let (ended, remaining) = std::mem::take(active)
-        .into_iter()
-        .partition::<Vec<_>, _>(|fault| end_all || fault.ends_at <= now);
-    *active = remaining;
-    for fault in ended {
-        match fault.fault {
-            SoakFault::Suspended(index) => cell.programs[index].signal(Signal::CONT),
-            SoakFault::Terminated(index) => {
-                cell.programs[index].kill();
-                cell.programs[index].start(program)?;
+    /// Injects faults and submits jobs; all faults have ended on return.
+    fn inject_faults(&mut self) -> anyhow::Result<()> {
+        let mut random = ChaCha8Rng::seed_from_u64(self.settings.seed);
+        let faults_end = Instant::now() + self.settings.fault_duration;
+        while Instant::now() < faults_end {
+            self.schedule.advance(&mut self.cell, self.program)?;
+            if random.random_bool(0.15) && self.schedule.inject(&mut self.cell, &mut random) {
+                self.report.faults += 1;
             }
-            SoakFault::Network(index) => {
-                let is_still_faulty = active
-                    .iter()
-                    .any(|other| other.fault == SoakFault::Network(index));
-                if !is_still_faulty {
-                    cell.relays[index].set_mode(RelayMode::Pass);
-                }
+            if self.settings.scope == FaultScope::ControlProcesses {
+                self.disturb_control()?;
             }
+            self.submit_job(&mut random);
+            thread::sleep(JOB_INTERVAL);
         }
+        self.schedule.end_all(&mut self.cell, self.program)
     }
-    Ok(())
-}
 
-/// Runs one seed with faults for `fault_duration` and checks the result.
-///
-/// All addresses are `127.0.subnet.x`. The logs of a failed run are kept.
-///
-/// # Errors
-///
-/// Fails if a process can't be started or a check fails; the error names the folder of the logs.
-pub fn run_soak(
-    program: &Path,
-    seed: u64,
-    fault_duration: Duration,
-    subnet: u8,
-    ports: SoakPorts,
-) -> anyhow::Result<SoakReport> {
-    let folder = tempfile::tempdir()?;
-    let result = run_in_folder(program, folder.path(), seed, fault_duration, subnet, ports);
-    result.with_context(|| format!("logs are in {}", folder.keep().display()))
-}
-
-fn run_in_folder(
-    program: &Path,
-    folder: &Path,
-    seed: u64,
-    fault_duration: Duration,
-    subnet: u8,
-    ports: SoakPorts,
-) -> anyhow::Result<SoakReport> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut cell = start_cell(program, folder, subnet, ports)?;
-    let mut report = SoakReport::default();
-    let mut submissions = Vec::new();
-    let mut active = Vec::new();
-    let faults_end = Instant::now() + fault_duration;
-    let mut key = 0;
-    while Instant::now() < faults_end {
-        end_faults(&mut cell, program, &mut active, false)?;
-        if random.random_bool(0.15) && inject_fault(&mut cell, &mut random, &mut active) {
-            report.faults += 1;
+    /// Injects disk faults and plans restarts at random; starts control processes that have exited.
+    fn disturb_control(&mut self) -> anyhow::Result<()> {
+        let random = &mut self.control_random;
+        if random.random_bool(0.1) && self.schedule.inject_disk_fault(&self.cell, random) {
+            self.report.disk_faults += 1;
         }
-        key += 1;
-        let entry = cell.entry_address(random.random_range(0..2));
+        if random.random_bool(0.02) {
+            self.schedule.plan_restarts(random);
+            self.report.restart_series += 1;
+        }
+        self.restart_exited()
+    }
+
+    fn restart_exited(&mut self) -> anyhow::Result<()> {
+        let restarted = self.schedule.restart_exited(&mut self.cell, self.program)?;
+        self.report.own_exits += restarted;
+        Ok(())
+    }
+
+    /// Submits a job on another thread, and once more if it isn't accepted.
+    fn submit_job(&mut self, random: &mut ChaCha8Rng) {
+        let key = self.submissions.len() as u64 + 1;
+        let entry = self.cell.entry_address(random.random_range(0..2));
         let tasks = random.random_range(1..4);
-        let (first_entry, retry_entry) = (entry, cell.entry_address(random.random_range(0..2)));
-        let submission = thread::spawn(move || {
-            let result = caller::submit(first_entry, key, tasks);
-            if matches!(result, RequestResult::Answered(200, _)) {
-                return result;
+        let retry_entry = self.cell.entry_address(random.random_range(0..2));
+        let kind = if is_long_running(key) {
+            JobKind::LongRunning(LONG_RUNNING_TASKS)
+        } else {
+            JobKind::Batch(tasks)
+        };
+        let thread = thread::spawn(move || {
+            let mut result = caller::submit(entry, key, kind);
+            if !matches!(result, RequestResult::Answered(200, _)) {
+                result = caller::submit(retry_entry, key, kind);
             }
-            caller::submit(retry_entry, key, tasks)
+            (result, Instant::now())
         });
-        submissions.push((key, submission));
-        thread::sleep(JOB_INTERVAL);
+        self.submissions.push(Submission { key, thread });
     }
-    end_faults(&mut cell, program, &mut active, true)?;
-    let mut accepted_keys = Vec::new();
-    for (key, submission) in submissions {
-        let result = submission.join().ok().context("a caller thread panicked")?;
-        if matches!(result, RequestResult::Answered(200, _)) {
-            accepted_keys.push(key);
-        } else {
-            report.unclear += 1;
+
+    fn collect_submissions(&mut self) -> anyhow::Result<AcceptedJobs> {
+        let mut jobs = AcceptedJobs::default();
+        for submission in std::mem::take(&mut self.submissions) {
+            let key = submission.key;
+            let result = submission.thread.join();
+            let (result, accepted_at) = result.ok().context("a caller thread panicked")?;
+            if !matches!(result, RequestResult::Answered(200, _)) {
+                self.report.unclear += 1;
+                continue;
+            }
+            self.report.accepted += 1;
+            if !is_long_running(key) {
+                jobs.batch_keys.push(key);
+                continue;
+            }
+            for number in 0..LONG_RUNNING_TASKS {
+                let task = format!("{key:016x}.0.0.{number}").parse();
+                jobs.long_running.push(LongRunningTask {
+                    task: task.map_err(|_| anyhow::anyhow!("a task key can't be parsed"))?,
+                    accepted_at,
+                });
+            }
         }
+        Ok(jobs)
     }
-    report.accepted = accepted_keys.len();
-    wait_until_completed(&cell, accepted_keys)?;
-    report.runs = cell.history.all().len();
-    match cell.history.find_duplicate_run() {
-        Some(fault) => bail!("seed {seed}: {fault}"),
-        None => Ok(report),
-    }
-}
 
-/// Waits until all accepted jobs have completed; fails if one has failed or is unknown.
-fn wait_until_completed(cell: &SoakCell, mut pending_keys: Vec<u64>) -> anyhow::Result<()> {
-    let deadline = Instant::now() + COMPLETION_TIMEOUT;
-    let mut queries = 0;
-    while let Some(key) = pending_keys.pop() {
-        queries += 1;
-        match caller::query_state(cell.entry_address(queries), key) {
-            RequestResult::Answered(200, text) if text.contains("completed") => continue,
-            RequestResult::Answered(200, text) if !text.contains("failed") => {}
-            RequestResult::Answered(503 | 504, _) | RequestResult::Unanswered => {}
-            result => bail!("state query of accepted job {key:016x} returned {result:?}"),
+    /// Takes the disk of a control process once the others have caught up, and checks that the
+    /// group goes on. The process isn't the one whose disk was faulty last.
+    fn lose_disk(&mut self) -> anyhow::Result<()> {
+        let caught_up_at = Instant::now() + CATCH_UP_TIME;
+        while Instant::now() < caught_up_at {
+            self.restart_exited()?;
+            thread::sleep(WATCH_INTERVAL);
         }
-        if Instant::now() > deadline {
-            bail!(
-                "accepted job {key:016x} and {} more have not completed",
-                pending_keys.len()
-            );
+        let mut process = self
+            .control_random
+            .random_range(0..usize::from(CONTROL_COUNT));
+        if self.schedule.last_disk_fault == Some(process) {
+            process = (process + 1) % usize::from(CONTROL_COUNT);
         }
-        pending_keys.insert(0, key);
-        thread::sleep(Duration::from_millis(20));
+        let began_at = Instant::now();
+        self.cell.programs[process].lose_disk()?;
+        thread::sleep(LOST_DISK_DOWNTIME);
+        self.cell.programs[process].start(self.program)?;
+        let ended_at = Instant::now();
+        self.schedule.spans.push(FaultSpan { began_at, ended_at });
+        let deadline = ended_at + ACKNOWLEDGEMENT_TIMEOUT;
+        wait_for_config(&self.cell, self.report.versions.acknowledged, deadline)
+            .with_context(|| format!("after control process {process} has lost its disk"))?;
+        self.report.versions.sent += 1;
+        self.cell
+            .put_config_until(self.report.versions.sent, deadline)
+            .with_context(|| format!("after control process {process} has lost its disk"))?;
+        self.report.versions.acknowledged = self.report.versions.sent;
+        Ok(())
     }
-    Ok(())
+
+    /// Fails if a long-running task has been, or is, idle for too long.
+    fn watch_long_running(&self, tasks: &[LongRunningTask]) -> anyhow::Result<()> {
+        let started_at = Instant::now();
+        let (time_min, time_max) = match self.settings.scope {
+            FaultScope::ProcessesAndNetwork => (Duration::ZERO, WATCH_TIME_MAX),
+            FaultScope::ControlProcesses => (LOST_DISK_WATCH_TIME, WATCH_TIME_MAX),
+        };
+        loop {
+            let runs = self.cell.history.all();
+            let now = Instant::now();
+            if let Some(fault) = find_idle_task(tasks, &runs, &self.schedule.spans, now) {
+                bail!("{fault}");
+            }
+            let watched = now - started_at;
+            if watched >= time_min && all_running(tasks, &runs) {
+                return Ok(());
+            }
+            if watched > time_max {
+                bail!("long-running tasks don't all run at the same time");
+            }
+            thread::sleep(WATCH_INTERVAL);
+        }
+    }
+}
+
+fn is_long_running(key: u64) -> bool {
+    key.is_multiple_of(LONG_RUNNING_JOB_STEP) && key <= LONG_RUNNING_KEY_MAX
 }
