--- a/crates/guavavane_quorum/src/watch.rs
+++ b/crates/guavavane_quorum/src/watch.rs
@@ -12,6 +12,8 @@
 /// Change between two views of one replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GroupChange {
+    /// The replica knows another leader than in the earlier view, or none.
+    Leader(Option<ReplicaMember>),
     /// The group has other members than in the earlier view.
     Members,
     /// A voter no longer answers the leader.
@@ -23,6 +25,7 @@
 /// Compares successive views of one replica.
 #[derive(Debug, Default)]
 pub struct GroupWatch {
+    leader: Option<ReplicaMember>,
     members: MemberSet,
     unavailable_voters: Vec<ReplicaId>,
 }
@@ -38,6 +41,10 @@
     /// Returns the changes since the earlier view.
     pub fn changes(&mut self, view: &LeadershipView) -> Vec<GroupChange> {
         let mut changes = Vec::new();
+        if self.leader != view.leader {
+            self.leader = view.leader;
+            changes.push(GroupChange::Leader(view.leader));
+        }
         if self.members != view.members {
             self.members = view.members.clone();
             changes.push(GroupChange::Members);
@@ -64,6 +71,13 @@
     let voters = view.members.voter_count();
     let spare = view.spare_voters();
     match change {
+        GroupChange::Leader(None) => {
+            tracing::warn!(event = "leader_unknown", term = view.term.0);
+        }
+        GroupChange::Leader(Some(leader)) => {
+            let ReplicaMember { id, address, .. } = leader;
+            tracing::info!(event = "leader_known", replica = %id, %address, term = view.term.0);
+        }
         GroupChange::Members => {
             let learners = view.members.len() - voters;
             tracing::info!(event = "members_changed", voters, learners);
--- a/crates/guavavane_quorum/tests/group_watch.rs
+++ b/crates/guavavane_quorum/tests/group_watch.rs
@@ -18,7 +18,7 @@
         id: ReplicaId(1),
         role,
         term: Term(1),
-        leader: Some(voter(1)),
+        leader: None,
         lease_valid_until: Some(BootTime::from_millis(1)),
         led_since: Some(BootTime::from_millis(0)),
         commit: LogIndex(1),
@@ -75,3 +75,19 @@
     let follower = view(ReplicaRole::Follower, 3, Vec::new());
     assert_eq!(follower.spare_voters(), None);
 }
+
+/// Guards against a replica that looks for a leader for good without a report.
+#[test]
+fn an_unknown_leader_is_reported_once() {
+    let mut watch = GroupWatch::default();
+    let unknown = view(ReplicaRole::PreCandidate, 0, Vec::new());
+    let known = LeadershipView {
+        leader: Some(voter(1)),
+        ..view(ReplicaRole::Follower, 0, Vec::new())
+    };
+    assert_eq!(watch.changes(&unknown), []);
+    assert_eq!(watch.changes(&known), [GroupChange::Leader(Some(voter(1)))]);
+    assert_eq!(watch.changes(&known), []);
+    assert_eq!(watch.changes(&unknown), [GroupChange::Leader(None)]);
+    assert_eq!(watch.changes(&unknown), []);
+}
