A completion of an unknown run frees no capacity

What callers saw: nothing yet; found by a generated test.

Cause: a completion that names a higher run than the ledger has on the worker removed the worker's record of the task's run, but left the task assigned to the worker, since the numbers differ. The run went on without holding capacity, and its end, if its number was lower, and the loss of the worker no longer ended the task: it waited for ever.

Change: the record is removed only by the completion of that run. No run of a worker is higher than the ledger's, because each start is committed before it is ordered, so this changes nothing for completions of a worker's own runs.

--- a/crates/guavavane_jobs/src/ledger/apply.rs
+++ b/crates/guavavane_jobs/src/ledger/apply.rs
@@ -317,7 +317,7 @@
             if worker
                 .runs
                 .get(&completion.task)
-                .is_some_and(|run| run.run <= completion.run)
+                .is_some_and(|run| run.run == completion.run)
             {
                 worker.runs.swap_remove(&completion.task);
             }
