One odd measurement no longer takes throttling away for seconds

What callers saw: nothing yet; found by reading. The measurement of a run is a rough figure in the worker's list, and the format allows any number.

Cause: the processor use of a best-effort task entered the smoothed load as it was reported. A figure of 10^6 processors decays with a time constant of half a second, so for many reports all utilisation of the latency-critical tasks counted as caused by best-effort tasks, and these got their full CPU share.

Change: a task counts with at most the whole processor, which is what it can use.

--- a/crates/guavavane_jobs/src/plan/throttle.rs
+++ b/crates/guavavane_jobs/src/plan/throttle.rs
@@ -404,7 +404,8 @@
             }
             TaskRole::BestEffort { cpu_used, .. } => {
                 let image = Arc::clone(&task.image);
-                *report.load.entry(image).or_insert(0.0) += cpu_used;
+                // A load far above the whole processor would take many seconds to decay.
+                *report.load.entry(image).or_insert(0.0) += cpu_used.clamp(0.0, 1.0);
             }
             TaskRole::Other => {}
         }
