Agent: report ended workers to each new leader

Seen by callers: tasks of a worker that has left or was replaced by another one wait for the whole lease of its agent, 12.7 s from the next election, before they start again. Cause: the agent sent a loss once, into a session that may lead nowhere: a leader that lost power is noticed after 1 s, and a leader that dies before it has committed the loss takes it along. What other messages carry is in the next full report; an incarnation that has ended is not. Change: the agent remembers the four latest ended incarnations and reports them in each new session. A leader ignores those that the ledger lacks.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -1,5 +1,6 @@
 //! Event loop of an agent, which owns all of its state.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,6 +78,8 @@
     pub(super) worker: Option<LocalWorker>,
     /// Lost incarnations not yet reported to a leader, each with whether it has ended for good.
     pub(super) unreported_losses: Vec<(WorkerKey, bool)>,
+    /// Latest incarnations that have ended for good, which each session reports again.
+    pub(super) ended_workers: VecDeque<WorkerKey>,
     pub(super) renewal: RenewalPlan,
     /// Time of the next utilisation report to the leader.
     pub(super) next_utilisation_report: BootTime,
@@ -104,6 +107,7 @@
             epoch: 0,
             worker: None,
             unreported_losses: Vec::new(),
+            ended_workers: VecDeque::new(),
             renewal: RenewalPlan::DueAt(BootTime::default()),
             next_utilisation_report: BootTime::default(),
             unconfirmed_stops: IndexMap::new(),
@@ -181,6 +185,7 @@
                 self.remove_worker(true, "replaced");
                 tracing::info!(event = "worker_found", worker = %heartbeat.key, pool = %heartbeat.facts.pool);
                 self.lease.reset_for_worker(now);
+                self.ended_workers.retain(|key| *key != heartbeat.key);
                 self.worker = Some(LocalWorker::new(
                     heartbeat.key,
                     heartbeat.facts,
@@ -210,6 +215,7 @@
             SessionEvent::Opened(session) => {
                 self.session = Some(session);
                 self.reported = false;
+                self.report_ended_workers();
                 self.report_losses();
             }
             SessionEvent::Closed => {
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -7,6 +7,9 @@
 use crate::message::WorkerReport;
 use crate::worker_api::WorkerApi;
 
+/// Number of ended incarnations that an agent remembers.
+const ENDED_WORKERS_MAX: usize = 4;
+
 impl<A: WorkerApi> AgentLoop<A> {
     pub(super) fn send_to_leader(&self, message: ToControl) {
         if let Some(session) = &self.session {
@@ -68,11 +71,21 @@
             return;
         };
         for (key, ended) in self.unreported_losses.drain(..) {
-            // If the session has closed, the leader frees the runs after the agent's lease.
+            // If the message is lost with the session, the next session reports an ended incarnation
+            // again, and the full state of one that has only lost its lease.
             session.send(ToControl::WorkerLost { key, ended });
         }
     }
 
+    /// Reports the ended incarnations to a new session: the leader of an earlier one may have been
+    /// lost before it committed their loss. A leader that no longer knows them ignores the reports.
+    pub(super) fn report_ended_workers(&self) {
+        for key in &self.ended_workers {
+            let (key, ended) = (key.clone(), true);
+            self.send_to_leader(ToControl::WorkerLost { key, ended });
+        }
+    }
+
     /// Forgets the worker and reports its loss; `ended` says that it never comes back.
     pub(super) fn remove_worker(&mut self, ended: bool, reason: &'static str) {
         let Some(worker) = self.worker.take() else {
@@ -83,6 +96,11 @@
         self.orders_in_flight.clear();
         self.recent_starts.clear();
         self.reported = false;
+        if ended {
+            self.ended_workers.push_back(worker.key.clone());
+            let surplus = self.ended_workers.len().saturating_sub(ENDED_WORKERS_MAX);
+            self.ended_workers.drain(..surplus);
+        }
         self.unreported_losses.push((worker.key, ended));
         self.report_losses();
     }
