Transport: close connections to a call server whose clients are gone

Seen by callers: none of the users' platform, whose processes use streams; a daemon of the product keeps a descriptor for each client VM that went dark, and one for each connection that never finished its handshake, until accept fails for want of descriptors and stays so. Cause: only the client pinged. The server waited without a limit for the handshake and for the next call. Change: the handshake has 2 s, and the server pings each connection every 10 s and closes it when the answer takes more than 1 s. The loop of pings stands once, in ping.rs, for both sides.

--- a/crates/guavavane_transport/src/client.rs
+++ b/crates/guavavane_transport/src/client.rs
@@ -13,8 +13,6 @@
 use bytes::Bytes;
 use flume::Receiver;
 use h2::client::SendRequest;
-use h2::Ping;
-use h2::PingPong;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -27,6 +25,7 @@
 use crate::codec;
 use crate::codec::CodecError;
 use crate::codec::FrameIdentity;
+use crate::ping::ping_until_failure;
 use crate::runtime::runtime;
 use crate::server::read_body;
 use crate::server::WINDOW_BYTES;
@@ -36,9 +35,6 @@
 /// Time from the answer to a ping to the next ping.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Timeout of the answer to a ping; then the connection is closed.
-const PING_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Maximum time for each of the TCP connect and the HTTP/2 handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -302,19 +298,8 @@
         // When either future ends, the connection is dropped and its open calls fail.
         tokio::select! {
             _ = connection => {}
-            () = ping_until_failure(ping_pong) => {}
+            () = ping_until_failure(ping_pong, PING_INTERVAL) => {}
         }
     });
     Ok(sender)
 }
-
-/// Pings the peer periodically; returns when a ping fails or is not answered in time.
-async fn ping_until_failure(mut ping_pong: PingPong) {
-    loop {
-        tokio::time::sleep(PING_INTERVAL).await;
-        match timeout(PING_TIMEOUT, ping_pong.ping(Ping::opaque())).await {
-            Ok(Ok(_)) => {}
-            _ => return,
-        }
-    }
-}
--- a/crates/guavavane_transport/src/lib.rs
+++ b/crates/guavavane_transport/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod client;
 pub mod codec;
+mod ping;
 pub mod proxy;
 mod runtime;
 pub mod server;
--- a/crates/guavavane_transport/src/server.rs
+++ b/crates/guavavane_transport/src/server.rs
@@ -3,14 +3,16 @@
 //! A frame that is malformed, or that comes from another cell or protocol version, is refused
 //! with status 400, and a call that finds the queue full with status 503. Both mean that no
 //! handler received the call. A call whose handler drops it without a reply fails with status
-//! 500.
+//! 500. A connection whose peer no longer answers is closed: a VM that is gone sends no reset.
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use flume::Receiver;
 use flume::Sender;
+use h2::server::Connection;
 use h2::server::SendResponse;
 use h2::RecvStream;
 use http::Request;
@@ -20,11 +22,13 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::codec;
 use crate::codec::CheckedFrame;
 use crate::codec::CodecError;
 use crate::codec::FrameIdentity;
+use crate::ping::ping_until_failure;
 use crate::runtime::runtime;
 use guavavane_model::prelude::IncarnationId;
 use guavavane_protocol::call::CallKind;
@@ -37,6 +41,13 @@
 /// Flow-control window of a stream and of a connection, in bytes.
 pub(crate) const WINDOW_BYTES: u32 = 1024 * 1024;
 
+/// Maximum time for the HTTP/2 handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Time from the answer to a ping to the next ping. Clients ping more often; these pings only free
+/// the descriptors of connections whose clients are gone.
+const PING_INTERVAL: Duration = Duration::from_millis(10_000);
+
 /// Error in starting a listener.
 #[derive(Debug, Error)]
 pub enum ServerError {
@@ -175,15 +186,35 @@
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
         .max_concurrent_streams(CONCURRENT_STREAMS_MAX)
-        .handshake::<_, Bytes>(socket)
-        .await;
-    let mut connection = match handshake {
-        Ok(connection) => connection,
-        Err(error) => {
+        .handshake::<_, Bytes>(socket);
+    let mut connection = match timeout(HANDSHAKE_TIMEOUT, handshake).await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(error)) => {
             tracing::debug!(event = "handshake_failed", %remote, %error);
             return;
         }
+        Err(_) => {
+            tracing::debug!(event = "handshake_failed", %remote, error = "timed out");
+            return;
+        }
     };
+    let ping_pong = connection
+        .ping_pong()
+        .expect("the ping handle of a connection is taken only here");
+    tokio::select! {
+        () = accept_calls(connection, remote, identity, calls) => {}
+        () = ping_until_failure(ping_pong, PING_INTERVAL) => {
+            tracing::info!(event = "connection_closed", %remote, reason = "silent");
+        }
+    }
+}
+
+async fn accept_calls(
+    mut connection: Connection<TcpStream, Bytes>,
+    remote: SocketAddr,
+    identity: FrameIdentity,
+    calls: Sender<IncomingCall>,
+) {
     while let Some(Ok((request, response))) = connection.accept().await {
         tokio::spawn(serve_stream(
             request,
