--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -1,5 +1,6 @@
 //! Event loop of an agent, which owns all of its state.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -80,6 +81,8 @@
     pub(super) successor: Option<WorkerHeartbeat>,
     /// Lost incarnations not yet reported to a leader, each with whether it has ended for good.
     pub(super) unreported_losses: Vec<(WorkerKey, bool)>,
+    /// Latest incarnations that have ended for good, which each session reports again.
+    pub(super) ended_workers: VecDeque<WorkerKey>,
     pub(super) renewal: RenewalPlan,
     /// Time of the next utilisation report to the leader.
     pub(super) next_utilisation_report: BootTime,
@@ -108,6 +111,7 @@
             worker: None,
             successor: None,
             unreported_losses: Vec::new(),
+            ended_workers: VecDeque::new(),
             renewal: RenewalPlan::DueAt(BootTime::default()),
             next_utilisation_report: BootTime::default(),
             unconfirmed_stops: IndexMap::new(),
@@ -202,6 +206,7 @@
         tracing::info!(event = "worker_found", worker = %heartbeat.key, pool = %heartbeat.facts.pool);
         let now = BootClock.now();
         self.lease.reset_for_worker(now);
+        self.ended_workers.retain(|key| *key != heartbeat.key);
         self.worker = Some(LocalWorker::new(
             heartbeat.key.clone(),
             heartbeat.facts.clone(),
@@ -241,6 +246,7 @@
             SessionEvent::Opened(session) => {
                 self.session = Some(session);
                 self.reported = false;
+                self.report_ended_workers();
                 self.report_losses();
             }
             SessionEvent::Closed => {
