An unreadable status in a worker's listing leaves the other attempts valid

What callers saw: nothing yet; found by reading, in the project's own interface (guavavane_contract), where the platform's lists had the same fault.

Cause: a listing of attempts was decoded as a whole, so one status of another form made it unreadable. The agent then polled no leader and renewed no lease, and all attempts on the worker expired.

Change: each status is decoded on its own, and the listing says whether one was left out. From such a listing the agent takes no attempt for stopped and forgets none.

--- a/crates/guavavane_agent/src/worker/listing.rs
+++ b/crates/guavavane_agent/src/worker/listing.rs
@@ -2,7 +2,8 @@
 //!
 //! A listing in which an attempt is missing, or runs although it was recorded as ended, has an
 //! effect only if it was requested after the attempt's last change: the worker may have answered an
-//! earlier request before that change.
+//! earlier request before that change. An attempt that is missing from a listing with unreadable
+//! parts may still be on the worker, so it has no effect either.
 
 use super::attempt::ended_phase;
 use super::attempt::to_attempt_key;
@@ -41,8 +42,12 @@
         for status in &listing.list.attempts {
             self.reconcile_attempt(now, listing, status);
         }
-        self.end_absent_attempts(now, listing);
-        self.prune_released(now, listing);
+        if listing.list.omits_attempts {
+            tracing::warn!(event = "attempt_unreadable", worker = %listing.facts.worker);
+        } else {
+            self.end_absent_attempts(now, listing);
+            self.prune_released(now, listing);
+        }
         self.collect_usage_reports(now, listing);
         self.send_poll(listing);
     }
--- a/crates/guavavane_agent/tests/worker_model/mod.rs
+++ b/crates/guavavane_agent/tests/worker_model/mod.rs
@@ -220,6 +220,7 @@
                     usage: None,
                 })
                 .collect(),
+            omits_attempts: false,
         }
     }
 }
--- a/crates/guavavane_contract/src/worker.rs
+++ b/crates/guavavane_contract/src/worker.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::value::RawValue;
 
 use guavavane_model::prelude::AttemptNumber;
 use guavavane_model::prelude::BootId;
@@ -170,11 +171,38 @@
 
 /// Listing of all attempts that the worker remembers, ended ones included.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "RawAttemptList")]
 pub struct AttemptList {
     /// Boot of the worker at the time of the listing.
     pub boot: BootId,
     /// Time of the listing on the worker's clock, in ms since boot.
     pub now_ms: u64,
-    /// Status of each attempt.
+    /// Status of each attempt; without those that could not be read.
     pub attempts: Vec<AttemptStatus>,
+    /// Whether the status of an attempt could not be read, so that a missing attempt may be on the
+    /// worker.
+    #[serde(skip)]
+    pub omits_attempts: bool,
+}
+
+/// Listing whose attempts have not been read.
+#[derive(Deserialize)]
+struct RawAttemptList {
+    boot: BootId,
+    now_ms: u64,
+    attempts: Vec<Box<RawValue>>,
+}
+
+impl From<RawAttemptList> for AttemptList {
+    fn from(raw: RawAttemptList) -> Self {
+        let attempts = raw.attempts.iter();
+        let attempts = attempts.filter_map(|status| serde_json::from_str(status.get()).ok());
+        let attempts: Vec<AttemptStatus> = attempts.collect();
+        Self {
+            boot: raw.boot,
+            now_ms: raw.now_ms,
+            omits_attempts: attempts.len() < raw.attempts.len(),
+            attempts,
+        }
+    }
 }
--- a/crates/guavavane_standin/src/worker/machine.rs
+++ b/crates/guavavane_standin/src/worker/machine.rs
@@ -267,6 +267,7 @@
             boot: self.facts.boot,
             now_ms: now.as_millis(),
             attempts: self.attempt_records.iter().map(status).collect(),
+            omits_attempts: false,
         }
     }
 
