A stop is not confirmed by a list of completions that may go on

What callers saw: nothing yet; found by reading.

Cause: a worker lists at most 500 completions at a time (PROTOCOL.md, Running tasks). A stopped run that is in neither list counts as never started, and its task starts again. If the worker had 500 completions or more waiting, the end of the run could come after them and be a `done`, which a later acknowledgement takes note of: the task has then run twice.

Change: a list of 500 completions counts as one that may lack rows, and confirms no stop.

--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -49,8 +49,8 @@
     /// Completions that the leader has not acknowledged.
     pub(super) completions: Vec<RunCompletion>,
     pub(super) running: Vec<RunStatus>,
-    /// Whether the latest report had unreadable rows, so that a run that is in none of the lists may
-    /// still be running or may have ended.
+    /// Whether the latest report may lack rows, so that a run that is in none of its lists may still
+    /// be running or may have ended.
     pub(super) omits_rows: bool,
     /// Whether a list has arrived from the worker since it was found or its lease last expired.
     pub(super) has_list: bool,
--- a/crates/guavavane_cell/src/worker_api.rs
+++ b/crates/guavavane_cell/src/worker_api.rs
@@ -91,7 +91,8 @@
     pub completions: Vec<RunCompletion>,
     /// Whether rows of further runs were unreadable.
     pub omits_runs: bool,
-    /// Whether rows of further completions follow, of which the first was unreadable.
+    /// Whether further completions may follow: the first of them was unreadable, or the list is as
+    /// long as a list can be.
     pub omits_completions: bool,
 }
 
