Quorum: sync the folder before its files are read

Change: open_shared syncs the folder first, one sync a start (and a try to recover). Measured: both tests of kill_then_power_loss.rs and all of storage.rs pass.

--- a/crates/guavavane_quorum/src/storage/store.rs
+++ b/crates/guavavane_quorum/src/storage/store.rs
@@ -68,6 +68,9 @@
         folder: Arc<D>,
         segment_bytes: u64,
     ) -> Result<(Self, StoredState), StorageError> {
+        // An earlier process may have ended before it synced the names of its files.
+        let synced = folder.sync_folder();
+        synced.map_err(StorageError::io(folder.label()))?;
         let identity = read_identity(&*folder)?;
         let snapshot = snapshot_file::load(&*folder)?;
         let snapshot_index = snapshot.as_ref().map_or(LogIndex(0), |s| s.index);
