--- a/crates/guavavane_quorum/src/runner.rs
+++ b/crates/guavavane_quorum/src/runner.rs
@@ -367,20 +367,24 @@
     /// Compacts the log up to a durable snapshot, on disk and in the core. A snapshot that could not
     /// be written leaves the log as it is; another one is taken later.
     fn handle_saved_snapshot(&mut self, saved: SaveResult) -> Result<(), StopReason> {
-        let now = self.now();
         match saved {
             Ok(image) => {
                 self.store.remove_covered_segments(image.index)?;
+                let now = self.now();
                 self.core.step(now, CoreInput::SnapshotSaved(image));
             }
-            Err(error) => {
-                tracing::warn!(event = "snapshot_failed", replica = %self.core.id(), %error);
-                self.next_snapshot = now + SNAPSHOT_RETRY_INTERVAL;
-            }
+            Err(error) => self.postpone_snapshot(&error),
         }
         Ok(())
     }
 
+    /// Makes a snapshot that could not be written due again after an interval.
+    fn postpone_snapshot(&mut self, error: &StorageError) {
+        tracing::warn!(event = "snapshot_failed", replica = %self.core.id(), %error);
+        self.next_snapshot = self.now() + SNAPSHOT_RETRY_INTERVAL;
+        self.bytes_since_snapshot = self.settings.snapshot_log_bytes;
+    }
+
     fn publish(&self, storage_failed: bool) {
         let view = Self::build_view(&self.core, self.applied, storage_failed);
         self.shared.publish(view);
--- a/crates/guavavane_quorum/src/runner/recovery.rs
+++ b/crates/guavavane_quorum/src/runner/recovery.rs
@@ -69,8 +69,10 @@
 
     /// Reads the folder again and creates a follower from what it holds.
     fn restart_core(&mut self) -> Result<(), StorageError> {
-        // The folder must not change while it is read; the log still covers a failed snapshot.
-        drop(self.snapshots.wait());
+        // The folder must not change while it is read.
+        if let Some(Err(error)) = self.snapshots.wait() {
+            self.postpone_snapshot(&error);
+        }
         let stored = self.store.recover()?;
         let now = self.now();
         let (id, settings) = (self.core.id(), self.settings.clone());
--- a/crates/guavavane_quorum/src/storage/snapshot_file.rs
+++ b/crates/guavavane_quorum/src/storage/snapshot_file.rs
@@ -48,10 +48,20 @@
         folder.rename(PARTIAL_FILE, &name)?;
         folder.sync_folder()
     };
-    write().map_err(StorageError::io(&name))?;
+    write()
+        .inspect_err(|_| remove_partial(folder))
+        .map_err(StorageError::io(&name))?;
     remove_older(folder, image.index)
 }
 
+/// Frees the space of a snapshot that could not be written; the log may need it.
+fn remove_partial<D: DiskFolder>(folder: &D) {
+    if let Err(error) = folder.remove(PARTIAL_FILE) {
+        // The next snapshot replaces the file, and a restart removes it.
+        tracing::debug!(event = "partial_snapshot_kept", folder = folder.label(), %error);
+    }
+}
+
 fn remove_older<D: DiskFolder>(folder: &D, index: LogIndex) -> Result<(), StorageError> {
     for (older, name) in list_snapshots(folder)? {
         if older < index {
