Show that a replica replaced while silent never learns of it

Finding of the review: a voter that is silent for the removal timeout (2.5 s: a full disk, a pause, a partition) while a learner exists is replaced and removed. When it returns, the leader sends to members only (core.rs send_to, leader.rs peer_ids), and the voters refuse its pre-votes without a word on the membership (election.rs handle_pre_vote_request). It keeps its old member set, in which it is a voter, so replica::maintain_membership, which looks at its own view, never asks to join: the process lives on and the group has a replica less for good. The simulation hides this: add_non_members looks at the leader's member set, which no daemon does.

A replica that knows no leader (view.leader is none) could ask to join as well; add_learner leaves a present member as it is (membership.rs members_after_change). The simulation should then ask in the same way, in place of this test's last step.

--- a/crates/guavavane_quorum/tests/availability.rs
+++ b/crates/guavavane_quorum/tests/availability.rs
@@ -188,6 +188,27 @@
     );
 }
 
+/// Guards against a replica that never joins again after it was replaced while it was silent: it
+/// asks to join only once it knows that it is no member.
+#[test]
+fn a_replica_that_was_replaced_while_silent_learns_of_it() {
+    let mut network = CoreNetwork::new(3, 4, 1);
+    let leader = wait_for_leader(&mut network, NetworkFaults::default());
+    network.lose_disk(3);
+    network.run(2 * ROUNDS_PER_SECOND, NetworkFaults::default());
+    let silent_slot = (leader + 1) % 3;
+    network.nodes[silent_slot].partitioned = true;
+    let seconds = REMOVAL_TIMEOUT_SECONDS + 3;
+    network.run(seconds * ROUNDS_PER_SECOND, NetworkFaults::default());
+    let members = network.nodes[leader].members_if_leader().unwrap();
+    let silent_id = network.nodes[silent_slot].id.unwrap();
+    assert_eq!(members.get(silent_id), None);
+    network.nodes[silent_slot].partitioned = false;
+    network.joins_paused = true;
+    network.run(10 * ROUNDS_PER_SECOND, NetworkFaults::default());
+    assert!(!network.nodes[silent_slot].is_member());
+}
+
 /// Guards against a transfer after which the group waits 1 s or more for an election timeout.
 #[test]
 fn a_leadership_transfer_needs_no_election_timeout() {
--- a/crates/guavavane_quorum/tests/network/mod.rs
+++ b/crates/guavavane_quorum/tests/network/mod.rs
@@ -60,6 +60,8 @@
     next_id: u64,
     random: ChaCha8Rng,
     settings: CheckedSettings,
+    /// Whether no replica asks to join.
+    pub(crate) joins_paused: bool,
 }
 
 impl CoreNetwork {
@@ -76,6 +78,7 @@
             next_id: 100,
             random: ChaCha8Rng::seed_from_u64(seed),
             settings: node::settings(voters.max(3), seed.is_multiple_of(3)),
+            joins_paused: false,
         };
         let members: MemberSet = (0..voters).map(|n| node::member(n, n as u64 + 1)).collect();
         for slot in 0..slots {
@@ -103,7 +106,7 @@
             for slot in 0..self.nodes.len() {
                 self.step(slot, Vec::new());
             }
-            if self.rounds.is_multiple_of(JOIN_INTERVAL_ROUNDS) {
+            if self.rounds.is_multiple_of(JOIN_INTERVAL_ROUNDS) && !self.joins_paused {
                 self.add_non_members();
             }
             let now = self.now();
--- a/crates/guavavane_quorum/tests/network/node.rs
+++ b/crates/guavavane_quorum/tests/network/node.rs
@@ -191,6 +191,12 @@
         leads.then(|| running.core.members().clone())
     }
 
+    /// Whether the replica is a member of the group as far as it knows.
+    pub(crate) fn is_member(&self) -> bool {
+        let running = self.running.as_ref();
+        running.is_some_and(|r| r.core.members().get(r.core.id()).is_some())
+    }
+
     pub(crate) fn unavailable_voters(&self) -> Vec<ReplicaId> {
         let running = self.running.as_ref();
         running.map_or_else(Vec::new, |r| r.core.unavailable_voters())
