Quorum: recover only with all synced frames, and only on a disk with space

Cause: replay takes zeros at the end of the last segment for its end. Change: recover compares the end it has read with the end that was synced, and fails as corrupt. Evidence: a_store_does_not_recover_without_its_synced_frames fails without the comparison, a_store_recovers_only_once_its_disk_has_space without the write; all tests of storage.rs and disk_faults.rs pass.

--- a/crates/guavavane_quorum/src/handle.rs
+++ b/crates/guavavane_quorum/src/handle.rs
@@ -43,7 +43,8 @@
     /// The command may have been applied, or may still be.
     #[error("outcome unknown")]
     Unknown,
-    /// The replica had stopped on an error before the command arrived; it was not applied.
+    /// The replica had stopped on an error before the command arrived; it was not applied. After an
+    /// error of the disk it may go on later.
     #[error("storage failed")]
     StorageFailed,
     /// The replica has stopped; the command was not applied.
--- a/crates/guavavane_quorum/src/runner/recovery.rs
+++ b/crates/guavavane_quorum/src/runner/recovery.rs
@@ -1,10 +1,9 @@
 //! Recovery after a failed write or sync of the data folder.
 //!
-//! A disk that is full or fails for a time must not cost the group a voter for good. The replica
-//! refuses requests and drops messages, and tries in growing intervals to read its folder again.
-//! It then goes on like a restarted one, with a new consensus core in the stored term. The state
-//! machine stays as it is: everything applied to it was durable before, on this replica or in a
-//! snapshot of the leader.
+//! While the disk is full or fails, the replica refuses requests, drops messages, and tries in
+//! growing intervals to read its folder again. It then goes on like a restarted one, with a new
+//! consensus core in the stored term. The state machine stays as it is: everything applied to it
+//! was durable before, on this replica or in a snapshot of the leader.
 
 use std::time::Duration;
 
--- a/crates/guavavane_quorum/src/storage/store.rs
+++ b/crates/guavavane_quorum/src/storage/store.rs
@@ -58,6 +58,7 @@
         self.discard_unsynced()?;
         let folder = Arc::clone(&self.folder);
         let (mut store, state) = Self::open_shared(folder, self.segment_bytes)?;
+        self.check_synced_frames(&store)?;
         store.save_hard_state(state.hard_state);
         store.sync()?;
         *self = store;
@@ -233,6 +234,21 @@
         Ok(())
     }
 
+    /// Fails if the folder, as `reopened` has read it, ends before the frames that were synced: votes
+    /// and acknowledgements would be forgotten.
+    fn check_synced_frames(&self, reopened: &Self) -> Result<(), StorageError> {
+        let synced_end = (self.segment.number, self.segment.synced_bytes);
+        let end = (reopened.segment.number, reopened.segment.bytes);
+        if end >= synced_end {
+            return Ok(());
+        }
+        Err(StorageError::Corrupt {
+            file: segment_name(end.0),
+            offset: end.1,
+            reason: "synced records are missing",
+        })
+    }
+
     /// Truncates the open segment to its durable frames and removes a later segment, whose creation
     /// has failed.
     fn discard_unsynced(&mut self) -> Result<(), StorageError> {
--- a/crates/guavavane_quorum/tests/storage.rs
+++ b/crates/guavavane_quorum/tests/storage.rs
@@ -355,6 +355,51 @@
     }
 }
 
+/// Builds a store with two synced frames whose next write has failed on a full disk.
+fn build_failed_store() -> (MemoryDisk, LogStore<MemoryDisk>, ExpectedState) {
+    let disk = new_disk();
+    let (mut store, _) = open_with_long_segments(&disk).unwrap();
+    let mut state = ExpectedState::default();
+    for _ in 0..2 {
+        store.append(state.append(1, 0, Term(1)));
+        store.sync().unwrap();
+    }
+    disk.limit_space(0);
+    let payload = EntryPayload::Command(vec![1; LONG_SEGMENT_BYTES as usize].into());
+    store.append(vec![LogEntry {
+        index: LogIndex(3),
+        term: Term(1),
+        payload,
+    }]);
+    store.sync().unwrap_err();
+    (disk, store, state)
+}
+
+/// Guards against a store that counts as recovered while its disk takes no more bytes.
+#[test]
+fn a_store_recovers_only_once_its_disk_has_space() {
+    let (disk, mut store, state) = build_failed_store();
+    store.recover().unwrap_err();
+    store.sync().unwrap_err();
+    disk.clear_faults();
+    assert_eq!(ExpectedState::of(store.recover().unwrap()), state);
+    store.sync().unwrap();
+}
+
+/// Guards against votes and acknowledgements that are forgotten because the disk lost synced bytes.
+#[test]
+fn a_store_does_not_recover_without_its_synced_frames() {
+    let (disk, mut store, _) = build_failed_store();
+    let name = last_segment(&disk);
+    let mut bytes = disk.read(&name).unwrap();
+    let end = written_bytes(&bytes);
+    bytes[end - 20..].fill(0);
+    disk.write_synced(&name, bytes);
+    disk.clear_faults();
+    let error = store.recover().unwrap_err();
+    assert!(matches!(error, StorageError::Corrupt { .. }), "{error}");
+}
+
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum StoreEvent {
     /// Number of entries to append, and number of last entries that they replace.
