Quorum: replace the voter whose disk was lost before a silent one

Seen by callers: nothing; found by the reviewer. With a voter silent for the removal timeout (a full disk, a cut) and another that has come back with an empty disk, the replacement took the place of the silent one, which could have returned, and the group kept the dead identity. Cause: next_repair took the first unavailable voter, in the order of the member set. Change: while a voter shares its address with another member, only such a voter is removed. The simulated network now has voters_min equal to the number of voters, as both daemons set it; with the default of 3, groups of five drop silent voters at once.

--- a/crates/guavavane_quorum/src/core/membership.rs
+++ b/crates/guavavane_quorum/src/core/membership.rs
@@ -186,7 +186,7 @@
         let members = self.members();
         let learners = || members.iter().filter(|m| m.role == MemberRole::Learner);
         let caught_up = learners().find(|m| self.is_caught_up(now, m.id));
-        let unavailable_voter = members.voters().find(|m| self.is_unavailable(now, m.id));
+        let unavailable_voter = self.next_unavailable_voter(now);
         let voters = members.voter_count();
         if let Some(voter) = unavailable_voter.filter(|_| voters > self.settings.voters_min) {
             return Some(MemberChange::Remove(voter.id));
@@ -199,6 +199,21 @@
         unavailable_learner.map(|m| MemberChange::Remove(m.id))
     }
 
+    /// Voter to remove or replace next. One whose address another member has taken over goes before a
+    /// silent one, which may return.
+    fn next_unavailable_voter(&self, now: BootTime) -> Option<&ReplicaMember> {
+        let members = self.members();
+        let shares_address = |voter: &&ReplicaMember| {
+            let mut others = members.iter().filter(|m| m.id != voter.id);
+            others.any(|m| m.address == voter.address)
+        };
+        if members.voters().any(|voter| shares_address(&voter)) {
+            let mut sharing = members.voters().filter(shares_address);
+            return sharing.find(|m| self.is_unavailable(now, m.id));
+        }
+        members.voters().find(|m| self.is_silent(now, m.id))
+    }
+
     fn track_current_members(&mut self, now: BootTime) {
         let members = self.members().clone();
         let last = self.log.last_index();
--- a/crates/guavavane_quorum/tests/availability.rs
+++ b/crates/guavavane_quorum/tests/availability.rs
@@ -209,6 +209,28 @@
     assert!(members.is_some_and(|members| members.get(silent_id).is_some()));
 }
 
+/// Guards against a repair that removes a voter which may return, in place of one whose disk is lost.
+#[test]
+fn a_replacement_takes_the_place_of_the_voter_whose_disk_was_lost() {
+    for seed in 0..SEQUENCE_COUNT {
+        let mut network = CoreNetwork::new(5, 5, seed);
+        let leader = wait_for_leader(&mut network, NetworkFaults::default());
+        let others: Vec<usize> = (0..5).filter(|slot| *slot != leader).collect();
+        let (silent_slot, lost_slot) = (others[seed as usize % 4], others[(seed as usize + 1) % 4]);
+        let silent_id = network.nodes[silent_slot].id.unwrap();
+        network.nodes[silent_slot].partitioned = true;
+        let seconds = REMOVAL_TIMEOUT_SECONDS + 3;
+        network.run(seconds * ROUNDS_PER_SECOND, NetworkFaults::default());
+        network.lose_disk(lost_slot);
+        network.run(seconds * ROUNDS_PER_SECOND, NetworkFaults::default());
+        let members = network.nodes.iter().find_map(Node::members_if_leader);
+        let members = members.unwrap();
+        assert!(members.get(silent_id).is_some(), "seed {seed}");
+        let lost_replicas = &network.invariants.lost_replicas;
+        assert!(lost_replicas.iter().all(|id| members.get(*id).is_none()));
+    }
+}
+
 /// Guards against a transfer after which the group waits 1 s or more for an election timeout.
 #[test]
 fn a_leadership_transfer_needs_no_election_timeout() {
--- a/crates/guavavane_quorum/tests/network/node.rs
+++ b/crates/guavavane_quorum/tests/network/node.rs
@@ -78,6 +78,7 @@
     let settings = QuorumSettings {
         election_timeout_max_ms: if concurrent_elections { 1_030 } else { 2_000 },
         voters_wanted: voters,
+        voters_min: voters,
         removal_timeout_ms: 5_000,
         in_flight_entries: 8,
         message_bytes_max: if concurrent_elections { 1 } else { 300 },
