--- a/crates/guavavane_daemon/src/lib.rs
+++ b/crates/guavavane_daemon/src/lib.rs
@@ -5,7 +5,7 @@
 //! them with `TryFrom`. An invalid setting ends the process with status 2 and one line that names
 //! the flag, the value and the allowed values. The logs of a daemon go to standard error, in
 //! logfmt: one line of key=value pairs per event. A process that logs to standard output calls
-//! [`log::init_stdout_logging`] instead. A panic in any thread ends the process ([`panic`]).
+//! [`log::init_stdout_logging`] instead. A panic in any thread ends the process ([`mod@panic`]).
 
 pub mod http;
 pub mod incarnation;
