--- a/crates/guavavane_cell/src/control/advice.rs
+++ b/crates/guavavane_cell/src/control/advice.rs
@@ -116,6 +116,6 @@
         state
             .advice
             .record_reply(asked_at, reply.step, asked_workers, allowed, validity);
-        self.run_pass();
+        self.request_pass();
     }
 }
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use indexmap::IndexMap;
+
 use super::caller::CallOrigin;
 use super::engine::ControlEngine;
 use super::engine::EngineInput;
@@ -23,6 +25,7 @@
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::RunOutcome;
 use guavavane_jobs::prelude::StartChoice;
+use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_model::prelude::BootClock;
 use guavavane_quorum::prelude::ProposeError;
@@ -109,7 +112,7 @@
         match (purpose, result) {
             (CommitPurpose::Operator(reply_sender), Ok(_)) => {
                 send_reply(reply_sender, OperatorReply::Done);
-                self.run_pass();
+                self.request_pass();
             }
             (CommitPurpose::Operator(reply_sender), Err(error)) => {
                 tracing::info!(event = "order_not_committed", %error);
@@ -143,7 +146,7 @@
         };
         tracing::info!(event = "job_submitted", job = %key, ?reply);
         self.reply(origin, reply);
-        self.run_pass();
+        self.request_pass();
     }
 
     fn finish_cancel(&mut self, origin: CallOrigin, key: JobKey, result: CommitResult) {
@@ -155,7 +158,7 @@
         tracing::info!(event = "job_cancelled", job = %key, ?reply);
         self.reply(origin, reply);
         self.record_ended_jobs(&[key]);
-        self.run_pass();
+        self.request_pass();
     }
 
     fn apply_commit(&mut self, purpose: CommitPurpose, outcome: LedgerOutcome) {
@@ -181,23 +184,19 @@
             }
             (CommitPurpose::Start(choices), LedgerOutcome::Started(started)) => {
                 let committed = choices.iter().zip(started).filter(|(_, started)| *started);
+                let committed: Vec<&StartChoice> = committed.map(|(choice, _)| choice).collect();
                 let now = BootClock.now();
-                for (choice, _) in committed {
-                    if let Some(state) = &mut self.leader_state {
-                        state.ordered_at.insert((choice.task, choice.run), now);
-                    }
-                    self.send_run_order(choice.worker, choice.task, choice.run);
-                }
-                let pass_requested = self
-                    .leader_state
-                    .as_ref()
-                    .is_some_and(|state| state.pass_requested);
-                if pass_requested {
-                    self.run_pass();
+                if let Some(state) = &mut self.leader_state {
+                    let ordered = committed.iter().map(|choice| (choice.task, choice.run));
+                    state.ordered_at.extend(ordered.map(|run| (run, now)));
                 }
+                let runs = committed
+                    .iter()
+                    .map(|choice| (choice.worker, choice.task, choice.run));
+                self.send_run_orders(runs);
             }
             (CommitPurpose::Lose { worker, ended }, _) => self.end_pending_loss(worker, ended),
-            (CommitPurpose::Withdraw { .. } | CommitPurpose::Release, _) => self.run_pass(),
+            (CommitPurpose::Withdraw { .. } | CommitPurpose::Release, _) => self.request_pass(),
             _ => {}
         }
     }
@@ -225,9 +224,9 @@
             .iter()
             .filter(|completion| completion.outcome != RunOutcome::Done);
         let broken: Vec<JobKey> = broken.map(|completion| completion.task.step.job).collect();
-        self.stop_undesired_runs_of(&broken);
+        self.stop_undesired_runs(&broken);
         self.record_ended_jobs(jobs);
-        self.run_pass();
+        self.request_pass();
     }
 
     /// Tells the worker's agent which completions are committed, together with all lower ones.
@@ -261,28 +260,40 @@
         if let Some(state) = &mut self.leader_state {
             state.ended_at.extend(jobs.iter().map(|job| (*job, now)));
         }
-        self.stop_undesired_runs_of(jobs);
+        self.stop_undesired_runs(jobs);
     }
 
-    fn stop_undesired_runs_of(&self, jobs: &[JobKey]) {
-        if !jobs.is_empty() {
-            self.stop_undesired_runs(|job| jobs.contains(&job));
-        }
+    /// Stops the runs of these jobs that are no longer desired.
+    pub(super) fn stop_undesired_runs(&self, jobs: &[JobKey]) {
+        let undesired: Vec<(WorkerIndex, TaskKey, RunNumber)> = self.quorum.read_local(|ledger| {
+            let undesired = jobs.iter().flat_map(|job| ledger.undesired_runs(*job));
+            undesired.collect()
+        });
+        self.send_run_orders(undesired);
     }
 
-    /// Stops the runs of the selected jobs that are no longer desired.
-    pub(super) fn stop_undesired_runs(&self, is_selected: impl Fn(JobKey) -> bool) {
-        let undesired = self
-            .quorum
-            .read_local(|ledger| undesired_runs(ledger, is_selected));
-        for (worker, task, run) in undesired {
-            self.send_run_order(worker, task, run);
+    /// Orders the state that the ledger asks for, see [`Self::send_run_order`].
+    fn send_run_orders(&self, runs: impl IntoIterator<Item = (WorkerIndex, TaskKey, RunNumber)>) {
+        let mut ranks = IndexMap::new();
+        for (worker, task, run) in runs {
+            self.send_ranked_order(worker, task, run, &mut ranks);
         }
     }
 
     /// Orders the state that the ledger asks for: starts the run if it is desired, else stops it.
     /// Without a session of the agent nothing is sent; the agent's next report reconciles the runs.
     pub(super) fn send_run_order(&self, worker: WorkerIndex, task: TaskKey, run: RunNumber) {
+        self.send_ranked_order(worker, task, run, &mut IndexMap::new());
+    }
+
+    /// Sends the order of a run; `ranks` keeps the ranks of the steps that were needed so far.
+    fn send_ranked_order(
+        &self,
+        worker: WorkerIndex,
+        task: TaskKey,
+        run: RunNumber,
+        ranks: &mut IndexMap<StepKey, u64>,
+    ) {
         let Some(state) = &self.leader_state else {
             return;
         };
@@ -291,7 +302,8 @@
         };
         let epoch = state.workers.get(&worker).map_or(0, |worker| worker.epoch);
         let order = self.quorum.read_local(|ledger| {
-            let rank = state.rank(ledger, task);
+            let rank = ranks.entry(task.step);
+            let rank = *rank.or_insert_with(|| state.rank(ledger, task));
             build_run_order(ledger, (rank, epoch), worker, task, run)
         });
         let Some(order) = order else {
@@ -308,23 +320,6 @@
     }
 }
 
-/// Runs of the selected jobs that workers hold although they are not desired.
-fn undesired_runs(
-    ledger: &JobLedger,
-    is_selected: impl Fn(JobKey) -> bool,
-) -> Vec<(WorkerIndex, TaskKey, RunNumber)> {
-    let mut undesired = Vec::new();
-    for (index, worker) in ledger.workers() {
-        for (task, record) in &worker.runs {
-            let is_selected = is_selected(task.step.job);
-            if is_selected && !ledger.is_desired(*task, record.run, index) {
-                undesired.push((index, *task, record.run));
-            }
-        }
-    }
-    undesired
-}
-
 /// Start or stop order for a run; none if the ledger lacks the worker, job or task.
 fn build_run_order(
     ledger: &JobLedger,
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -5,10 +5,10 @@
 
 use flume::Receiver;
 use flume::Sender;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use super::advice::AdviceReply;
-use super::caller::time_of_day_ms;
 use super::caller::CallOrigin;
 use super::commit::CommitPurpose;
 use super::commit::CommitResult;
@@ -23,13 +23,7 @@
 use crate::message::ToControl;
 use crate::metric;
 use guavavane_jobs::ledger::WorkerIndex;
-use guavavane_jobs::plan::capacity::worker_capacities;
-use guavavane_jobs::plan::order::waiting_steps;
-use guavavane_jobs::plan::pass::choose_starts;
-use guavavane_jobs::plan::pass::steps_needing_advice;
-use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
-use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
 use guavavane_quorum::prelude::QuorumHandle;
@@ -38,11 +32,12 @@
 
 /// Longest time between two checks of the leadership when no input arrives.
 const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time between two runs of the leader's maintenance.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time that a membership change may block the loop.
 const MEMBERSHIP_CHANGE_TIMEOUT: Duration = Duration::from_millis(1);
 
+/// Time after which the inputs that go on to arrive wait for the other tasks of the thread.
+const BATCH_TIME_MAX: Duration = Duration::from_millis(5);
+
 /// Gauges that only the leader sets.
 const LEDGER_GAUGES: [&str; 3] = ["jobs", "waiting_tasks", "workers"];
 
@@ -77,7 +72,7 @@
     tenures: u64,
     /// Number of proposals of starts without a result, of this and earlier tenures.
     pub(super) starts_in_flight: usize,
-    next_maintenance: BootTime,
+    pub(super) next_maintenance: BootTime,
 }
 
 impl ControlEngine {
@@ -102,11 +97,30 @@
             let input = timeout(LEADERSHIP_CHECK_INTERVAL, queue.recv_async()).await;
             self.update_leadership();
             match input {
-                Ok(Ok(input)) => self.handle_input(input),
+                Ok(Ok(input)) => {
+                    self.handle_input(input);
+                    self.handle_queued(&queue);
+                }
                 Ok(Err(_)) => return,
                 Err(_) => {}
             }
             self.run_maintenance();
+            self.run_requested_pass();
+            // The connections to other replicas share this thread and must not wait until the queue
+            // is empty.
+            yield_now().await;
+        }
+    }
+
+    /// Handles the inputs that have arrived, within a time limit.
+    fn handle_queued(&mut self, queue: &Receiver<EngineInput>) {
+        let begin = BootClock.now();
+        while BootClock.now().saturating_since(begin) < BATCH_TIME_MAX {
+            self.update_leadership();
+            match queue.try_recv() {
+                Ok(input) => self.handle_input(input),
+                Err(_) => return,
+            }
         }
     }
 
@@ -124,22 +138,26 @@
             self.step_down();
         }
         if let Some(term) = current_term {
-            let timing = self.settings.timing;
-            self.tenures += 1;
-            let tenure = self.tenures;
-            let state = self
-                .quorum
-                .read_local(|ledger| LeaderState::new(term, tenure, now, ledger, &timing));
-            metric::count_event("leadership", "taken");
-            tracing::info!(
-                event = "leadership_taken",
-                term,
-                workers = state.workers.len()
-            );
-            self.leader_state = Some(state);
+            self.begin_tenure(term, now);
         }
     }
 
+    fn begin_tenure(&mut self, term: u64, now: BootTime) {
+        let timing = self.settings.timing;
+        self.tenures += 1;
+        let tenure = self.tenures;
+        let state = self
+            .quorum
+            .read_local(|ledger| LeaderState::new(term, tenure, now, ledger, &timing));
+        metric::count_event("leadership", "taken");
+        tracing::info!(
+            event = "leadership_taken",
+            term,
+            workers = state.workers.len()
+        );
+        self.leader_state = Some(state);
+    }
+
     /// Drops the leader state and redirects all sessions.
     fn step_down(&mut self) {
         let Some(state) = self.leader_state.take() else {
@@ -202,9 +220,8 @@
             self.handle_join(&sender, replica, address);
             return;
         }
-        let redirect = self.redirect();
         let Some(state) = &mut self.leader_state else {
-            sender.send(redirect);
+            sender.send(self.redirect());
             return;
         };
         let role = match &message {
@@ -222,7 +239,7 @@
         }
         if !state.sessions.contains_key(&id) {
             // The session was opened in an earlier term of this process, whose state is gone.
-            sender.send(redirect);
+            sender.send(self.redirect());
             return;
         }
         self.handle_session_message(id, message);
@@ -251,7 +268,7 @@
             ToControl::Silence { key, silent } => {
                 let worker = self.quorum.read_local(|ledger| ledger.worker_index(&key));
                 let state = self.leader_state.as_mut();
-                let worker_state = state.and_then(|state| state.workers.get_mut(&worker?));
+                let worker_state = state.and_then(|state| state.worker_mut(worker?));
                 if let Some(worker_state) = worker_state {
                     worker_state.silent = silent;
                 }
@@ -296,8 +313,11 @@
             return;
         }
         tracing::info!(event = "session_closed", session = id.0);
-        for worker in state.workers.values_mut() {
-            if worker.session == Some(id) {
+        let workers = state.workers.iter();
+        let represented = workers.filter(|(_, worker)| worker.session == Some(id));
+        let represented: Vec<WorkerIndex> = represented.map(|(index, _)| *index).collect();
+        for index in represented {
+            if let Some(worker) = state.worker_mut(index) {
                 worker.session = None;
             }
         }
@@ -319,115 +339,4 @@
         }
         sender.send(self.redirect());
     }
-
-    /// Runs a scheduling pass: proposes starts of the waiting tasks that fit. Only one proposal of
-    /// starts is in flight at a time; a pass requested meanwhile runs after its commit.
-    pub(super) fn run_pass(&mut self) {
-        let Some(state) = &mut self.leader_state else {
-            return;
-        };
-        if self.starts_in_flight > 0 {
-            state.pass_requested = true;
-            return;
-        }
-        state.pass_requested = false;
-        let has_advice_service = self.settings.advice.is_some();
-        let (choices, advice_steps) = self.quorum.read_local(|ledger| {
-            state.record_waiting_steps(ledger);
-            let capacities =
-                worker_capacities(ledger, |index: WorkerIndex| state.worker_condition(index));
-            let steps = waiting_steps(ledger, &state.run_times, time_of_day_ms());
-            let advice_steps = if has_advice_service {
-                steps_needing_advice(ledger, &capacities, state, &steps)
-            } else {
-                Vec::new()
-            };
-            (
-                choose_starts(ledger, capacities, state, &steps),
-                advice_steps,
-            )
-        });
-        self.request_advice(advice_steps);
-        if choices.is_empty() {
-            return;
-        }
-        let command = LedgerCommand::Start {
-            choices: choices.clone(),
-        };
-        self.propose(command, CommitPurpose::Start(choices));
-    }
-
-    /// Runs the periodic work of the leader.
-    fn run_maintenance(&mut self) {
-        let now = BootClock.now();
-        if self.leader_state.is_none() || now < self.next_maintenance {
-            return;
-        }
-        self.next_maintenance = now + MAINTENANCE_INTERVAL;
-        self.repeat_refused();
-        self.expire_agent_leases();
-        self.update_gauges();
-        self.release_due_occurrences();
-        self.forget_ended_jobs(now);
-        // Repeats the stops: an agent gives up after a timeout, and any change of the ledger may have
-        // made a run undesired.
-        self.stop_undesired_runs(|_| true);
-        self.run_pass();
-    }
-
-    /// Updates the gauges of jobs, waiting tasks and workers.
-    fn update_gauges(&self) {
-        let (jobs, waiting, workers) = self.quorum.read_local(|ledger| {
-            let waiting = ledger.ready_steps().map(|(_, count)| count as usize);
-            (
-                ledger.jobs().count(),
-                waiting.sum(),
-                ledger.workers().count(),
-            )
-        });
-        metric::set_gauge("jobs", jobs);
-        metric::set_gauge("waiting_tasks", waiting);
-        metric::set_gauge("workers", workers);
-    }
-
-    /// Releases the occurrences of scheduled jobs whose time has come.
-    fn release_due_occurrences(&mut self) {
-        let now_ms = time_of_day_ms();
-        let due: Vec<(JobKey, u32)> = self.quorum.read_local(|ledger| {
-            let scheduled = ledger.jobs().filter_map(|(key, job)| {
-                let schedule = job.spec.as_ref()?.schedule?;
-                let next = job.next_occurrence;
-                let is_due = next < schedule.occurrences && schedule.due_ms(next) <= now_ms;
-                is_due.then_some((key, next))
-            });
-            scheduled.collect()
-        });
-        for (job, occurrence) in due {
-            tracing::info!(event = "occurrence_due", %job, occurrence);
-            let command = LedgerCommand::Release { job, occurrence };
-            self.propose(command, CommitPurpose::Release);
-        }
-    }
-
-    /// Removes the state of jobs that ended longer ago than the retention time.
-    fn forget_ended_jobs(&mut self, now: BootTime) {
-        let retention = Duration::from_millis(self.settings.retention_ms);
-        let Some(state) = &mut self.leader_state else {
-            return;
-        };
-        self.quorum
-            .read_local(|ledger| state.advice.remove_ended_steps(ledger));
-        let expired = state.ended_at.iter();
-        let expired = expired.filter(|(_, at)| now.saturating_since(**at) > retention);
-        let jobs: Vec<JobKey> = expired.map(|(job, _)| *job).collect();
-        if jobs.is_empty() {
-            return;
-        }
-        state.ended_at.retain(|job, _| !jobs.contains(job));
-        state
-            .ordered_at
-            .retain(|_, at| now.saturating_since(*at) <= retention);
-        let command = LedgerCommand::Forget { jobs: jobs.clone() };
-        self.propose(command, CommitPurpose::Forget(jobs));
-    }
 }
--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -21,6 +21,7 @@
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::plan::advice::AdviceCache;
 use guavavane_jobs::plan::capacity::WorkerCondition;
+use guavavane_jobs::plan::capacity_table::CapacityTable;
 use guavavane_jobs::plan::interference::BestEffortLoad;
 use guavavane_jobs::plan::interference::InterferenceModel;
 use guavavane_jobs::plan::interference::UtilisationSample;
@@ -102,6 +103,8 @@
     pub(super) tenure: u64,
     pub(super) sessions: IndexMap<SessionId, LeaderSession>,
     pub(super) workers: IndexMap<WorkerIndex, WorkerState>,
+    /// Capacities of the workers, as of the latest scheduling decision.
+    pub(super) capacities: CapacityTable,
     /// Losses of workers that are not committed.
     pub(super) pending_losses: IndexMap<WorkerIndex, PendingLoss>,
     /// Completions that are not known to be recorded.
@@ -153,6 +156,7 @@
             tenure,
             sessions: IndexMap::new(),
             workers: workers.collect(),
+            capacities: CapacityTable::default(),
             pending_losses: IndexMap::new(),
             open_completions: IndexMap::new(),
             refused_withdrawals: IndexSet::new(),
@@ -183,6 +187,12 @@
         self.sessions.get(&session)
     }
 
+    /// State of a worker, whose condition for scheduling may change.
+    pub(super) fn worker_mut(&mut self, index: WorkerIndex) -> Option<&mut WorkerState> {
+        self.capacities.mark_changed(index);
+        self.workers.get_mut(&index)
+    }
+
     /// State of a worker that a scheduling pass needs.
     pub(super) fn worker_condition(&self, index: WorkerIndex) -> WorkerCondition {
         let Some(worker) = self.workers.get(&index) else {
@@ -228,7 +238,7 @@
         load: BestEffortLoad,
     ) {
         self.interference.learn(BootClock.now(), samples, &load);
-        let Some(worker) = self.workers.get_mut(&index) else {
+        let Some(worker) = self.worker_mut(index) else {
             return;
         };
         worker.utilisations.clear();
@@ -262,7 +272,7 @@
             {
                 self.run_times.learn(&queue, now.saturating_since(at));
             }
-            let Some(worker) = self.workers.get_mut(&index) else {
+            let Some(worker) = self.worker_mut(index) else {
                 continue;
             };
             match completion.outcome {
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! `replica` bootstraps or joins the Raft group, `group_report` reports its state, `peer` sends
 //! messages to other replicas, `stream` accepts connections, and `engine` is the loop that answers
-//! requests, runs scheduling passes and sends orders to agents. `leader_state` holds the leader's
-//! volatile state, which each tenure builds anew, and `repeat` proposes again what was refused.
+//! requests and sends orders to agents. `scheduling` runs the scheduling passes and `maintenance` the
+//! periodic work. `leader_state` holds the leader's volatile state, which each tenure builds anew, and
+//! `repeat` proposes again what was refused.
 
 mod advice;
 mod caller;
@@ -11,11 +12,13 @@
 mod engine;
 mod group_report;
 mod leader_state;
+mod maintenance;
 mod open_completions;
 mod operator;
 mod peer;
 mod repeat;
 mod replica;
+mod scheduling;
 mod session;
 mod stream;
 mod worker;
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -16,10 +16,8 @@
 use guavavane_jobs::ledger::TaskPhase;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::ledger::WorkerRecord;
-use guavavane_jobs::plan::capacity::worker_capacities;
 use guavavane_jobs::plan::interference::InterferenceModel;
 use guavavane_jobs::plan::interference::PairEstimate;
-use guavavane_jobs::plan::pass::choose_movable_tasks;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunCompletion;
 use guavavane_jobs::prelude::RunNumber;
@@ -88,6 +86,7 @@
         state
             .interference
             .keep_narrower_estimates(std::mem::take(&mut report.estimates));
+        state.capacities.mark_changed(index);
         let worker_state = state.workers.entry(index);
         let worker_state = worker_state.or_insert_with(|| WorkerState::new(lease_expires_at));
         worker_state.session = Some(session);
@@ -98,7 +97,7 @@
         self.lose_other_incarnations(index);
         self.reconcile_runs(index, &report);
         self.handle_completions(&report.key, report.completions);
-        self.run_pass();
+        self.request_pass();
     }
 
     /// Proposes the loss of all other incarnations on the same VM.
@@ -297,9 +296,10 @@
             return;
         };
         if ended {
+            state.capacities.mark_changed(worker);
             state.workers.swap_remove(&worker);
             state.open_completions.swap_remove(&worker);
-        } else if let Some(worker_state) = state.workers.get_mut(&worker) {
+        } else if let Some(worker_state) = state.worker_mut(worker) {
             worker_state.session = None;
         }
         let loss = state.pending_losses.entry(worker).or_insert(PendingLoss {
@@ -342,7 +342,7 @@
             state.pending_losses.insert(worker, loss);
             return self.propose_loss(worker);
         }
-        self.run_pass();
+        self.request_pass();
         if let Some(DeferredReport { session, report }) = loss.deferred {
             self.handle_worker_report(session, *report);
         }
@@ -369,35 +369,7 @@
         }
     }
 
-    /// Stops stalled best-effort runs that would fit on another worker. Once the end of a run is
-    /// committed, a scheduling pass places its task anew, not necessarily on that worker.
-    pub(super) fn move_stalled_runs(&mut self, key: &WorkerKey, runs: &[(TaskKey, RunNumber)]) {
-        let Some(state) = &self.leader_state else {
-            return;
-        };
-        let movable_runs: Vec<(WorkerIndex, TaskKey, RunNumber)> =
-            self.quorum.read_local(|ledger| {
-                let Some(worker) = ledger.worker_index(key) else {
-                    return Vec::new();
-                };
-                let capacities =
-                    worker_capacities(ledger, |index: WorkerIndex| state.worker_condition(index));
-                let desired = runs
-                    .iter()
-                    .filter(|(task, run)| ledger.is_desired(*task, *run, worker));
-                let desired: Vec<TaskKey> = desired.map(|(task, _)| *task).collect();
-                let movable = choose_movable_tasks(ledger, capacities, state, worker, &desired);
-                let run_of = |task: &TaskKey| runs.iter().find(|(stalled, _)| stalled == task);
-                let movable = movable.iter().filter_map(run_of);
-                movable.map(|(task, run)| (worker, *task, *run)).collect()
-            });
-        for (worker, task, run) in movable_runs {
-            tracing::info!(event = "run_moved", %task, %run, worker = %key);
-            self.send_stop(worker, task, run);
-        }
-    }
-
-    fn send_stop(&self, worker: WorkerIndex, task: TaskKey, run: RunNumber) {
+    pub(super) fn send_stop(&self, worker: WorkerIndex, task: TaskKey, run: RunNumber) {
         let Some(session) = self
             .leader_state
             .as_ref()
--- a/crates/guavavane_jobs/src/ledger.rs
+++ b/crates/guavavane_jobs/src/ledger.rs
@@ -9,6 +9,7 @@
 
 mod apply;
 mod command;
+mod index;
 mod record;
 
 use std::sync::Arc;
@@ -23,6 +24,7 @@
 pub use self::command::RunCompletion;
 pub use self::command::RunOutcome;
 pub use self::command::StartChoice;
+use self::index::LedgerIndex;
 pub use self::record::JobPhase;
 pub use self::record::JobRecord;
 pub use self::record::OccurrenceRecord;
@@ -54,6 +56,9 @@
     ready_steps: IndexMap<StepKey, u32>,
     workers: IndexMap<WorkerIndex, WorkerRecord>,
     next_worker: u32,
+    /// Follows from the other fields, so it is not stored.
+    #[serde(skip)]
+    index: LedgerIndex,
 }
 
 impl JobLedger {
@@ -99,8 +104,45 @@
 
     /// Index of an incarnation, if the ledger has it.
     pub fn worker_index(&self, key: &WorkerKey) -> Option<WorkerIndex> {
-        let entry = self.workers.iter().find(|(_, record)| record.key == *key);
-        entry.map(|(index, _)| *index)
+        self.index.worker(key)
+    }
+
+    /// Number that rises with each change of a worker or its runs.
+    pub fn worker_revision(&self) -> u64 {
+        self.index.revision()
+    }
+
+    /// Workers that have changed since a revision, some of them several times; none if the ledger no
+    /// longer knows, so that any worker may have changed.
+    pub fn workers_changed_since(
+        &self,
+        revision: u64,
+    ) -> Option<impl Iterator<Item = WorkerIndex> + '_> {
+        self.index.changed_since(revision)
+    }
+
+    /// Jobs of which some runs may no longer be desired; at least all that have such a run.
+    pub fn disturbed_jobs(&self) -> impl Iterator<Item = JobKey> + '_ {
+        self.index.disturbed_jobs()
+    }
+
+    /// Runs of a job that workers hold although they are not desired.
+    pub fn undesired_runs(
+        &self,
+        job: JobKey,
+    ) -> impl Iterator<Item = (WorkerIndex, TaskKey, RunNumber)> + '_ {
+        self.undesired_runs_of(job, &self.index)
+    }
+
+    fn undesired_runs_of<'ledger>(
+        &'ledger self,
+        job: JobKey,
+        index: &'ledger LedgerIndex,
+    ) -> impl Iterator<Item = (WorkerIndex, TaskKey, RunNumber)> + 'ledger {
+        index.runs_of(job).filter_map(|(worker, task)| {
+            let run = self.workers.get(&worker)?.runs.get(&task)?.run;
+            (!self.is_desired(task, run, worker)).then_some((worker, task, run))
+        })
     }
 
     /// Number of a queue's active jobs of which no start was committed.
@@ -161,7 +203,8 @@
         let (ledger, _) = decoded.map_err(|error| RestoreError {
             reason: error.to_string(),
         })?;
-        *self = ledger;
+        let previous = std::mem::replace(self, ledger);
+        self.index = LedgerIndex::rebuild(self, &previous.index);
         Ok(())
     }
 }
--- a/crates/guavavane_jobs/src/ledger/apply.rs
+++ b/crates/guavavane_jobs/src/ledger/apply.rs
@@ -48,6 +48,7 @@
                 } else {
                     self.excluded_data_centres.swap_remove(&data_centre);
                 }
+                self.index.change_all_workers();
                 LedgerOutcome::Done
             }
             LedgerCommand::Submit {
@@ -188,6 +189,7 @@
         job.spec = None;
         job.occurrences.clear();
         self.ready_steps.retain(|step, _| step.job != key);
+        self.index.disturb_job(key);
     }
 
     fn add_worker(&mut self, key: WorkerKey, node: Arc<str>, facts: WorkerFacts) -> LedgerOutcome {
@@ -196,6 +198,7 @@
         }
         let index = WorkerIndex(self.next_worker);
         self.next_worker += 1;
+        self.index.add_worker(key.clone(), index);
         let record = WorkerRecord {
             key,
             node,
@@ -213,9 +216,11 @@
         };
         let runs = std::mem::take(&mut worker.runs);
         if ended {
+            self.index.remove_worker(index, worker);
             self.workers.shift_remove(&index);
         }
         for (task, run) in runs {
+            self.index.remove_run(index, task);
             let completion = RunCompletion {
                 number: 0,
                 task,
@@ -274,6 +279,7 @@
         self.decrement_ready_count(key);
         if let Some(worker) = self.workers.get_mut(&choice.worker) {
             worker.runs.insert(choice.task, run_record);
+            self.index.add_run(choice.worker, choice.task);
         }
         if let Some(job) = self.jobs.get_mut(&key.job) {
             job.started = true;
@@ -318,6 +324,7 @@
                 .is_some_and(|run| run.run == completion.run)
             {
                 worker.runs.swap_remove(&completion.task);
+                self.index.remove_run(index, completion.task);
             }
             if self.apply_completion(index, completion) {
                 ended_jobs.push(completion.task.step.job);
@@ -336,6 +343,7 @@
             .is_some_and(|record| record.run == run)
         {
             worker.runs.swap_remove(&task);
+            self.index.remove_run(index, task);
             let completion = RunCompletion {
                 number: 0,
                 task,
@@ -379,6 +387,7 @@
             }
             if step.tasks.iter().all(|member| member.run == completion.run) {
                 complete_gang(step);
+                self.index.disturb_job(key.job);
                 return self.complete_step(key, &spec);
             }
         }
@@ -401,6 +410,7 @@
         let failures = step.tasks[index].failures;
         if step_spec.gang {
             step.last_broken_run = step.last_broken_run.max(completion.run);
+            self.index.disturb_job(key.job);
         }
         *self.ready_steps.entry(key).or_insert(0) += 1;
         let attempts_max = self.jobs.get(&key.job).map_or(0, |job| job.attempts_max);
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -2,7 +2,8 @@
 //!
 //! The leader runs a scheduling pass ([`pass`]): it orders the waiting steps ([`order`]) by
 //! deadlines from estimated run times ([`slack`]) and chooses a worker for each task
-//! ([`placement`]) by the capacity of each worker ([`capacity`]). [`advice`] holds the tickets of
+//! ([`placement`]) by the capacity of each worker ([`capacity`]), which [`capacity_table`] keeps up to
+//! date. [`advice`] holds the tickets of
 //! the external advice service that some queues need.
 //!
 //! The agent of each worker throttles best-effort tasks that slow down latency-critical ones
@@ -11,12 +12,15 @@
 //! ([`interference`]) and sends each agent the estimates for the images on its worker.
 
 pub mod advice;
+mod candidate_queue;
 pub mod capacity;
+pub mod capacity_table;
 pub mod interference;
 mod interference_filter;
 pub mod order;
 pub mod pass;
-pub mod placement;
+mod placement;
+mod refused_demand;
 pub mod share_tracker;
 pub mod slack;
 pub mod throttle;
--- a/crates/guavavane_jobs/src/plan/capacity.rs
+++ b/crates/guavavane_jobs/src/plan/capacity.rs
@@ -6,6 +6,8 @@
 //! - idle processor time, as expected from the kinds of the tasks,
 //! - the CPU share that the latency-critical tasks leave to one more best-effort task, from the
 //!   model of [`super::interference`].
+//!
+//! [`super::capacity_table`] keeps the capacities of all workers up to date.
 
 use std::sync::Arc;
 
@@ -18,9 +20,7 @@
 use super::interference::InterferenceModel;
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
-use crate::ledger::JobLedger;
 use crate::ledger::RunRecord;
-use crate::ledger::WorkerIndex;
 use crate::ledger::WorkerRecord;
 use guavavane_model::prelude::ResourceVector;
 
@@ -148,6 +148,15 @@
             - i64::try_from(used).unwrap_or(i64::MAX)
     }
 
+    /// Slowdown that the tasks of a latency-critical image tolerate beside the present best-effort
+    /// tasks; negative if these already exceed it.
+    pub fn slowdown_budget(&self, interference: &InterferenceModel, image: &Arc<str>) -> f64 {
+        let baseline = self.condition.baseline_utilisation(interference, image);
+        let tolerated =
+            slowdown_for_utilisation(utilisation_limit() - UTILISATION_MARGIN - baseline);
+        tolerated - interference.slowdown(image, &self.demanded_load)
+    }
+
     /// CPU share, from 0 to 1, that the latency-critical tasks are expected to leave to one more
     /// best-effort task without throttling the present ones further.
     pub fn available_cpu_share(
@@ -156,18 +165,30 @@
         image: &Arc<str>,
         cpu_millis: u64,
     ) -> f64 {
-        let cpu_shares = self.latency_critical_images.keys().map(|latency_critical| {
+        let limits = self.latency_critical_images.keys().map(|latency_critical| {
             let coefficient = interference.mean_coefficient(latency_critical, image);
+            (
+                coefficient,
+                self.slowdown_budget(interference, latency_critical),
+            )
+        });
+        self.cpu_share_within(limits, cpu_millis)
+    }
+
+    /// CPU share, from 0 to 1, of a best-effort task that stays within slowdown budgets, each given
+    /// after the coefficient by which the task interferes.
+    pub(super) fn cpu_share_within(
+        &self,
+        limits: impl Iterator<Item = (f64, f64)>,
+        cpu_millis: u64,
+    ) -> f64 {
+        let cpu_fraction = self.cpu_fraction(cpu_millis).max(f64::MIN_POSITIVE);
+        let cpu_shares = limits.map(|(coefficient, budget)| {
             if coefficient < COEFFICIENT_MIN {
-                return 1.0;
+                1.0
+            } else {
+                budget / (coefficient * cpu_fraction)
             }
-            let baseline = self
-                .condition
-                .baseline_utilisation(interference, latency_critical);
-            let tolerated =
-                slowdown_for_utilisation(utilisation_limit() - UTILISATION_MARGIN - baseline);
-            let budget = tolerated - interference.slowdown(latency_critical, &self.demanded_load);
-            budget / (coefficient * self.cpu_fraction(cpu_millis).max(f64::MIN_POSITIVE))
         });
         cpu_shares.fold(1.0, f64::min).max(0.0)
     }
@@ -230,16 +251,3 @@
         run.cpu_millis
     }
 }
-
-/// Capacity of all workers of the ledger; those in an excluded data centre take no new tasks.
-pub fn worker_capacities(
-    ledger: &JobLedger,
-    condition: impl Fn(WorkerIndex) -> WorkerCondition,
-) -> IndexMap<WorkerIndex, WorkerCapacity> {
-    let capacities = ledger.workers().map(|(index, record)| {
-        let mut condition = condition(index);
-        condition.schedulable &= !ledger.is_excluded(&record.facts.data_centre);
-        (index, WorkerCapacity::new(record, condition))
-    });
-    capacities.collect()
-}
--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -1,7 +1,8 @@
 //! Runs a scheduling pass: chooses which waiting tasks start on which workers.
 //!
-//! A pass takes the waiting steps in a given order and places their tasks one by one on a copy of
-//! the workers' capacities. The tasks of a gang are placed all together or not at all.
+//! A pass takes the waiting steps in a given order, places their tasks one by one, and reserves the
+//! capacity of each until the table is refreshed. The tasks of a gang are placed all together or not
+//! at all.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,19 +10,21 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use super::capacity::WorkerCapacity;
+use super::candidate_queue::CandidateQueue;
+use super::capacity_table::CapacityTable;
+use super::capacity_table::WorkerSlot;
 use super::interference::InterferenceModel;
 use super::order::WaitingStep;
-use super::placement::pick_worker;
-use super::placement::rack_label;
-use super::placement::rank_workers;
+use super::placement::worker_rack;
 use super::placement::PlacementContext;
 use super::placement::CPU_SHARE_ACCEPTED;
 use super::placement::CPU_SHARE_WANTED;
+use super::refused_demand::RefusedDemands;
 use super::slack::RunTimes;
 use crate::identity::RunNumber;
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
+use crate::job::StepKind;
 use crate::ledger::JobLedger;
 use crate::ledger::JobRecord;
 use crate::ledger::RunRecord;
@@ -60,81 +63,110 @@
     fn waiting_time(&self, step: StepKey) -> Duration;
 }
 
-/// Inputs that all steps of a pass share.
+/// Inputs that all steps of a pass share, and the state of the pass.
 struct PassScope<'pass, I> {
     ledger: &'pass JobLedger,
     input: &'pass I,
-    best_effort_images: IndexSet<&'pass Arc<str>>,
+    table: &'pass mut CapacityTable,
+    refused: RefusedDemands,
+    choices: Vec<StartChoice>,
 }
 
 impl<'pass, I: PassInput> PassScope<'pass, I> {
-    fn new(ledger: &'pass JobLedger, input: &'pass I) -> Self {
+    fn new(ledger: &'pass JobLedger, table: &'pass mut CapacityTable, input: &'pass I) -> Self {
         Self {
             ledger,
             input,
-            best_effort_images: input.interference().best_effort_images(),
+            table,
+            refused: RefusedDemands::default(),
+            choices: Vec::new(),
         }
     }
 
-    /// Placement constraints of a step; none if its job has ended.
-    fn context(&self, key: StepKey, cpu_share_min: f64) -> Option<PlacementContext<'_>> {
-        let job = self.ledger.job(key.job)?;
-        let queue = self.ledger.catalog().queue(&job.queue);
-        let advice = queue.filter(|queue| queue.advice.is_some());
-        Some(PlacementContext {
-            ledger: self.ledger,
-            key,
-            spec: self.ledger.step_spec(key)?,
-            pool: queue.map_or(&job.pool, |queue| &queue.pool),
-            rack: None,
-            interference: self.input.interference(),
-            best_effort_images: &self.best_effort_images,
-            allowed_workers: advice.map(|_| self.input.allowed_workers(key)),
-            cpu_share_min,
-        })
+    /// Places a task: reserves the capacity of its run, and prefers its rack for further tasks of a
+    /// step that should stay on a single one.
+    fn place(&mut self, context: &mut PlacementContext<'_>, choice: StartChoice) {
+        let (worker, run) = (choice.worker, RunRecord::new(choice.run, context.spec));
+        self.table
+            .reserve(worker, choice.task, &run, context.interference);
+        if context.spec.single_rack && context.rack.is_none() {
+            let slot = self.table.slot(worker);
+            context.rack = slot.and_then(worker_rack).cloned();
+        }
+        self.choices.push(choice);
     }
 }
 
+/// Placement constraints of a step; none if its job has ended.
+fn step_context<'pass, I: PassInput>(
+    ledger: &'pass JobLedger,
+    input: &'pass I,
+    key: StepKey,
+    cpu_share_min: f64,
+) -> Option<PlacementContext<'pass>> {
+    let job = ledger.job(key.job)?;
+    let queue = ledger.catalog().queue(&job.queue);
+    let advice = queue.filter(|queue| queue.advice.is_some());
+    let spec = ledger.step_spec(key)?;
+    let interference = input.interference();
+    let best_effort_images = match spec.kind {
+        StepKind::LongRunning => interference.best_effort_images(),
+        StepKind::Finite => IndexSet::new(),
+    };
+    Some(PlacementContext {
+        key,
+        spec,
+        pool: queue.map_or(&job.pool, |queue| &queue.pool),
+        rack: None,
+        interference,
+        best_effort_images,
+        allowed_workers: advice.map(|_| input.allowed_workers(key)),
+        cpu_share_min,
+    })
+}
+
 /// Chooses the starts of one pass, which serves the steps in the given order.
 pub fn choose_starts<I: PassInput>(
     ledger: &JobLedger,
-    mut capacities: IndexMap<WorkerIndex, WorkerCapacity>,
+    table: &mut CapacityTable,
     input: &I,
     steps: &[WaitingStep],
 ) -> Vec<StartChoice> {
-    let scope = PassScope::new(ledger, input);
-    let mut choices = Vec::new();
+    let mut scope = PassScope::new(ledger, table, input);
     for step in steps {
-        if choices.len() >= PASS_STARTS_MAX {
+        if scope.choices.len() >= PASS_STARTS_MAX {
             break;
         }
-        place_step(&scope, step, &mut capacities, &mut choices);
+        place_step(&mut scope, step);
     }
-    choices
+    scope.choices
 }
 
 /// Returns those tasks of the worker `from` that would fit on other workers now, best-effort tasks
 /// with the CPU share `CPU_SHARE_WANTED`, in their order.
 pub fn choose_movable_tasks<I: PassInput>(
     ledger: &JobLedger,
-    mut capacities: IndexMap<WorkerIndex, WorkerCapacity>,
+    table: &mut CapacityTable,
     input: &I,
     from: WorkerIndex,
     tasks: &[TaskKey],
 ) -> Vec<TaskKey> {
-    capacities.shift_remove(&from);
-    let scope = PassScope::new(ledger, input);
     let mut movable_tasks = Vec::new();
     for task in tasks {
-        let Some(context) = scope.context(task.step, CPU_SHARE_WANTED) else {
+        let Some(context) = step_context(ledger, input, task.step, CPU_SHARE_WANTED) else {
             continue;
         };
-        let Some(worker) = pick_worker(&context, &capacities) else {
+        let mut candidates = CandidateQueue::new(&context, table);
+        let best = candidates.pop();
+        let worker = match best.filter(|worker| *worker == from) {
+            Some(_) => candidates.pop(),
+            None => best,
+        };
+        let Some(worker) = worker else {
             continue;
         };
-        if let Some(capacity) = capacities.get_mut(&worker) {
-            capacity.reserve(*task, &RunRecord::new(RunNumber(0), context.spec));
-        }
+        let run = RunRecord::new(RunNumber(0), context.spec);
+        table.reserve(worker, *task, &run, context.interference);
         movable_tasks.push(*task);
     }
     movable_tasks
@@ -154,65 +186,64 @@
 /// Returns those of the waiting steps that need tickets, in their order.
 pub fn steps_needing_advice<I: PassInput>(
     ledger: &JobLedger,
-    capacities: &IndexMap<WorkerIndex, WorkerCapacity>,
+    table: &CapacityTable,
     input: &I,
     steps: &[WaitingStep],
 ) -> Vec<AdviceStep> {
-    let scope = PassScope::new(ledger, input);
     let advice_steps = steps.iter().filter_map(|step| {
         let key = step.key;
         let queue = ledger.catalog().queue(&ledger.job(key.job)?.queue)?;
         let timing = queue.advice?;
-        let mut context = scope.context(key, CPU_SHARE_ACCEPTED)?;
+        let mut context = step_context(ledger, input, key, CPU_SHARE_ACCEPTED)?;
         // Candidates are all feasible workers, with or without a ticket.
         context.allowed_workers = None;
         Some(AdviceStep {
             key,
             timing,
-            candidates: rank_workers(&context, capacities),
+            candidates: CandidateQueue::new(&context, table).into_ranking(),
         })
     });
     advice_steps.collect()
 }
 
 /// Places the waiting tasks of one step, as far as there are feasible workers.
-fn place_step<I: PassInput>(
-    scope: &PassScope<'_, I>,
-    waiting: &WaitingStep,
-    capacities: &mut IndexMap<WorkerIndex, WorkerCapacity>,
-    choices: &mut Vec<StartChoice>,
-) {
-    let (key, input) = (waiting.key, scope.input);
-    let (Some(record), Some(job)) = (scope.ledger.step(key), scope.ledger.job(key.job)) else {
+fn place_step<I: PassInput>(scope: &mut PassScope<'_, I>, waiting: &WaitingStep) {
+    let (key, input, ledger) = (waiting.key, scope.input, scope.ledger);
+    let (Some(record), Some(job)) = (ledger.step(key), ledger.job(key.job)) else {
         return;
     };
     let cpu_share_min = cpu_share_min(job, waiting, input.waiting_time(key));
-    let Some(mut context) = scope.context(key, cpu_share_min) else {
+    let Some(mut context) = step_context(ledger, input, key, cpu_share_min) else {
         return;
     };
+    if scope.refused.cover(&context) {
+        return;
+    }
     if context.spec.gang {
-        return place_gang(&mut context, record, capacities, input, choices);
+        return place_gang(scope, &mut context, record);
     }
+    let mut candidates = CandidateQueue::new(&context, scope.table);
     for (index, task) in record.tasks.iter().enumerate() {
         if task.phase != TaskPhase::Waiting {
             continue;
         }
-        if choices.len() >= PASS_STARTS_MAX {
+        if scope.choices.len() >= PASS_STARTS_MAX {
             return;
         }
-        let Some(worker) = pick_worker(&context, capacities) else {
-            return;
+        let Some(worker) = candidates.pop() else {
+            return scope.refused.record(&context);
         };
         let task_key = key.task(u32::try_from(index).expect("the number of tasks is bounded"));
         let choice = start_choice(task_key, task, worker, input);
-        if let Some(capacity) = capacities.get_mut(&worker) {
-            capacity.reserve(task_key, &RunRecord::new(choice.run, context.spec));
-        }
-        if context.spec.single_rack && context.rack.is_none() {
-            context.rack = rack_label(scope.ledger, worker);
-        }
-        choices.push(choice);
+        let had_rack = context.rack.is_some();
+        scope.place(&mut context, choice);
+        let requires_less = context.cpu_share_min < CPU_SHARE_ACCEPTED;
         context.cpu_share_min = context.cpu_share_min.max(CPU_SHARE_ACCEPTED);
+        if requires_less || had_rack != context.rack.is_some() {
+            candidates = CandidateQueue::new(&context, scope.table);
+        } else {
+            candidates.push(&context, scope.table, worker);
+        }
     }
 }
 
@@ -246,51 +277,46 @@
 
 /// Places all members of a gang, or none.
 fn place_gang<I: PassInput>(
+    scope: &mut PassScope<'_, I>,
     context: &mut PlacementContext<'_>,
     record: &StepRecord,
-    capacities: &mut IndexMap<WorkerIndex, WorkerCapacity>,
-    input: &I,
-    choices: &mut Vec<StartChoice>,
 ) {
-    if record
-        .tasks
-        .iter()
-        .any(|task| task.phase != TaskPhase::Waiting)
-    {
+    let is_waiting = |task: &TaskRecord| task.phase == TaskPhase::Waiting;
+    if !record.tasks.iter().all(is_waiting) {
         return;
     }
-    let run = record
-        .tasks
-        .iter()
-        .map(|task| task.run)
-        .max()
-        .unwrap_or_default()
-        .next();
-    let checkpoint = gang_checkpoint(context.key, record, input);
-    let mut remaining = capacities.clone();
-    let mut members = Vec::with_capacity(record.tasks.len());
+    let runs = record.tasks.iter().map(|task| task.run);
+    let run = runs.max().unwrap_or_default().next();
+    let checkpoint = gang_checkpoint(context.key, record, scope.input);
+    let placed_before = scope.choices.len();
+    let mut slots_before: IndexMap<WorkerIndex, WorkerSlot> = IndexMap::new();
+    let mut candidates = CandidateQueue::new(context, scope.table);
     for index in 0..record.tasks.len() {
-        let Some(worker) = pick_worker(context, &remaining) else {
-            return;
+        let Some(worker) = candidates.pop() else {
+            scope.choices.truncate(placed_before);
+            return scope.table.restore(slots_before);
         };
+        let slot_before = scope.table.slot(worker);
+        if let (false, Some(slot)) = (slots_before.contains_key(&worker), slot_before) {
+            slots_before.insert(worker, slot.clone());
+        }
         let task = context
             .key
             .task(u32::try_from(index).expect("the number of tasks is bounded"));
-        if let Some(capacity) = remaining.get_mut(&worker) {
-            capacity.reserve(task, &RunRecord::new(run, context.spec));
-        }
-        if context.spec.single_rack && context.rack.is_none() {
-            context.rack = rack_label(context.ledger, worker);
-        }
-        members.push(StartChoice {
+        let choice = StartChoice {
             task,
             run,
             worker,
             checkpoint: Arc::clone(&checkpoint),
-        });
+        };
+        let had_rack = context.rack.is_some();
+        scope.place(context, choice);
+        if had_rack != context.rack.is_some() {
+            candidates = CandidateQueue::new(context, scope.table);
+        } else {
+            candidates.push(context, scope.table, worker);
+        }
     }
-    *capacities = remaining;
-    choices.extend(members);
 }
 
 /// Checkpoint that all members resume from; the checkpoint of any member is valid for all.
--- a/crates/guavavane_jobs/src/plan/placement.rs
+++ b/crates/guavavane_jobs/src/plan/placement.rs
@@ -1,4 +1,4 @@
-//! Chooses a worker for one task: filters the feasible workers and scores them.
+//! Judges workers for the tasks of one step: which are feasible, and which is best.
 //!
 //! - Long-running tasks are packed by image, so that best-effort tasks find workers on which they
 //!   interfere with no latency-critical task.
@@ -9,18 +9,17 @@
 //! Data on another rack and a gang on several racks prolong a run, so another rack lowers the
 //! score. Weights and penalties are relative to thousandths of a core of idle processor.
 
-use std::cmp::Reverse;
 use std::sync::Arc;
 
-use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use super::capacity::WorkerCapacity;
+use super::capacity_table::ImageCoefficients;
+use super::capacity_table::WorkerSlot;
 use super::interference::InterferenceModel;
 use crate::identity::StepKey;
 use crate::job::StepKind;
 use crate::job::StepSpec;
-use crate::ledger::JobLedger;
 use crate::ledger::WorkerIndex;
 
 /// Part of a best-effort task's processor demand that must be idle, in percent.
@@ -48,67 +47,63 @@
 /// Score of a full CPU share.
 const CPU_SHARE_WEIGHT: f64 = 16_000.0;
 /// CPU share, from 0 to 1, for which a best-effort task waits while its job has slack.
-pub const CPU_SHARE_WANTED: f64 = 0.9;
+pub(super) const CPU_SHARE_WANTED: f64 = 0.9;
 /// CPU share, from 0 to 1, for which a best-effort task waits otherwise.
-pub const CPU_SHARE_ACCEPTED: f64 = 0.5;
+pub(super) const CPU_SHARE_ACCEPTED: f64 = 0.5;
 /// Penalty of each consecutive failure of a worker.
 const FAILURE_WEIGHT: i64 = 1_000_000;
 
 /// Step whose tasks are placed, and constraints on its workers.
-pub struct PlacementContext<'ledger> {
-    /// Source of jobs and workers.
-    pub ledger: &'ledger JobLedger,
+pub(super) struct PlacementContext<'ledger> {
     /// Step that the tasks belong to.
-    pub key: StepKey,
+    pub(super) key: StepKey,
     /// Specification of the step.
-    pub spec: &'ledger StepSpec,
+    pub(super) spec: &'ledger StepSpec,
     /// Pool whose workers may run the step.
-    pub pool: &'ledger str,
+    pub(super) pool: &'ledger str,
     /// Rack of the tasks already placed, if the step should stay on a single one.
-    pub rack: Option<Arc<str>>,
+    pub(super) rack: Option<Arc<str>>,
     /// Interference model.
-    pub interference: &'ledger InterferenceModel,
-    /// Best-effort images that the interference model has coefficients of.
-    pub best_effort_images: &'ledger IndexSet<&'ledger Arc<str>>,
+    pub(super) interference: &'ledger InterferenceModel,
+    /// Best-effort images that the interference model has coefficients of, if the step is long-running.
+    pub(super) best_effort_images: IndexSet<&'ledger Arc<str>>,
     /// Workers for which the step holds a ticket; none if the step needs no tickets.
-    pub allowed_workers: Option<IndexSet<WorkerIndex>>,
+    pub(super) allowed_workers: Option<IndexSet<WorkerIndex>>,
     /// CPU share, from 0 to 1, that latency-critical tasks have to leave to a best-effort task.
-    pub cpu_share_min: f64,
+    pub(super) cpu_share_min: f64,
 }
 
 /// Rack of a worker, which is its last label.
-fn worker_rack(ledger: &JobLedger, index: WorkerIndex) -> Option<&Arc<str>> {
-    ledger.worker(index)?.facts.labels.last()
+pub(super) fn worker_rack(slot: &WorkerSlot) -> Option<&Arc<str>> {
+    slot.facts.labels.last()
 }
 
 /// Whether a worker can run one more task of the step now.
-fn is_feasible(
+pub(super) fn is_feasible(
     context: &PlacementContext<'_>,
+    coefficients: &ImageCoefficients,
     index: WorkerIndex,
-    capacity: &WorkerCapacity,
+    slot: &WorkerSlot,
 ) -> bool {
-    let Some(worker) = context.ledger.worker(index) else {
-        return false;
-    };
-    let spec = context.spec;
+    let (spec, capacity) = (context.spec, &slot.capacity);
     let on_probation = capacity.condition.consecutive_failures >= PROBATION_FAILURES_MIN;
     capacity.condition.schedulable
+        && capacity.fits(&spec.reserved())
         && context
             .allowed_workers
             .as_ref()
             .is_none_or(|allowed_workers| allowed_workers.contains(&index))
-        && &*worker.facts.pool == context.pool
+        && &*slot.facts.pool == context.pool
         && spec
             .required_label
             .as_ref()
-            .is_none_or(|label| worker.facts.has_label(label))
+            .is_none_or(|label| slot.facts.has_label(label))
         && spec
             .per_worker_max
             .is_none_or(|maximum| capacity.run_count(context.key) < maximum)
-        && capacity.fits(&spec.reserved())
-        && (!on_probation || worker.runs.is_empty())
+        && (!on_probation || capacity.runs_by_step.is_empty())
         && has_idle_cpu(spec, capacity)
-        && leaves_cpu_share(context, capacity)
+        && leaves_cpu_share(context, coefficients, slot)
 }
 
 /// Whether a worker has idle processor for a best-effort task. A worker without best-effort and
@@ -124,16 +119,16 @@
 
 /// Whether the latency-critical tasks of a worker are expected to leave a best-effort task the
 /// required CPU share.
-fn leaves_cpu_share(context: &PlacementContext<'_>, capacity: &WorkerCapacity) -> bool {
-    if !context.spec.best_effort || capacity.latency_critical_images.is_empty() {
+fn leaves_cpu_share(
+    context: &PlacementContext<'_>,
+    coefficients: &ImageCoefficients,
+    slot: &WorkerSlot,
+) -> bool {
+    if !context.spec.best_effort || slot.capacity.latency_critical_images.is_empty() {
         return true;
     }
-    available_cpu_share(context, capacity) >= context.cpu_share_min
-}
-
-fn available_cpu_share(context: &PlacementContext<'_>, capacity: &WorkerCapacity) -> f64 {
-    let spec = context.spec;
-    capacity.available_cpu_share(context.interference, &spec.image, spec.demand.cpu_millis)
+    let cpu_millis = context.spec.demand.cpu_millis;
+    slot.available_cpu_share(coefficients, cpu_millis) >= context.cpu_share_min
 }
 
 /// Penalty for the best-effort images that a long-running task of this step would exclude from a
@@ -147,35 +142,27 @@
             * IMAGE_MIX_WEIGHT;
     }
     let newly_harmful =
-        capacity.newly_harmful_fraction(context.interference, context.best_effort_images, image);
+        capacity.newly_harmful_fraction(context.interference, &context.best_effort_images, image);
     (newly_harmful * NEWLY_HARMFUL_WEIGHT) as i64
 }
 
 /// Score of a feasible worker; the highest is chosen.
-fn score(context: &PlacementContext<'_>, index: WorkerIndex, capacity: &WorkerCapacity) -> i64 {
-    let spec = context.spec;
+pub(super) fn score(
+    context: &PlacementContext<'_>,
+    coefficients: &ImageCoefficients,
+    slot: &WorkerSlot,
+) -> i64 {
+    let (spec, capacity) = (context.spec, &slot.capacity);
     let mut score = match spec.kind {
         StepKind::LongRunning => {
             let harm = harm_penalty(context, capacity);
             let packing = i64::from(capacity.long_running_tasks) * LONG_RUNNING_WEIGHT;
             packing - harm - i64::from(capacity.best_effort_tasks) * LONG_RUNNING_WEIGHT / 4
         }
-        StepKind::Finite if spec.best_effort => {
-            let cpu_share = available_cpu_share(context, capacity) * CPU_SHARE_WEIGHT;
-            let harmless = capacity
-                .harmless_fraction(context.interference, context.best_effort_images)
-                * HARMLESS_WEIGHT;
-            let idle_cpu_millis = capacity.idle_cpu_millis();
-            let wanted_millis = i64::try_from(spec.demand.cpu_millis).unwrap_or(i64::MAX);
-            let usable_millis = idle_cpu_millis.min(wanted_millis);
-            usable_millis
-                .saturating_mul(USABLE_CPU_WEIGHT)
-                .saturating_add(idle_cpu_millis / SURPLUS_CPU_DIVISOR)
-                .saturating_add((cpu_share - harmless) as i64)
-        }
+        StepKind::Finite if spec.best_effort => best_effort_score(spec, coefficients, slot),
         StepKind::Finite => capacity.idle_cpu_millis(),
     };
-    let rack = worker_rack(context.ledger, index);
+    let rack = worker_rack(slot);
     let preferred_rack = spec.data_rack.as_ref().or(context.rack.as_ref());
     if preferred_rack.is_some() && preferred_rack != rack {
         score = score.saturating_sub(RACK_WEIGHT);
@@ -184,38 +171,15 @@
     score.saturating_sub(failures * FAILURE_WEIGHT)
 }
 
-/// Feasible workers with their scores.
-fn feasible_workers<'capacities, 'ledger>(
-    context: &'capacities PlacementContext<'ledger>,
-    capacities: &'capacities IndexMap<WorkerIndex, WorkerCapacity>,
-) -> impl Iterator<Item = (i64, Reverse<WorkerIndex>)> + use<'capacities, 'ledger> {
-    let feasible = capacities
-        .iter()
-        .filter(|(index, capacity)| is_feasible(context, **index, capacity));
-    feasible.map(|(index, capacity)| (score(context, *index, capacity), Reverse(*index)))
-}
-
-/// Feasible worker with the highest score for one more task; of equals, the lowest index.
-pub fn pick_worker(
-    context: &PlacementContext<'_>,
-    capacities: &IndexMap<WorkerIndex, WorkerCapacity>,
-) -> Option<WorkerIndex> {
-    let best = feasible_workers(context, capacities).max();
-    best.map(|(_, Reverse(index))| index)
-}
-
-/// Feasible workers, the highest score first.
-pub fn rank_workers(
-    context: &PlacementContext<'_>,
-    capacities: &IndexMap<WorkerIndex, WorkerCapacity>,
-) -> Vec<WorkerIndex> {
-    let mut feasible: Vec<_> = feasible_workers(context, capacities).collect();
-    feasible.sort_by_key(|worker| Reverse(*worker));
-    let feasible = feasible.into_iter().map(|(_, Reverse(index))| index);
-    feasible.collect()
-}
-
-/// Rack of a worker, for the placement of further tasks of a single-rack step.
-pub fn rack_label(ledger: &JobLedger, index: WorkerIndex) -> Option<Arc<str>> {
-    worker_rack(ledger, index).cloned()
+/// Score of a worker for a best-effort task by the processor that it would get.
+fn best_effort_score(spec: &StepSpec, coefficients: &ImageCoefficients, slot: &WorkerSlot) -> i64 {
+    let cpu_share = slot.available_cpu_share(coefficients, spec.demand.cpu_millis);
+    let harmless = slot.headroom.harmless_fraction * HARMLESS_WEIGHT;
+    let idle_cpu_millis = slot.capacity.idle_cpu_millis();
+    let wanted_millis = i64::try_from(spec.demand.cpu_millis).unwrap_or(i64::MAX);
+    let usable_millis = idle_cpu_millis.min(wanted_millis);
+    usable_millis
+        .saturating_mul(USABLE_CPU_WEIGHT)
+        .saturating_add(idle_cpu_millis / SURPLUS_CPU_DIVISOR)
+        .saturating_add((cpu_share * CPU_SHARE_WEIGHT - harmless) as i64)
 }
--- a/crates/guavavane_jobs/tests/extreme_numbers.rs
+++ b/crates/guavavane_jobs/tests/extreme_numbers.rs
@@ -24,7 +24,7 @@
 use crate::support::replay::Replay;
 use crate::support::submit;
 use crate::support::submit_at;
-use guavavane_jobs::plan::capacity::worker_capacities;
+use guavavane_jobs::plan::capacity_table::CapacityTable;
 use guavavane_jobs::plan::order::step_rank;
 use guavavane_jobs::plan::order::waiting_steps;
 use guavavane_jobs::plan::pass::steps_needing_advice;
@@ -153,10 +153,11 @@
                 }
             }
             let view = &cell.view;
-            let capacities =
-                worker_capacities(&cell.ledger, |index| view.conditions[&index].clone());
+            let table = CapacityTable::new(&cell.ledger, &view.interference, |index| {
+                view.conditions[&index].clone()
+            });
             let steps = waiting_steps(&cell.ledger, &view.run_times, view.now_ms);
-            let advice_steps = steps_needing_advice(&cell.ledger, &capacities, view, &steps);
+            let advice_steps = steps_needing_advice(&cell.ledger, &table, view, &steps);
             for step in &advice_steps {
                 let _ = Duration::from_millis(step.timing.reply_ms(step.candidates.len()));
             }
@@ -207,6 +208,9 @@
     let choices = vec![choice(0), choice(1)];
     let command = LedgerCommand::Start { choices };
     apply(&mut cell.ledger, command);
-    let capacities = worker_capacities(&cell.ledger, |index| cell.view.conditions[&index].clone());
-    assert!(capacities[&index].idle_cpu_millis() < 0);
+    let view = &cell.view;
+    let table = CapacityTable::new(&cell.ledger, &view.interference, |index| {
+        view.conditions[&index].clone()
+    });
+    assert!(table.capacity(index).unwrap().idle_cpu_millis() < 0);
 }
--- a/crates/guavavane_jobs/tests/ledger_properties.rs
+++ b/crates/guavavane_jobs/tests/ledger_properties.rs
@@ -10,28 +10,25 @@
 
 use std::sync::Arc;
 
-use rand::Rng;
-use rand_chacha::ChaCha8Rng;
-
 use crate::support::add_worker;
 use crate::support::apply;
 use crate::support::job_with_steps;
 use crate::support::ledger_with_queue;
+use crate::support::random_commands::all_runs;
+use crate::support::random_commands::random_command;
+use crate::support::random_commands::start_of;
 use crate::support::raw_step;
 use crate::support::submit;
 use crate::support::ATTEMPTS_MAX;
 use guavavane_jobs::ledger::TaskPhase;
 use guavavane_jobs::ledger::WorkerIndex;
-use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::JobPhase;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunCompletion;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::RunOutcome;
-use guavavane_jobs::prelude::StartChoice;
 use guavavane_jobs::prelude::StepKey;
-use guavavane_jobs::prelude::TaskKey;
 use guavavane_quorum::prelude::StateMachine;
 use guavavane_testing::for_each_seed;
 
@@ -40,122 +37,6 @@
 /// Number of commands in each sequence.
 const COMMANDS_PER_SEQUENCE: usize = 120;
 
-fn random_job(random: &mut ChaCha8Rng) -> guavavane_jobs::prelude::JobSpec {
-    let count = random.random_range(1..4);
-    let mut steps = Vec::new();
-    for number in 0..count {
-        let mut step = raw_step(random.random_range(1..4));
-        step.gang = random.random_bool(0.2);
-        step.long_running = count == 1 && random.random_bool(0.2);
-        if number > 0 && random.random_bool(0.8) {
-            step.after = vec![random.random_range(0..number)];
-        }
-        steps.push(step);
-    }
-    job_with_steps(steps)
-}
-
-/// All runs that hold capacity of a worker.
-fn all_runs(ledger: &JobLedger) -> Vec<(WorkerIndex, TaskKey, RunNumber)> {
-    let workers = ledger.workers();
-    let runs = workers.flat_map(|(index, worker)| {
-        let runs = worker.runs.iter();
-        runs.map(move |(task, record)| (index, *task, record.run))
-    });
-    runs.collect()
-}
-
-fn random_start(ledger: &JobLedger, random: &mut ChaCha8Rng) -> Option<LedgerCommand> {
-    let workers: Vec<WorkerIndex> = ledger.workers().map(|(index, _)| index).collect();
-    let worker = *workers.get(random.random_range(0..workers.len().max(1)))?;
-    let jobs: Vec<JobKey> = ledger.jobs().map(|(key, _)| key).collect();
-    let job = *jobs.get(random.random_range(0..jobs.len().max(1)))?;
-    let step = StepKey {
-        job,
-        occurrence: 0,
-        step: random.random_range(0..3),
-    };
-    // The step need not be ready: the ledger has to refuse a start that is not allowed.
-    let tasks = ledger.step(step)?.tasks.len() as u32;
-    let task = step.task(random.random_range(0..tasks));
-    let latest_run = ledger.task(task)?.run;
-    let choices = if ledger.step_spec(step)?.gang {
-        let run = ledger.step(step)?.tasks.iter().map(|t| t.run).max()?.next();
-        let members = (0..tasks).map(|index| start_of(step.task(index), run, worker));
-        members.collect()
-    } else {
-        vec![start_of(task, latest_run.next(), worker)]
-    };
-    Some(LedgerCommand::Start { choices })
-}
-
-fn start_of(task: TaskKey, run: RunNumber, worker: WorkerIndex) -> StartChoice {
-    StartChoice {
-        task,
-        run,
-        worker,
-        checkpoint: Arc::from(""),
-    }
-}
-
-fn random_completion(ledger: &JobLedger, random: &mut ChaCha8Rng) -> Option<LedgerCommand> {
-    let runs = all_runs(ledger);
-    let (worker, task, run) = *runs.get(random.random_range(0..runs.len().max(1)))?;
-    let outcome = match random.random_range(0..6) {
-        0 => RunOutcome::Failed,
-        1 => RunOutcome::Stopped,
-        2 => RunOutcome::Lapsed,
-        _ => RunOutcome::Done,
-    };
-    let completion = RunCompletion {
-        number: ledger.worker(worker)?.last_completion + 1,
-        task,
-        run,
-        outcome,
-        checkpoint: Arc::from("saved"),
-    };
-    Some(LedgerCommand::NoteEnds {
-        worker,
-        completions: vec![completion],
-    })
-}
-
-fn random_command(
-    ledger: &mut JobLedger,
-    random: &mut ChaCha8Rng,
-    last_key: &mut u64,
-) -> Option<LedgerCommand> {
-    match random.random_range(0..20) {
-        0 | 1 => {
-            *last_key += 1;
-            submit(ledger, *last_key, random_job(random));
-            None
-        }
-        2 => {
-            *last_key += 1;
-            add_worker(ledger, *last_key as u32);
-            None
-        }
-        3 => {
-            let job = JobKey(random.random_range(1..=*last_key + 1));
-            Some(LedgerCommand::Cancel { job })
-        }
-        4 => {
-            let workers: Vec<WorkerIndex> = ledger.workers().map(|(index, _)| index).collect();
-            let worker = *workers.get(random.random_range(0..workers.len().max(1)))?;
-            let ended = random.random_bool(0.5);
-            Some(LedgerCommand::LoseWorker { worker, ended })
-        }
-        5 => {
-            let runs = all_runs(ledger);
-            let (worker, task, run) = *runs.get(random.random_range(0..runs.len().max(1)))?;
-            Some(LedgerCommand::Withdraw { worker, task, run })
-        }
-        6..=12 => random_start(ledger, random),
-        _ => random_completion(ledger, random),
-    }
-}
-
 /// Checks the invariants of one state.
 fn check_invariants(ledger: &JobLedger) {
     for (worker, task, run) in all_runs(ledger) {
--- a/crates/guavavane_jobs/tests/support/replay.rs
+++ b/crates/guavavane_jobs/tests/support/replay.rs
@@ -8,8 +8,8 @@
 
 use super::apply;
 use guavavane_jobs::ledger::WorkerIndex;
-use guavavane_jobs::plan::capacity::worker_capacities;
 use guavavane_jobs::plan::capacity::WorkerCondition;
+use guavavane_jobs::plan::capacity_table::CapacityTable;
 use guavavane_jobs::plan::interference::InterferenceModel;
 use guavavane_jobs::plan::order::WaitingStep;
 use guavavane_jobs::plan::pass::choose_starts;
@@ -116,8 +116,10 @@
         self.view.waiting_since = ready.collect();
         let steps = order(&self.ledger, &self.view);
         let conditions = &self.view.conditions;
-        let capacities = worker_capacities(&self.ledger, |index| conditions[&index].clone());
-        let choices = choose_starts(&self.ledger, capacities, &self.view, &steps);
+        let mut table = CapacityTable::new(&self.ledger, &self.view.interference, |index| {
+            conditions[&index].clone()
+        });
+        let choices = choose_starts(&self.ledger, &mut table, &self.view, &steps);
         let command = LedgerCommand::Start {
             choices: choices.clone(),
         };
