Control: a tenure outlasts a lease that runs out for a moment

The leader logged leadership_lost and, 58 to 104 ms later, leadership_taken in the same term, with 442 proposals lost and all 195 sessions opened anew.

Cause: the lease of 350 ms runs out when the process or its heartbeats are late, and the engine dropped its state and redirected all sessions, though a replica that still leads its term can only renew the lease if nobody else has led.

Change: while this replica leads the same term without a lease, the tenure is suspended: inputs wait and nothing is done in its name. It goes on once the lease is renewed; a lost leadership (check-quorum after 450 ms at most, a higher term, a failed disk) ends it as before.

--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -6,6 +6,7 @@
 use flume::Receiver;
 use flume::Sender;
 use tokio::task::yield_now;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::advice::AdviceReply;
@@ -28,6 +29,7 @@
 use guavavane_model::prelude::BootTime;
 use guavavane_quorum::prelude::QuorumHandle;
 use guavavane_quorum::prelude::ReplicaId;
+use guavavane_quorum::prelude::ReplicaRole;
 use guavavane_transport::prelude::StreamSender;
 
 /// Longest time between two checks of the leadership when no input arrives.
@@ -35,6 +37,8 @@
 /// Longest time that a membership change may block the loop.
 const MEMBERSHIP_CHANGE_TIMEOUT: Duration = Duration::from_millis(1);
 
+/// Time between two checks while the tenure is suspended.
+const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Time after which the inputs that go on to arrive wait for the other tasks of the thread.
 const BATCH_TIME_MAX: Duration = Duration::from_millis(5);
 
@@ -61,6 +65,15 @@
     },
 }
 
+/// Result of a check of the leadership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeadershipChange {
+    /// The leader state matches the lease: it exists while the lease is held.
+    Settled,
+    /// The lease has run out, but the leadership is not lost.
+    Suspended,
+}
+
 /// Event loop of a control process, with its settings and its handle to the replicated ledger.
 pub(super) struct ControlEngine {
     pub(super) settings: ControlSettings,
@@ -95,7 +108,9 @@
     pub(super) async fn run(mut self, queue: Receiver<EngineInput>) {
         loop {
             let input = timeout(LEADERSHIP_CHECK_INTERVAL, queue.recv_async()).await;
-            self.update_leadership();
+            while self.update_leadership() == LeadershipChange::Suspended {
+                sleep(SUSPENSION_CHECK_INTERVAL).await;
+            }
             match input {
                 Ok(Ok(input)) => {
                     self.handle_input(input);
@@ -116,7 +131,9 @@
     fn handle_queued(&mut self, queue: &Receiver<EngineInput>) {
         let begin = BootClock.now();
         while BootClock.now().saturating_since(begin) < BATCH_TIME_MAX {
-            self.update_leadership();
+            if self.update_leadership() == LeadershipChange::Suspended {
+                return;
+            }
             match queue.try_recv() {
                 Ok(input) => self.handle_input(input),
                 Err(_) => return,
@@ -124,15 +141,22 @@
         }
     }
 
-    /// Builds the leader state at the start of a tenure and drops it when leadership is lost. A
-    /// leader whose lease has expired for a moment begins another tenure in the same term.
-    fn update_leadership(&mut self) {
+    /// Builds the leader state at the start of a tenure and drops it when leadership is lost.
+    ///
+    /// A tenure is suspended while the lease has run out, but this replica leads in the same term and
+    /// so may renew it: until then nothing is done in its name, and its state stays valid, since no
+    /// other replica leads before a later term.
+    fn update_leadership(&mut self) -> LeadershipChange {
         let view = self.quorum.leadership();
         let now = BootClock.now();
         let current_term = view.holds_lease(now).then_some(view.term.0);
         let previous_term = self.leader_state.as_ref().map(|state| state.term);
         if current_term == previous_term {
-            return;
+            return LeadershipChange::Settled;
+        }
+        let leads_still = view.role == ReplicaRole::Leader && previous_term == Some(view.term.0);
+        if current_term.is_none() && leads_still {
+            return LeadershipChange::Suspended;
         }
         if previous_term.is_some() {
             self.step_down();
@@ -140,6 +164,7 @@
         if let Some(term) = current_term {
             self.begin_tenure(term, now);
         }
+        LeadershipChange::Settled
     }
 
     fn begin_tenure(&mut self, term: u64, now: BootTime) {
