Control: an agent gets the estimates of its pairs before a start, not half a second later

Cause: the leader sent an agent the interference estimates of the images on its worker with the answer to a utilisation report only, at most every 0.5 s. Until then the agent took a new image for one that interferes strongly (the prior of 1.9), paused its tasks and reported them as stalled; the leader, to which they were harmless, moved them. A trial that logged the leader's view of each stalled run showed it: 3,785 stalled, half of them within 0.5 s of their start; of the younger half the leader's coefficient was below 0.48 in the median and the expected CPU share 1.0.

Ruled out: late orders, a wrong order of ranks, and swings of the load as the main cause.

Change: the estimates of a worker precede the starts of a commit, and the reconciliation of a worker's runs after a new session.

--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::caller::CallOrigin;
 use super::engine::ControlEngine;
@@ -190,6 +191,13 @@
                     let ordered = committed.iter().map(|choice| (choice.task, choice.run));
                     state.ordered_at.extend(ordered.map(|run| (run, now)));
                 }
+                // An agent throttles a task of an image that it knows nothing of as one that interferes
+                // strongly, so the estimates go first.
+                let workers: IndexSet<WorkerIndex> =
+                    committed.iter().map(|choice| choice.worker).collect();
+                for worker in workers {
+                    self.send_estimates(worker);
+                }
                 let runs = committed
                     .iter()
                     .map(|choice| (choice.worker, choice.task, choice.run));
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -95,6 +95,7 @@
         worker_state.lease_expires_at = worker_state.lease_expires_at.max(lease_expires_at);
         tracing::info!(event = "worker_adopted", worker = %report.key, index = index.0, draining = report.draining, running = report.running.len());
         self.lose_other_incarnations(index);
+        self.send_estimates(index);
         self.reconcile_runs(index, &report);
         self.handle_completions(&report.key, report.completions);
         self.request_pass();
