--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -23,4 +23,5 @@
 mod refused_demand;
 pub mod share_tracker;
 pub mod slack;
+pub mod stalled_run;
 pub mod throttle;
