--- a/crates/guavavane_cell/src/control/scheduling.rs
+++ b/crates/guavavane_cell/src/control/scheduling.rs
@@ -3,8 +3,6 @@
 //! Inputs request a pass, and one pass follows all inputs that arrived together. Only one proposal of
 //! starts is in flight at a time.
 
-use std::time::Duration;
-
 use super::caller::time_of_day_ms;
 use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
@@ -15,13 +13,11 @@
 use guavavane_jobs::plan::pass::choose_movable_tasks;
 use guavavane_jobs::plan::pass::choose_starts;
 use guavavane_jobs::plan::pass::steps_needing_advice;
-use guavavane_jobs::plan::stalled_run::is_worth_moving;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerKey;
-use guavavane_model::prelude::BootClock;
 
 impl ControlEngine {
     /// Requests a scheduling pass after the inputs that have arrived.
@@ -101,19 +97,6 @@
     }
 }
 
-impl LeaderState {
-    /// Whether a stalled run gains time by a move. The time of a run that an earlier leader ordered is
-    /// not known and taken for long.
-    fn gains_by_move(&self, ledger: &JobLedger, task: TaskKey, run: RunNumber) -> bool {
-        let checkpointed = ledger
-            .step_spec(task.step)
-            .is_some_and(|spec| spec.checkpointed);
-        let ordered_at = self.ordered_at.get(&(task, run));
-        let run_time = ordered_at.map_or(Duration::MAX, |at| BootClock.now().saturating_since(*at));
-        is_worth_moving(checkpointed, run_time)
-    }
-}
-
 /// Those of the stalled runs of a worker that would fit on another one.
 fn movable_runs(
     state: &mut LeaderState,
@@ -124,9 +107,9 @@
     let Some(worker) = ledger.worker_index(key) else {
         return Vec::new();
     };
-    let desired = runs.iter().filter(|(task, run)| {
-        ledger.is_desired(*task, *run, worker) && state.gains_by_move(ledger, *task, *run)
-    });
+    let desired = runs
+        .iter()
+        .filter(|(task, run)| ledger.is_desired(*task, *run, worker));
     let desired: Vec<TaskKey> = desired.map(|(task, _)| *task).collect();
     let movable = state.with_capacities(ledger, |state, table| {
         choose_movable_tasks(ledger, table, state, worker, &desired)
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -23,5 +23,4 @@
 mod refused_demand;
 pub mod share_tracker;
 pub mod slack;
-pub mod stalled_run;
 pub mod throttle;
