--- a/crates/guavavane_jobs/src/plan/capacity.rs
+++ b/crates/guavavane_jobs/src/plan/capacity.rs
@@ -33,7 +33,7 @@
 /// while a best-effort task runs.
 const UTILISATION_MARGIN: f64 = 0.1;
 /// Interference coefficient below which placement ignores a pair.
-const COEFFICIENT_MIN: f64 = 0.3;
+const COEFFICIENT_MIN: f64 = 0.6;
 /// Baseline utilisation of a latency-critical image without a report, whose load is then assumed
 /// to be half of its peak.
 const BASELINE_DEFAULT: f64 = 0.45;
--- a/crates/guavavane_jobs/src/plan/throttle.rs
+++ b/crates/guavavane_jobs/src/plan/throttle.rs
@@ -48,7 +48,7 @@
 const VIOLATION_HEADROOM_FRACTION: f64 = 0.5;
 /// Interference coefficient below which a pair does not limit a CPU share; the task still counts
 /// against the slowdown budgets and is paused with the others.
-const COEFFICIENT_MIN: f64 = 0.3;
+const COEFFICIENT_MIN: f64 = 0.6;
 /// Smallest CPU share; a task with less is paused.
 const CPU_SHARE_MIN_PERCENT: u32 = 5;
 /// CPU share from which a task is not throttled at all.
