--- a/crates/guavavane_jobs/tests/interference_load.rs
+++ b/crates/guavavane_jobs/tests/interference_load.rs
@@ -162,49 +162,71 @@
     }
 }
 
-/// Replays a worker with two strong best-effort tasks beside two latency-critical tasks for 60 s;
-/// returns the longest violation of the target and the mean CPU share in percent.
-fn replay_worker(mut control: impl FnMut(u64, &[ObservedTask]) -> Option<[u32; 2]>) -> (u64, f64) {
-    let mut cpu_shares = [100_u32; 2];
+/// Best-effort tasks of one image beside the latency-critical ones.
+#[derive(Clone, Copy)]
+struct BestEffortTasks {
+    image: &'static str,
+    coefficient: f64,
+    count: usize,
+}
+
+const STRONG_TASKS: BestEffortTasks = BestEffortTasks {
+    image: "strong",
+    coefficient: STRONG_COEFFICIENT,
+    count: 2,
+};
+
+/// Replays a worker with best-effort tasks beside two latency-critical tasks for 60 s; returns the
+/// longest violation of the target and the mean CPU share in percent.
+fn replay_worker(
+    best_effort: BestEffortTasks,
+    mut control: impl FnMut(u64, &[ObservedTask]) -> Option<Vec<u32>>,
+) -> (u64, f64) {
+    let BestEffortTasks {
+        image,
+        coefficient,
+        count,
+    } = best_effort;
+    let mut cpu_shares = vec![100_u32; count];
     let (mut violated_ms, mut longest_violation_ms, mut share_sum) = (0, 0, 0);
     let reports = 200;
     for report in 0..reports {
         let now_ms = 10_000 + report * REPORT_MS;
-        let fractions = cpu_shares.map(|percent| CPU_FRACTION * f64::from(percent) / 100.0);
+        let fractions = cpu_shares
+            .iter()
+            .map(|percent| CPU_FRACTION * f64::from(*percent) / 100.0);
         let utilisation = total_utilisation(
             baseline_utilisation(now_ms, 0),
-            STRONG_COEFFICIENT * (fractions[0] + fractions[1]),
-        );
-        let tasks = worker_report(
-            utilisation,
-            &[("strong", cpu_shares[0]), ("strong", cpu_shares[1])],
+            coefficient * fractions.sum::<f64>(),
         );
+        let shares: Vec<(&str, u32)> = cpu_shares.iter().map(|share| (image, *share)).collect();
+        let tasks = worker_report(utilisation, &shares);
         let violated = utilisation >= utilisation_limit();
         violated_ms = if violated { violated_ms + REPORT_MS } else { 0 };
         longest_violation_ms = longest_violation_ms.max(violated_ms);
-        share_sum += cpu_shares[0] + cpu_shares[1];
+        share_sum += cpu_shares.iter().sum::<u32>();
         if let Some(ordered) = control(now_ms, &tasks) {
             cpu_shares = ordered;
         }
     }
     (
         longest_violation_ms,
-        f64::from(share_sum) / (2 * reports) as f64,
+        f64::from(share_sum) / (count as u64 * reports) as f64,
     )
 }
 
 /// Replays the worker under a controller with these estimates.
-fn replay_controller(estimates: Vec<PairEstimate>) -> (u64, f64) {
+fn replay_controller(best_effort: BestEffortTasks, estimates: Vec<PairEstimate>) -> (u64, f64) {
     let mut controller = ThrottleController::new(VIOLATION_TIMEOUT);
     controller.set_estimates(estimates);
-    let mut cpu_shares = [100_u32; 2];
-    replay_worker(|now_ms, tasks| {
+    let mut cpu_shares = vec![100_u32; best_effort.count];
+    replay_worker(best_effort, |now_ms, tasks| {
         let now = BootTime::from_millis(now_ms);
         for order in controller.update(now, tasks) {
             cpu_shares[order.task.index as usize] = order.percent;
             controller.record_answer(now, order, ShareAnswer::Applied);
         }
-        Some(cpu_shares)
+        Some(cpu_shares.clone())
     })
 }
 
@@ -215,7 +237,7 @@
         vec![estimate("strong", STRONG_COEFFICIENT)],
         vec![estimate("strong", 0.1)],
     ] {
-        let (longest_violation_ms, mean_share) = replay_controller(estimates);
+        let (longest_violation_ms, mean_share) = replay_controller(STRONG_TASKS, estimates);
         assert!(
             longest_violation_ms <= 3_000,
             "target violated for {longest_violation_ms} ms"
@@ -230,16 +252,16 @@
 #[test]
 fn a_known_pair_is_throttled_before_the_target_is_violated() {
     let (longest_violation_ms, mean_share) =
-        replay_controller(vec![estimate("strong", STRONG_COEFFICIENT)]);
+        replay_controller(STRONG_TASKS, vec![estimate("strong", STRONG_COEFFICIENT)]);
     // For comparison, the same replay without throttling, and with on-off control by the target.
-    let (unthrottled_ms, _) = replay_worker(|_, _| None);
+    let (unthrottled_ms, _) = replay_worker(STRONG_TASKS, |_, _| None);
     let mut stopped = false;
-    let (on_off_ms, on_off_share) = replay_worker(|_, tasks| {
+    let (on_off_ms, on_off_share) = replay_worker(STRONG_TASKS, |_, tasks| {
         let TaskRole::LatencyCritical { tail_ms, target_ms } = tasks[0].role else {
             panic!("the first task is latency-critical");
         };
         stopped = tail_ms > target_ms;
-        Some([if stopped { 0 } else { 100 }; 2])
+        Some(vec![if stopped { 0 } else { 100 }; 2])
     });
     println!(
         "longest violation: {longest_violation_ms} ms, unthrottled {unthrottled_ms} ms, \
@@ -251,6 +273,25 @@
     assert!(mean_share > 0.75 * on_off_share);
 }
 
+/// Each of these pairs interferes weakly, and all of them together violate the target.
+#[test]
+fn weak_pairs_that_add_up_are_throttled_before_the_target_is_violated() {
+    let coefficient = 0.5;
+    let weak_tasks = BestEffortTasks {
+        image: "weak",
+        coefficient,
+        count: 6,
+    };
+    let (longest_violation_ms, mean_share) =
+        replay_controller(weak_tasks, vec![estimate("weak", coefficient)]);
+    let (unthrottled_ms, _) = replay_worker(weak_tasks, |_, _| None);
+    println!("longest violation: {longest_violation_ms} ms, unthrottled {unthrottled_ms} ms");
+    println!("CPU share: {mean_share} %");
+    assert!(unthrottled_ms > 3_000);
+    assert!(longest_violation_ms <= REPORT_MS);
+    assert!(mean_share > 75.0);
+}
+
 #[test]
 fn the_task_with_the_lowest_rank_gets_the_remaining_budget() {
     let mut controller = ThrottleController::new(VIOLATION_TIMEOUT);
