Control: a suspended tenure runs no maintenance and is logged

Read in the diff: where the lease ran out among the inputs of a batch, maintenance and a scheduling pass still followed. They now wait as the inputs do. A suspension was in no log; tenure_suspended says how long it lasted and whether the process still leads, and counts in the leadership metric.

--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -108,9 +108,7 @@
     pub(super) async fn run(mut self, queue: Receiver<EngineInput>) {
         loop {
             let input = timeout(LEADERSHIP_CHECK_INTERVAL, queue.recv_async()).await;
-            while self.update_leadership() == LeadershipChange::Suspended {
-                sleep(SUSPENSION_CHECK_INTERVAL).await;
-            }
+            self.await_settled_leadership().await;
             match input {
                 Ok(Ok(input)) => {
                     self.handle_input(input);
@@ -119,14 +117,35 @@
                 Ok(Err(_)) => return,
                 Err(_) => {}
             }
-            self.run_maintenance();
-            self.run_requested_pass();
+            if self.update_leadership() == LeadershipChange::Settled {
+                self.run_maintenance();
+                self.run_requested_pass();
+            }
             // The connections to other replicas share this thread and must not wait until the queue
             // is empty.
             yield_now().await;
         }
     }
 
+    /// Waits until the tenure is not suspended.
+    async fn await_settled_leadership(&mut self) {
+        if self.update_leadership() == LeadershipChange::Settled {
+            return;
+        }
+        let suspended_at = BootClock.now();
+        while self.update_leadership() == LeadershipChange::Suspended {
+            sleep(SUSPENSION_CHECK_INTERVAL).await;
+        }
+        let lasted = BootClock.now().saturating_since(suspended_at);
+        let kept = self.leader_state.is_some();
+        metric::count_event("leadership", "suspended");
+        tracing::warn!(
+            event = "tenure_suspended",
+            kept,
+            lasted_ms = lasted.as_millis() as u64
+        );
+    }
+
     /// Handles the inputs that have arrived, within a time limit.
     fn handle_queued(&mut self, queue: &Receiver<EngineInput>) {
         let begin = BootClock.now();
