--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -2,7 +2,7 @@
 //!
 //! The leader runs a scheduling pass ([`pass`]): it orders the waiting steps ([`order`]) by
 //! deadlines from estimated run times ([`slack`]) and chooses a worker for each task
-//! ([`placement`]) by the capacity of each worker ([`capacity`]), which [`capacity_table`] keeps up to
+//! (`placement`) by the capacity of each worker ([`capacity`]), which [`capacity_table`] keeps up to
 //! date. [`advice`] holds the tickets of
 //! the external advice service that some queues need.
 //!
--- a/crates/guavavane_jobs/src/plan/slack.rs
+++ b/crates/guavavane_jobs/src/plan/slack.rs
@@ -3,7 +3,7 @@
 //! Declared run times are inaccurate. The estimate is the geometric mean of the declared run time
 //! and the run time learned from the same queue. It gives the deadline of a job, its remaining
 //! critical path, and how long its best-effort steps insist on the CPU share `CPU_SHARE_WANTED` of
-//! [`super::placement`] before they accept a smaller one. A job with slack waits, one that just
+//! `placement` before they accept a smaller one. A job with slack waits, one that just
 //! meets its deadline does not, and one that has missed its deadline waits again.
 
 use std::sync::Arc;
