Leader client: end the session when its owner is gone

Seen in a test that replaces an agent inside one process: the client of the agent that had ended went on to ping until the leader closed the session, so the leader kept renewing a lease that nobody used. The loop looked for its owner between two sessions only. Now it looks before each ping. Processes that end as a whole were not concerned.

--- a/crates/guavavane_cell/src/leader_client.rs
+++ b/crates/guavavane_cell/src/leader_client.rs
@@ -127,7 +127,7 @@
         let mut led = false;
         let mut last_heard_at = BootClock.now();
         let mut next_ping = last_heard_at;
-        loop {
+        while !self.events.is_disconnected() {
             let now = BootClock.now();
             if now >= next_ping {
                 sender.send(ToControl::Ping { sent_at: now });
