--- a/crates/guavavane_cell/tests/repeated_losses.rs
+++ b/crates/guavavane_cell/tests/repeated_losses.rs
@@ -129,3 +129,22 @@
     let mut second = next_stream(&streams).await;
     assert_eq!(receive_loss(&mut second).await, None);
 }
+
+#[tokio::test]
+async fn a_lease_expiry_is_reported_to_the_next_leader_too() {
+    let (leader, streams) = listen().await;
+    let (agent, worker) = start_test_agent(leader);
+    let heartbeat = worker_heartbeat(0);
+    assert!(agent.record_heartbeat(heartbeat.clone()).await);
+    let mut first = next_stream(&streams).await;
+    let is_reported = |message| matches!(message, ToControl::WorkerReport(_)).then_some(());
+    assert!(receive_matching(&mut first, is_reported).await.is_some());
+    worker.silent.store(true, Ordering::Relaxed);
+    let expiry = Some((heartbeat.key.clone(), false));
+    assert_eq!(receive_loss(&mut first).await, expiry);
+
+    // The leader is lost before the loss is committed.
+    drop(first);
+    let mut second = next_stream(&streams).await;
+    assert_eq!(receive_loss(&mut second).await, expiry);
+}
--- /dev/null
+++ b/crates/guavavane_cell/tests/unreported_expiry.rs
@@ -0,0 +1,80 @@
+//! Lease expiries that no agent reports to the present leader.
+//!
+//! Guards against tasks that run nowhere until the leader's bound on the agent's lease is over,
+//! although the lease of their worker ended long before and its agent has a session.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support::agent_settings;
+use crate::support::step;
+use crate::support::timing;
+use crate::support::worker_heartbeat;
+use crate::support::TestCell;
+use guavavane_cell::prelude::start_agent;
+use guavavane_cell::prelude::CallerReply;
+use guavavane_standin::simulated_worker::RecordedRun;
+
+/// Run time of a task, longer than the test.
+const TASK_RUN_TIME: Duration = Duration::from_secs(60);
+/// Longest wait for a start that nothing delays.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time without a run after the end of the worker's lease.
+const RESTART_MAX: Duration = Duration::from_secs(1);
+
+async fn wait_for_starts(cell: &TestCell, starts: usize) -> Vec<RecordedRun> {
+    let until = Instant::now() + START_TIMEOUT;
+    while cell.history.all().len() < starts {
+        assert!(Instant::now() < until, "{:?}", cell.history.all());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    cell.history.all()
+}
+
+/// Silences the worker of the only run and restarts its agent; returns the index of the worker.
+async fn lose_worker_and_restart_agent(cell: &mut TestCell) -> usize {
+    let accepted = cell.submit(1, vec![step(1, vec![])]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    let lost = wait_for_starts(cell, 1).await[0].worker;
+    cell.workers[lost].silent.store(true, Ordering::Relaxed);
+    let next_agent = start_agent(
+        agent_settings(lost, cell.address),
+        cell.workers[lost].clone(),
+    );
+    drop(std::mem::replace(&mut cell.agents[lost], next_agent));
+    lost
+}
+
+async fn assert_restarts_after_worker_lease(cell: &TestCell, silent_since: Instant) {
+    wait_for_starts(cell, 2).await;
+    let waited = silent_since.elapsed();
+    let lease_bound = timing().expiry_bound(timing().worker_lease);
+    assert!(waited < lease_bound + RESTART_MAX, "{waited:?}");
+    cell.history.assert_no_duplicate_runs();
+}
+
+#[tokio::test]
+async fn tasks_of_a_worker_that_is_gone_restart_soon_although_its_agent_restarted() {
+    let mut cell = TestCell::start(2, TASK_RUN_TIME).await;
+    let silent_since = Instant::now();
+    lose_worker_and_restart_agent(&mut cell).await;
+    assert_restarts_after_worker_lease(&cell, silent_since).await;
+}
+
+#[tokio::test]
+async fn tasks_of_a_worker_that_only_sends_heartbeats_restart_soon_although_its_agent_restarted() {
+    let mut cell = TestCell::start(2, TASK_RUN_TIME).await;
+    let silent_since = Instant::now();
+    let lost = lose_worker_and_restart_agent(&mut cell).await;
+    assert!(
+        cell.agents[lost]
+            .record_heartbeat(worker_heartbeat(lost))
+            .await
+    );
+    assert_restarts_after_worker_lease(&cell, silent_since).await;
+}
