Agents repeat an expired lease to each leader, also after their own restart

Cause: that a lease had expired was told once, on the session of that moment, and only by the process that had granted it, and only of a worker that had answered this process. Three ways to lose it: the leader is lost before it commits the loss; the agent restarts, and its worker is gone or hangs; workers that register and never answer each begin the wait anew. The leader then waited its bound of 12.7 s on the agent's lease, anew at each election, although the agent had a session with it.

Why this works: an agent knows that nothing runs on its VM while it has granted no lease since the latest one expired, and a new process knows it once the lease that an earlier one may have granted is over. It says so (LeaseExpired) when it becomes true and at the start of each session, without naming workers; the leader frees what it has recorded there. Workers that never answer no longer postpone the expiry. A report on a session that is older than the one on which the worker was reported is ignored, since a delayed message must not free runs. The ledger finds the workers of a VM by an index, so the cost follows that VM and not the fleet.

Tests that played WorkerLost { ended: false } send LeaseExpired; the test of a worker that is back now waits for its reports and asks that neither message comes.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -28,6 +28,8 @@
 use guavavane_model::prelude::BootTime;
 use guavavane_transport::prelude::StreamSender;
 
+/// Shortest wait for the expiry of a lease.
+const ITERATION_MIN: Duration = Duration::from_millis(1);
 /// Longest time between two iterations of the loop.
 const ITERATION_MAX: Duration = Duration::from_millis(1_000);
 
@@ -90,8 +92,8 @@
     /// Latest heartbeat of a later incarnation, while the current worker has not been seen to have
     /// ended.
     pub(super) successor: Option<WorkerHeartbeat>,
-    /// Lost incarnations not yet reported to a leader, each with whether it has ended for good.
-    pub(super) unreported_losses: Vec<(WorkerKey, bool)>,
+    /// Whether the latest end or lease expiry of a worker was sent on no session.
+    pub(super) has_unreported_loss: bool,
     /// Latest incarnations that have ended for good, which each session reports again.
     pub(super) ended_workers: VecDeque<WorkerKey>,
     /// Reply to a shutdown that waits for the lease of a silent worker.
@@ -121,13 +123,13 @@
             session: None,
             reported: false,
             granted_from: None,
-            lease: LeaseState::new(timing),
+            lease: LeaseState::new(timing, BootClock.now()),
             epoch: 0,
             worker: None,
             leaving: false,
             acknowledge_max: None,
             successor: None,
-            unreported_losses: Vec::new(),
+            has_unreported_loss: false,
             ended_workers: VecDeque::new(),
             pending_shutdown: None,
             renewal: RenewalPlan::DueAt(BootTime::default()),
@@ -173,11 +175,12 @@
     }
 
     fn next_wait(&self) -> Duration {
+        let now = BootClock.now();
+        let until_expiry = self.lease.remaining(now).unwrap_or(ITERATION_MAX);
+        let wait = until_expiry.clamp(ITERATION_MIN, ITERATION_MAX);
         match self.renewal {
-            RenewalPlan::DueAt(due) if self.worker.is_some() => {
-                due.saturating_since(BootClock.now()).min(ITERATION_MAX)
-            }
-            _ => ITERATION_MAX,
+            RenewalPlan::DueAt(due) if self.worker.is_some() => due.saturating_since(now).min(wait),
+            _ => wait,
         }
     }
 
@@ -209,7 +212,7 @@
     fn confirm_shutdown(&mut self) {
         let worker = self.worker.as_ref();
         let awaits_expiry = worker.is_some_and(|worker| worker.silent && worker.has_list);
-        if awaits_expiry || !self.unreported_losses.is_empty() {
+        if awaits_expiry || self.has_unreported_loss {
             return;
         }
         if let Some(reply) = self.pending_shutdown.take() {
@@ -255,7 +258,7 @@
         self.forget_worker("replaced");
         tracing::info!(event = "worker_found", worker = %heartbeat.key, pool = %heartbeat.facts.pool);
         let now = BootClock.now();
-        self.lease.reset_for_worker(now);
+        self.lease.reset_for_worker();
         self.ended_workers.retain(|key| *key != heartbeat.key);
         self.worker = Some(LocalWorker::new(
             heartbeat.key.clone(),
@@ -298,7 +301,6 @@
                 self.session = Some(session);
                 self.reported = false;
                 self.granted_from = None;
-                self.report_ended_workers();
                 self.report_losses();
             }
             SessionEvent::Closed => {
--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -25,19 +25,21 @@
     deadline_ms: Option<u64>,
     /// Whether the worker left the latest renewal unanswered.
     silent: bool,
-    /// Time at which all runs on the worker have certainly stopped; none while it holds no lease.
+    /// Time at which all runs on the worker have certainly stopped; none while no worker holds a lease.
     expired_by: Option<BootTime>,
 }
 
 impl LeaseState {
-    pub(super) fn new(timing: LeaseTiming) -> Self {
+    /// Creates the state of an agent that starts at `now`. An earlier process may have extended the
+    /// lease of the worker until then.
+    pub(super) fn new(timing: LeaseTiming, now: BootTime) -> Self {
         Self {
             timing,
             granted_until: BootTime::default(),
             clock: None,
             deadline_ms: None,
             silent: false,
-            expired_by: None,
+            expired_by: Some(now + timing.expiry_bound(timing.worker_lease)),
         }
     }
 
@@ -52,12 +54,12 @@
         self.granted_until = self.granted_until.max(until);
     }
 
-    /// Resets the state for a new worker, whose lease an earlier agent process may have extended.
-    pub(super) fn reset_for_worker(&mut self, now: BootTime) {
+    /// Resets the state for a new worker. The expiry stays, so that workers which never answer do not
+    /// postpone it.
+    pub(super) fn reset_for_worker(&mut self) {
         self.clock = None;
         self.deadline_ms = None;
         self.silent = false;
-        self.expired_by = Some(now + self.timing.expiry_bound(self.timing.worker_lease));
     }
 
     /// Records a reading of the worker's clock that arrived at `now`; the worker is no longer
@@ -109,4 +111,14 @@
     pub(super) fn clear_expiry(&mut self) {
         self.expired_by = None;
     }
+
+    /// Whether a worker on this VM may hold a lease.
+    pub(super) fn is_held(&self) -> bool {
+        self.expired_by.is_some()
+    }
+
+    /// Time until the lease has certainly expired; none if no worker holds one.
+    pub(super) fn remaining(&self, now: BootTime) -> Option<Duration> {
+        self.expired_by.map(|at| at.saturating_since(now))
+    }
 }
--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -260,30 +260,28 @@
         }
     }
 
-    /// Reports the worker as lost once its lease has certainly expired.
+    /// Reports that all runs on the VM have stopped once the lease has certainly expired, whether the
+    /// worker has answered this process of the agent or not.
     pub(super) fn check_expiry(&mut self) {
-        let now = BootClock.now();
-        let is_expired = self.lease.is_expired(now);
-        if self.leaving && is_expired {
-            return self.replace_worker("left");
-        }
-        let Some(worker) = &mut self.worker else {
-            return;
-        };
-        if !worker.has_list || !is_expired {
+        if !self.lease.is_expired(BootClock.now()) {
             return;
         }
-        let key = worker.key.clone();
-        worker.running.clear();
-        worker.has_list = false;
+        if self.leaving {
+            return self.replace_worker("left");
+        }
         self.unconfirmed_stops.clear();
         self.orders_in_flight.clear();
         self.recent_starts.clear();
         self.reported = false;
         self.lease.clear_expiry();
         self.epoch += 1;
-        tracing::warn!(event = "worker_lapsed", worker = %key, epoch = self.epoch);
-        self.unreported_losses.push((key, false));
-        self.report_losses();
+        if let Some(worker) = &mut self.worker {
+            worker.running.clear();
+            worker.has_list = false;
+        }
+        let key = self.worker.as_ref().map(|worker| &worker.key);
+        let worker = key.map(tracing::field::display);
+        tracing::warn!(event = "worker_lapsed", worker, epoch = self.epoch);
+        self.report_loss(ToControl::LeaseExpired);
     }
 }
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -77,25 +77,23 @@
         self.send_to_leader(ToControl::Ping { sent_at: now });
     }
 
-    /// Reports lost incarnations of the worker as soon as a session is open.
+    /// Reports the ended incarnations and an expired lease to a new session: the leader of an earlier
+    /// one may have been lost before it committed them, and so may an earlier process of the agent. A
+    /// leader that knows of nothing to free ignores the reports.
     pub(super) fn report_losses(&mut self) {
-        let Some(session) = &self.session else {
-            return;
-        };
-        for (key, ended) in self.unreported_losses.drain(..) {
-            // If the message is lost with the session, the next session reports an ended incarnation
-            // again, and the full state of one that has only lost its lease.
-            session.send(ToControl::WorkerLost { key, ended });
+        for key in &self.ended_workers {
+            self.send_to_leader(ToControl::WorkerEnded { key: key.clone() });
         }
+        if !self.lease.is_held() {
+            self.send_to_leader(ToControl::LeaseExpired);
+        }
+        self.has_unreported_loss = false;
     }
 
-    /// Reports the ended incarnations to a new session: the leader of an earlier one may have been
-    /// lost before it committed their loss. A leader that no longer knows them ignores the reports.
-    pub(super) fn report_ended_workers(&self) {
-        for key in &self.ended_workers {
-            let (key, ended) = (key.clone(), true);
-            self.send_to_leader(ToControl::WorkerLost { key, ended });
-        }
+    /// Reports a loss that has just been noticed; without a session, the next one reports it.
+    pub(super) fn report_loss(&mut self, loss: ToControl) {
+        self.send_to_leader(loss);
+        self.has_unreported_loss = self.session.is_none();
     }
 
     /// Forgets the worker and reports that it has ended.
@@ -106,8 +104,7 @@
         self.ended_workers.push_back(key.clone());
         let surplus = self.ended_workers.len().saturating_sub(ENDED_WORKERS_MAX);
         self.ended_workers.drain(..surplus);
-        self.unreported_losses.push((key, true));
-        self.report_losses();
+        self.report_loss(ToControl::WorkerEnded { key });
     }
 
     /// Forgets the worker and returns its key.
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -318,7 +318,8 @@
                 }
             }
             ToControl::Stalled { key, runs } => self.move_stalled_runs(&key, &runs),
-            ToControl::WorkerLost { key, ended } => self.handle_worker_lost(&key, ended),
+            ToControl::WorkerEnded { key } => self.handle_worker_ended(&key),
+            ToControl::LeaseExpired => self.handle_expired_lease(id),
             ToControl::Peer(_)
             | ToControl::Join { .. }
             | ToControl::EntryHello { .. }
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -104,13 +104,9 @@
     /// Proposes the loss of all other incarnations on the same VM.
     fn lose_other_incarnations(&mut self, index: WorkerIndex) {
         let replaced: Vec<WorkerIndex> = self.quorum.read_local(|ledger| {
-            let Some(node) = ledger.worker(index).map(|worker| worker.node.clone()) else {
-                return Vec::new();
-            };
-            let replaced = ledger
-                .workers()
-                .filter(|(other, worker)| *other != index && worker.node == node);
-            replaced.map(|(other, _)| other).collect()
+            let node = ledger.worker(index).map(|worker| &worker.node);
+            let workers = node.into_iter().flat_map(|node| ledger.workers_on(node));
+            workers.filter(|other| *other != index).collect()
         });
         for worker in replaced {
             self.declare_worker_lost(worker, true, "replaced");
@@ -274,11 +270,31 @@
         self.propose(command, CommitPurpose::Withdraw { worker, task, run });
     }
 
-    /// Handles an agent's report that all runs on an incarnation have certainly stopped.
-    pub(super) fn handle_worker_lost(&mut self, key: &WorkerKey, ended: bool) {
+    /// Frees the runs of all workers on a VM after its agent has reported that none holds a lease. A
+    /// worker that the agent has reported on a later session is not concerned.
+    pub(super) fn handle_expired_lease(&mut self, session: SessionId) {
+        let Some(node) = self.session_node(session) else {
+            return;
+        };
+        for worker in self.workers_on(&node) {
+            let state = self.leader_state.as_ref();
+            let reported_on = state.and_then(|state| state.workers.get(&worker)?.session);
+            if reported_on.is_none_or(|reported_on| reported_on.0 <= session.0) {
+                self.declare_worker_lost(worker, false, "lease_expired");
+            }
+        }
+    }
+
+    fn workers_on(&self, node: &str) -> Vec<WorkerIndex> {
+        self.quorum
+            .read_local(|ledger| ledger.workers_on(node).collect())
+    }
+
+    /// Handles an agent's report that an incarnation has ended for good.
+    pub(super) fn handle_worker_ended(&mut self, key: &WorkerKey) {
         if let Some(worker) = self.quorum.read_local(|ledger| ledger.worker_index(key)) {
-            self.declare_worker_lost(worker, ended, "agent");
-        } else if let Some(state) = self.leader_state.as_mut().filter(|_| ended) {
+            self.declare_worker_lost(worker, true, "agent");
+        } else if let Some(state) = &mut self.leader_state {
             // The proposal that adds the worker may be in flight.
             state.ended_early.insert(key.clone());
             state.refused_reports.retain(|_, report| report.key != *key);
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -234,13 +234,14 @@
         /// Stalled runs.
         runs: Vec<(TaskKey, RunNumber)>,
     },
-    /// Reports that all runs on an incarnation have certainly stopped.
-    WorkerLost {
+    /// Reports that an incarnation has ended for good.
+    WorkerEnded {
         /// Incarnation of the worker.
         key: WorkerKey,
-        /// Whether the incarnation has ended, rather than only lost its lease.
-        ended: bool,
     },
+    /// Reports that no worker on the agent's VM holds a lease, so that all runs there have stopped.
+    /// Each session says so until the agent grants its worker a lease.
+    LeaseExpired,
 }
 
 /// Messages from a control process.
--- a/crates/guavavane_cell/tests/broken_gang.rs
+++ b/crates/guavavane_cell/tests/broken_gang.rs
@@ -86,6 +86,6 @@
 async fn the_members_stop_after_the_worker_of_one_was_lost() {
     let mut gang = GangCell::start().await;
     let key = worker_heartbeat(0).key;
-    gang.first.send(ToControl::WorkerLost { key, ended: true });
+    gang.first.send(ToControl::WorkerEnded { key });
     gang.assert_second_is_stopped().await;
 }
--- a/crates/guavavane_cell/tests/late_checkpoints.rs
+++ b/crates/guavavane_cell/tests/late_checkpoints.rs
@@ -54,8 +54,7 @@
     let first_start = only_start(&mut first_orders).await;
     report_checkpoint(&first, &first_start, EARLIER);
     let (second, mut second_orders) = open_agent_session(cell, 1).await;
-    let key = worker_heartbeat(0).key;
-    first.send(ToControl::WorkerLost { key, ended: false });
+    first.send(ToControl::LeaseExpired);
     let second_start = only_start(&mut second_orders).await;
     assert_eq!(&*second_start.checkpoint, EARLIER);
     report_checkpoint(&second, &second_start, LATEST);
@@ -70,7 +69,7 @@
 ) -> StartTask {
     tokio::time::sleep(QUIET_PERIOD).await;
     let key = worker_heartbeat(1).key;
-    second.send(ToControl::WorkerLost { key, ended: true });
+    second.send(ToControl::WorkerEnded { key });
     first.send(ToControl::WorkerReport(Box::new(idle_report(0, 1))));
     only_start(&mut first_orders).await
 }
--- a/crates/guavavane_cell/tests/lost_lease.rs
+++ b/crates/guavavane_cell/tests/lost_lease.rs
@@ -13,7 +13,6 @@
 use crate::support::open_agent_session;
 use crate::support::ordered_starts;
 use crate::support::step;
-use crate::support::worker_heartbeat;
 use crate::support::TestCell;
 use guavavane_cell::message::ToControl;
 use guavavane_cell::prelude::CallerReply;
@@ -34,8 +33,7 @@
     assert!(first_starts.iter().all(|order| order.run.0 == 1));
 
     // The lease has expired, and the agent reports the worker again at once.
-    let key = worker_heartbeat(0).key;
-    sender.send(ToControl::WorkerLost { key, ended: false });
+    sender.send(ToControl::LeaseExpired);
     sender.send(ToControl::WorkerReport(Box::new(idle_report(0, 1))));
     let second_starts = ordered_starts(&mut receiver, QUIET_PERIOD).await;
     assert_eq!(second_starts.len() as u64, TASKS, "{second_starts:?}");
--- a/crates/guavavane_cell/tests/refused_proposals.rs
+++ b/crates/guavavane_cell/tests/refused_proposals.rs
@@ -187,7 +187,7 @@
     tokio::time::sleep(QUIET_PERIOD).await;
     overload(&agent);
     let key = worker_heartbeat(0).key;
-    agent.send(ToControl::WorkerLost { key, ended: true });
+    agent.send(ToControl::WorkerEnded { key });
     let starts = ordered_starts(&mut other_orders, REPAIR_MAX).await;
     assert_eq!(starts.len() as u64, TASKS, "{starts:?}");
 }
@@ -229,10 +229,7 @@
         let (agent, mut orders) = open_agent_session(&cell, 0).await;
         tokio::time::sleep(QUIET_PERIOD).await;
         let gone = worker_heartbeat(0).key;
-        agent.send(ToControl::WorkerLost {
-            key: gone,
-            ended: true,
-        });
+        agent.send(ToControl::WorkerEnded { key: gone });
         tokio::time::sleep(QUIET_PERIOD).await;
         let mut report = idle_report(0, 0);
         report.key.started_ms += 1;
@@ -241,10 +238,7 @@
             overload(&agent);
         }
         agent.send(ToControl::WorkerReport(Box::new(report)));
-        agent.send(ToControl::WorkerLost {
-            key: key.clone(),
-            ended: true,
-        });
+        agent.send(ToControl::WorkerEnded { key: key.clone() });
         tokio::time::sleep(QUIET_PERIOD).await;
         while cell.submit(1, vec![step(TASKS, vec![])]).await != CallerReply::Accepted {
             tokio::time::sleep(Duration::from_millis(20)).await;
--- a/crates/guavavane_cell/tests/repeated_losses.rs
+++ b/crates/guavavane_cell/tests/repeated_losses.rs
@@ -78,14 +78,35 @@
     timeout(MESSAGE_TIMEOUT, found).await.ok().flatten()
 }
 
-async fn receive_loss(stream: &mut LeaderStream) -> Option<(WorkerKey, bool)> {
+async fn receive_end(stream: &mut LeaderStream) -> Option<WorkerKey> {
     let find = |message| match message {
-        ToControl::WorkerLost { key, ended } => Some((key, ended)),
+        ToControl::WorkerEnded { key } => Some(key),
         _ => None,
     };
     receive_matching(stream, find).await
 }
 
+async fn receive_expiry(stream: &mut LeaderStream) -> Option<()> {
+    let find = |message| matches!(message, ToControl::LeaseExpired).then_some(());
+    receive_matching(stream, find).await
+}
+
+async fn receive_loss(stream: &mut LeaderStream) -> Option<()> {
+    let find = |message| {
+        let is_loss = matches!(
+            message,
+            ToControl::WorkerEnded { .. } | ToControl::LeaseExpired
+        );
+        is_loss.then_some(())
+    };
+    receive_matching(stream, find).await
+}
+
+async fn receive_report(stream: &mut LeaderStream) -> Option<()> {
+    let find = |message| matches!(message, ToControl::WorkerReport(_)).then_some(());
+    receive_matching(stream, find).await
+}
+
 async fn next_stream(streams: &Receiver<LeaderStream>) -> LeaderStream {
     let stream = timeout(MESSAGE_TIMEOUT, streams.recv_async()).await;
     stream.unwrap().unwrap()
@@ -98,17 +119,16 @@
     let heartbeat = worker_heartbeat(0);
     assert!(agent.record_heartbeat(heartbeat.clone()).await);
     let mut first = next_stream(&streams).await;
-    let is_reported = |message| matches!(message, ToControl::WorkerReport(_)).then_some(());
-    assert!(receive_matching(&mut first, is_reported).await.is_some());
+    assert!(receive_report(&mut first).await.is_some());
     assert!(agent.record_leave(heartbeat.key.name.clone()).await);
     worker.silent.store(true, Ordering::Relaxed);
-    let loss = Some((heartbeat.key.clone(), true));
-    assert_eq!(receive_loss(&mut first).await, loss);
+    let end = Some(heartbeat.key.clone());
+    assert_eq!(receive_end(&mut first).await, end);
 
     // The leader is lost before the loss is committed.
     drop(first);
     let mut second = next_stream(&streams).await;
-    assert_eq!(receive_loss(&mut second).await, loss);
+    assert_eq!(receive_end(&mut second).await, end);
 }
 
 #[tokio::test]
@@ -118,12 +138,14 @@
     let mut heartbeat = worker_heartbeat(0);
     assert!(agent.record_heartbeat(heartbeat.clone()).await);
     let mut first = next_stream(&streams).await;
+    assert!(receive_report(&mut first).await.is_some());
     assert!(agent.record_leave(heartbeat.key.name.clone()).await);
     worker.silent.store(true, Ordering::Relaxed);
     assert!(receive_loss(&mut first).await.is_some());
     worker.silent.store(false, Ordering::Relaxed);
     heartbeat.sequence += 1;
     assert!(agent.record_heartbeat(heartbeat).await);
+    assert!(receive_report(&mut first).await.is_some());
 
     drop(first);
     let mut second = next_stream(&streams).await;
@@ -137,14 +159,12 @@
     let heartbeat = worker_heartbeat(0);
     assert!(agent.record_heartbeat(heartbeat.clone()).await);
     let mut first = next_stream(&streams).await;
-    let is_reported = |message| matches!(message, ToControl::WorkerReport(_)).then_some(());
-    assert!(receive_matching(&mut first, is_reported).await.is_some());
+    assert!(receive_report(&mut first).await.is_some());
     worker.silent.store(true, Ordering::Relaxed);
-    let expiry = Some((heartbeat.key.clone(), false));
-    assert_eq!(receive_loss(&mut first).await, expiry);
+    assert!(receive_expiry(&mut first).await.is_some());
 
     // The leader is lost before the loss is committed.
     drop(first);
     let mut second = next_stream(&streams).await;
-    assert_eq!(receive_loss(&mut second).await, expiry);
+    assert!(receive_expiry(&mut second).await.is_some());
 }
--- a/crates/guavavane_cell/tests/unreported_expiry.rs
+++ b/crates/guavavane_cell/tests/unreported_expiry.rs
@@ -19,6 +19,7 @@
 use guavavane_cell::prelude::start_agent;
 use guavavane_cell::prelude::CallerReply;
 use guavavane_standin::simulated_worker::RecordedRun;
+use guavavane_standin::simulated_worker::SimulatedWorker;
 
 /// Run time of a task, longer than the test.
 const TASK_RUN_TIME: Duration = Duration::from_secs(60);
@@ -32,6 +33,8 @@
     while cell.history.all().len() < starts {
         assert!(Instant::now() < until, "{:?}", cell.history.all());
         tokio::time::sleep(Duration::from_millis(10)).await;
+        // A worker that nobody calls records the end of its lease only then.
+        cell.workers.iter().for_each(SimulatedWorker::advance);
     }
     cell.history.all()
 }
--- a/crates/guavavane_jobs/src/ledger.rs
+++ b/crates/guavavane_jobs/src/ledger.rs
@@ -102,6 +102,11 @@
         self.workers.get(&index)
     }
 
+    /// All incarnations on a VM that were not lost for good.
+    pub fn workers_on(&self, node: &str) -> impl Iterator<Item = WorkerIndex> + '_ {
+        self.index.workers_on(node)
+    }
+
     /// Index of an incarnation, if the ledger has it.
     pub fn worker_index(&self, key: &WorkerKey) -> Option<WorkerIndex> {
         self.index.worker(key)
--- a/crates/guavavane_jobs/src/ledger/apply.rs
+++ b/crates/guavavane_jobs/src/ledger/apply.rs
@@ -198,7 +198,6 @@
         }
         let index = WorkerIndex(self.next_worker);
         self.next_worker += 1;
-        self.index.add_worker(key.clone(), index);
         let record = WorkerRecord {
             key,
             node,
@@ -206,6 +205,7 @@
             last_completion: 0,
             runs: IndexMap::new(),
         };
+        self.index.add_worker(index, &record);
         self.workers.insert(index, record);
         LedgerOutcome::Worker(index)
     }
--- a/crates/guavavane_jobs/src/ledger/index.rs
+++ b/crates/guavavane_jobs/src/ledger/index.rs
@@ -5,6 +5,7 @@
 //! the jobs that may hold runs which are no longer desired.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -55,6 +56,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct LedgerIndex {
     workers: IndexMap<WorkerKey, WorkerIndex>,
+    /// Workers by the name of their VM.
+    nodes: IndexMap<Arc<str>, IndexSet<WorkerIndex>>,
     runs: IndexMap<JobKey, IndexSet<(WorkerIndex, TaskKey)>>,
     /// Jobs with runs of which some may no longer be desired: the job has ended, or a gang has broken
     /// or is done.
@@ -76,9 +79,8 @@
             changes: previous.changes.clone(),
             ..Self::default()
         };
-        index.changes.record_all();
         for (worker, record) in ledger.workers() {
-            index.workers.insert(record.key.clone(), worker);
+            index.add_worker(worker, record);
             for task in record.runs.keys() {
                 index.add_run(worker, *task);
             }
@@ -89,6 +91,7 @@
         };
         let disturbed = index.runs.keys().copied().filter(has_undesired);
         index.disturbed_jobs = disturbed.collect();
+        index.changes.record_all();
         index
     }
 
@@ -96,8 +99,14 @@
         self.workers.get(key).copied()
     }
 
-    pub(super) fn add_worker(&mut self, key: WorkerKey, worker: WorkerIndex) {
-        self.workers.insert(key, worker);
+    pub(super) fn workers_on(&self, node: &str) -> impl Iterator<Item = WorkerIndex> + '_ {
+        self.nodes.get(node).into_iter().flatten().copied()
+    }
+
+    pub(super) fn add_worker(&mut self, worker: WorkerIndex, record: &WorkerRecord) {
+        self.workers.insert(record.key.clone(), worker);
+        let node = self.nodes.entry(Arc::clone(&record.node));
+        node.or_default().insert(worker);
         self.changes.record(worker);
     }
 
@@ -106,6 +115,12 @@
         if self.workers.get(&record.key) == Some(&worker) {
             self.workers.swap_remove(&record.key);
         }
+        if let Some(workers) = self.nodes.get_mut(&record.node) {
+            workers.swap_remove(&worker);
+            if workers.is_empty() {
+                self.nodes.swap_remove(&record.node);
+            }
+        }
         self.changes.record(worker);
     }
 
