Cell tests: one wait for starts; an expired lease without a worker has its own log event

Four test files waited for starts with a loop of their own. The shared one also lets workers that nobody calls record the end of their leases, which the checks for doubled runs need. A plain start of an agent without a worker logged a warning worker_lapsed; it logs lease_expired at info now.

--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -275,13 +275,14 @@
         self.reported = false;
         self.lease.clear_expiry();
         self.epoch += 1;
+        let epoch = self.epoch;
         if let Some(worker) = &mut self.worker {
             worker.running.clear();
             worker.has_list = false;
+            tracing::warn!(event = "worker_lapsed", worker = %worker.key, epoch);
+        } else {
+            tracing::info!(event = "lease_expired", epoch);
         }
-        let key = self.worker.as_ref().map(|worker| &worker.key);
-        let worker = key.map(tracing::field::display);
-        tracing::warn!(event = "worker_lapsed", worker, epoch = self.epoch);
         self.report_loss(ToControl::LeaseExpired);
     }
 }
--- a/crates/guavavane_cell/tests/ending_agent.rs
+++ b/crates/guavavane_cell/tests/ending_agent.rs
@@ -15,7 +15,6 @@
 use crate::support::timing;
 use crate::support::TestCell;
 use guavavane_cell::prelude::CallerReply;
-use guavavane_standin::simulated_worker::RecordedRun;
 
 /// Run time of a task, longer than the test.
 const TASK_RUN_TIME: Duration = Duration::from_secs(60);
@@ -26,28 +25,19 @@
 /// Longest time without a run after the end of the worker's lease.
 const RESTART_MAX: Duration = Duration::from_secs(1);
 
-async fn wait_for_starts(cell: &TestCell, starts: usize) -> Vec<RecordedRun> {
-    let until = Instant::now() + START_TIMEOUT;
-    while cell.history.all().len() < starts {
-        assert!(Instant::now() < until, "{:?}", cell.history.all());
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    cell.history.all()
-}
-
 #[tokio::test]
 async fn tasks_of_a_silent_worker_restart_soon_although_its_agent_ends() {
     let mut cell = TestCell::start(2, TASK_RUN_TIME).await;
     let accepted = cell.submit(1, vec![step(1, vec![])]).await;
     assert_eq!(accepted, CallerReply::Accepted);
-    let lost = wait_for_starts(&cell, 1).await[0].worker;
+    let lost = cell.wait_for_starts(1, START_TIMEOUT).await[0].worker;
     let silent_since = Instant::now();
     cell.workers[lost].silent.store(true, Ordering::Relaxed);
     tokio::time::sleep(SILENCE_TIME).await;
     let agent = cell.agents.remove(lost);
     agent.prepare_shutdown().await;
     drop(agent);
-    wait_for_starts(&cell, 2).await;
+    cell.wait_for_starts(2, START_TIMEOUT).await;
     let lease_bound = timing().expiry_bound(timing().worker_lease);
     let waited = silent_since.elapsed();
     assert!(waited < lease_bound + RESTART_MAX, "{waited:?}");
--- a/crates/guavavane_cell/tests/foreign_heartbeat.rs
+++ b/crates/guavavane_cell/tests/foreign_heartbeat.rs
@@ -69,18 +69,10 @@
         cell.submit(1, vec![step(2, vec![])]).await,
         CallerReply::Accepted
     );
-    wait_for_starts(&cell, 2).await;
+    cell.wait_for_starts(2, JOB_TIMEOUT).await;
     (cell, worker, agent)
 }
 
-async fn wait_for_starts(cell: &TestCell, starts: usize) {
-    let until = Instant::now() + JOB_TIMEOUT;
-    while cell.history.all().len() < starts {
-        assert!(Instant::now() < until, "{:?}", cell.history.all());
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 /// Heartbeats of other writers that look later than those of the worker.
 fn foreign_heartbeats() -> Vec<WorkerHeartbeat> {
     let mut other_name = worker_heartbeat(0);
@@ -171,7 +163,7 @@
         *worker.key.lock().unwrap() = heartbeat.key.clone();
         assert!(agent.record_heartbeat(heartbeat).await);
         // The runs of the former incarnation are freed and started again.
-        wait_for_starts(&cell, 4).await;
+        cell.wait_for_starts(4, JOB_TIMEOUT).await;
     }
 }
 
--- a/crates/guavavane_cell/tests/lost_attributes.rs
+++ b/crates/guavavane_cell/tests/lost_attributes.rs
@@ -169,7 +169,7 @@
         ..RawJob::default()
     };
     submit_job(cell, key, job).await;
-    wait_for_starts(cell, key as usize).await;
+    cell.wait_for_starts(key as usize, CHANGE_TIMEOUT).await;
     cell.history.all().last().unwrap().task
 }
 
@@ -186,14 +186,6 @@
     }
 }
 
-async fn wait_for_starts(cell: &TestCell, starts: usize) {
-    let until = Instant::now() + CHANGE_TIMEOUT;
-    while cell.history.all().len() < starts {
-        assert!(Instant::now() < until, "{:?}", cell.history.all());
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 #[tokio::test]
 async fn a_task_over_its_target_is_protected_after_a_restart_of_the_agent() {
     let mut mixed = MixedWorker::start().await;
@@ -230,7 +222,8 @@
         ..RawJob::default()
     };
     submit_job(&cell, 1, job).await;
-    wait_for_starts(&cell, 1 + PENDING_STARTS as usize).await;
+    cell.wait_for_starts(1 + PENDING_STARTS as usize, CHANGE_TIMEOUT)
+        .await;
     let runs = cell.history.all();
     let tasks = runs.iter().map(|run| run.task);
     let (latency_critical, best_effort): (Vec<_>, Vec<_>) =
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -49,6 +49,7 @@
 use guavavane_jobs::prelude::WorkerKey;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::ResourceVector;
+use guavavane_standin::simulated_worker::RecordedRun;
 use guavavane_standin::simulated_worker::RunHistory;
 use guavavane_standin::simulated_worker::SimulatedWorker;
 use guavavane_transport::prelude::open_stream;
@@ -212,6 +213,18 @@
         self.call(key, CallerAction::Submit(Box::new(job))).await
     }
 
+    /// Waits until this many runs were started; panics after `limit`. Workers that nobody calls record
+    /// the end of their leases meanwhile.
+    pub(crate) async fn wait_for_starts(&self, starts: usize, limit: Duration) -> Vec<RecordedRun> {
+        let until = Instant::now() + limit;
+        while self.history.all().len() < starts {
+            assert!(Instant::now() < until, "{:?}", self.history.all());
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            self.workers.iter().for_each(SimulatedWorker::advance);
+        }
+        self.history.all()
+    }
+
     /// Waits until a job is in a state; panics after `limit`.
     pub(crate) async fn wait_for_state(&self, key: u64, state: JobState, limit: Duration) {
         let until = Instant::now() + limit;
--- a/crates/guavavane_cell/tests/unreported_expiry.rs
+++ b/crates/guavavane_cell/tests/unreported_expiry.rs
@@ -18,8 +18,6 @@
 use crate::support::TestCell;
 use guavavane_cell::prelude::start_agent;
 use guavavane_cell::prelude::CallerReply;
-use guavavane_standin::simulated_worker::RecordedRun;
-use guavavane_standin::simulated_worker::SimulatedWorker;
 
 /// Run time of a task, longer than the test.
 const TASK_RUN_TIME: Duration = Duration::from_secs(60);
@@ -28,22 +26,11 @@
 /// Longest time without a run after the end of the worker's lease.
 const RESTART_MAX: Duration = Duration::from_secs(1);
 
-async fn wait_for_starts(cell: &TestCell, starts: usize) -> Vec<RecordedRun> {
-    let until = Instant::now() + START_TIMEOUT;
-    while cell.history.all().len() < starts {
-        assert!(Instant::now() < until, "{:?}", cell.history.all());
-        tokio::time::sleep(Duration::from_millis(10)).await;
-        // A worker that nobody calls records the end of its lease only then.
-        cell.workers.iter().for_each(SimulatedWorker::advance);
-    }
-    cell.history.all()
-}
-
 /// Silences the worker of the only run and restarts its agent; returns the index of the worker.
 async fn lose_worker_and_restart_agent(cell: &mut TestCell) -> usize {
     let accepted = cell.submit(1, vec![step(1, vec![])]).await;
     assert_eq!(accepted, CallerReply::Accepted);
-    let lost = wait_for_starts(cell, 1).await[0].worker;
+    let lost = cell.wait_for_starts(1, START_TIMEOUT).await[0].worker;
     cell.workers[lost].silent.store(true, Ordering::Relaxed);
     let next_agent = start_agent(
         agent_settings(lost, cell.address),
@@ -54,7 +41,7 @@
 }
 
 async fn assert_restarts_after_worker_lease(cell: &TestCell, silent_since: Instant) {
-    wait_for_starts(cell, 2).await;
+    cell.wait_for_starts(2, START_TIMEOUT).await;
     let waited = silent_since.elapsed();
     let lease_bound = timing().expiry_bound(timing().worker_lease);
     assert!(waited < lease_bound + RESTART_MAX, "{waited:?}");
