--- a/crates/guavavane_cell/tests/foreign_heartbeat.rs
+++ b/crates/guavavane_cell/tests/foreign_heartbeat.rs
@@ -11,7 +11,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
-use std::time::Instant;
 
 use crate::support::agent_settings;
 use crate::support::odd_worker::OddWorker;
