Agent: a stop waits for any lease that may be in force, not only for that of a worker that has answered

What callers would see: tasks of a worker that is gone wait longer with each stop of its agent. A process that was stopped before its worker had answered it ended at once, and the next one began anew to wait for the lease that an earlier one may have granted, up to the leader's bound.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -207,11 +207,13 @@
         }
     }
 
-    /// Confirms a shutdown unless a silent worker holds a lease whose end only this process can
-    /// report. The runs of a worker that answers go on, and the next process reports them.
+    /// Confirms a shutdown unless a lease may be in force whose end only this process can report soon:
+    /// the next one would begin the wait anew. The runs of a worker that answers go on, and the next
+    /// process reports them.
     fn confirm_shutdown(&mut self) {
-        let worker = self.worker.as_ref();
-        let awaits_expiry = worker.is_some_and(|worker| worker.silent && worker.has_list);
+        let answering = |worker: &LocalWorker| worker.has_list && !worker.silent;
+        let is_answering = self.worker.as_ref().is_some_and(answering);
+        let awaits_expiry = self.lease.is_held() && !is_answering;
         if awaits_expiry || self.has_unreported_loss {
             return;
         }
--- a/crates/guavavane_cell/src/agent/mod.rs
+++ b/crates/guavavane_cell/src/agent/mod.rs
@@ -85,8 +85,8 @@
         self.inputs.try_send(AgentInput::Leave { name }).is_ok()
     }
 
-    /// Waits until the process may end: until the lease of a silent worker has expired and the loss
-    /// is reported, because the leader would otherwise wait for the longer lease of the agent.
+    /// Waits until the process may end: until the lease of a worker that doesn't answer has expired and
+    /// the expiry is reported, because the next process would begin the wait anew.
     pub async fn prepare_shutdown(&self) {
         let (reply, answer) = oneshot::channel();
         let input = AgentInput::Shutdown { reply };
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -213,14 +213,12 @@
         self.call(key, CallerAction::Submit(Box::new(job))).await
     }
 
-    /// Waits until this many runs were started; panics after `limit`. Workers that nobody calls record
-    /// the end of their leases meanwhile.
+    /// Waits until this many runs were started; panics after `limit`.
     pub(crate) async fn wait_for_starts(&self, starts: usize, limit: Duration) -> Vec<RecordedRun> {
         let until = Instant::now() + limit;
         while self.history.all().len() < starts {
             assert!(Instant::now() < until, "{:?}", self.history.all());
             tokio::time::sleep(Duration::from_millis(10)).await;
-            self.workers.iter().for_each(SimulatedWorker::advance);
         }
         self.history.all()
     }
