--- a/crates/guavavane_cell/tests/support/odd_worker.rs
+++ b/crates/guavavane_cell/tests/support/odd_worker.rs
@@ -27,6 +27,11 @@
         false
     }
 
+    /// Whether renewals are refused.
+    fn refuses_renewals(&self) -> bool {
+        false
+    }
+
     /// Takes note of a renewal with this deadline before it is answered.
     fn record_renewal(&self, _deadline_ms: Option<u64>) {}
 
@@ -87,6 +92,9 @@
         if !self.0.is_named(&worker) {
             return RenewalAnswer::OtherIncarnation;
         }
+        if self.0.refuses_renewals() {
+            return RenewalAnswer::Refused;
+        }
         self.0.record_renewal(deadline_ms);
         let simulated = self.0.worker();
         let mut answer = simulated
