Leader: messages on an outdated session of an agent change nothing

What callers saw: tasks that run nowhere until the agent's session ends, or run twice.

Cause: an agent closes a session when its answers stop and opens another one, but what it had sent on the first may still arrive, after the report on the second. adopt_worker then moved the worker to the dead session: its orders went nowhere, and once that session closed, the worker had none, while the pings of the live one went on to extend its lease, so that nothing ever freed its tasks. A late report of an earlier incarnation declared the present one ended, and its tasks started again while they ran. A late silence kept all starts from the worker until the agent next reported a change.

Change: a report of the worker or of an expired lease closes the earlier sessions of its VM; what comes on these gets a redirect, as on any session that the leader doesn't know. An agent reports on a session only after an answer on it, so the identifiers rise in the order of the reports; a hello or ping alone closes nothing, since a connection that the agent has given up may be accepted late. The check in handle_expired_lease is covered by this and goes. A report of a closed session can no longer replace the deferred one of an open session.

--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -23,7 +23,6 @@
 use crate::message::FromControl;
 use crate::message::ToControl;
 use crate::metric;
-use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
@@ -282,7 +281,7 @@
             return;
         }
         if !state.sessions.contains_key(&id) {
-            // The session was opened in an earlier term of this process, whose state is gone.
+            // The session is outdated, or was opened in an earlier term, whose state is gone.
             sender.send(self.redirect());
             return;
         }
@@ -290,6 +289,13 @@
     }
 
     fn handle_session_message(&mut self, id: SessionId, message: ToControl) {
+        let is_statement = matches!(
+            message,
+            ToControl::WorkerReport(_) | ToControl::LeaseExpired
+        );
+        if let Some(state) = self.leader_state.as_mut().filter(|_| is_statement) {
+            state.close_earlier_sessions(id);
+        }
         match message {
             ToControl::Ping { sent_at } => self.answer_ping(id, sent_at),
             ToControl::Call { call_id, request } => {
@@ -354,17 +360,8 @@
         let Some(state) = &mut self.leader_state else {
             return;
         };
-        if state.sessions.swap_remove(&id).is_none() {
-            return;
-        }
-        tracing::info!(event = "session_closed", session = id.0);
-        let workers = state.workers.iter();
-        let represented = workers.filter(|(_, worker)| worker.session == Some(id));
-        let represented: Vec<WorkerIndex> = represented.map(|(index, _)| *index).collect();
-        for index in represented {
-            if let Some(worker) = state.worker_mut(index) {
-                worker.session = None;
-            }
+        if state.close_session(id) {
+            tracing::info!(event = "session_closed", session = id.0);
         }
     }
 
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -51,10 +51,7 @@
     }
 
     fn session_node(&self, session: SessionId) -> Option<Arc<str>> {
-        match &self.leader_state.as_ref()?.sessions.get(&session)?.role {
-            SessionRole::Agent { node, .. } => Some(node.clone()),
-            SessionRole::Entry => None,
-        }
+        self.leader_state.as_ref()?.session_node(session).cloned()
     }
 
     /// Attaches a worker in the ledger to the agent's session and reconciles its runs. The
@@ -71,15 +68,15 @@
         let Some(state) = &mut self.leader_state else {
             return;
         };
+        let Some(leader_session) = state.sessions.get_mut(&session) else {
+            return;
+        };
         if let Some(loss) = state.pending_losses.get_mut(&index) {
             // The ledger is about to free the runs of this worker, so none of them may be ordered.
             let report = Box::new(report);
             loss.deferred = Some(DeferredReport { session, report });
             return;
         }
-        let Some(leader_session) = state.sessions.get_mut(&session) else {
-            return;
-        };
         if let SessionRole::Agent { worker, .. } = &mut leader_session.role {
             *worker = Some(index);
         }
@@ -270,18 +267,13 @@
         self.propose(command, CommitPurpose::Withdraw { worker, task, run });
     }
 
-    /// Frees the runs of all workers on a VM after its agent has reported that none holds a lease. A
-    /// worker that the agent has reported on a later session is not concerned.
+    /// Frees the runs of all workers on a VM after its agent has reported that none holds a lease.
     pub(super) fn handle_expired_lease(&mut self, session: SessionId) {
         let Some(node) = self.session_node(session) else {
             return;
         };
         for worker in self.workers_on(&node) {
-            let state = self.leader_state.as_ref();
-            let reported_on = state.and_then(|state| state.workers.get(&worker)?.session);
-            if reported_on.is_none_or(|reported_on| reported_on.0 <= session.0) {
-                self.declare_worker_lost(worker, false, "lease_expired");
-            }
+            self.declare_worker_lost(worker, false, "lease_expired");
         }
     }
 
