Agent: a refused renewal does not extend the worker's lease

What callers saw: tasks that run nowhere as long as their worker refuses renewals.

Cause: the agent computes the end of the lease when it sends a renewal. Each refused one moved that end on, 100 ms after the one before, although the worker had not taken the deadline. The runs lapsed on the worker, and the agent never had an expiry to report.

Change: after a refusal the agent repeats the deadline that it last sent, without extending it, until a renewal is answered; starts meanwhile carry that deadline too. The expiry then follows as for a silent worker. Renewals don't wait meanwhile, so that one refusal among answers costs one round trip.

--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -25,6 +25,8 @@
     deadline_ms: Option<u64>,
     /// Whether the worker left the latest renewal unanswered.
     silent: bool,
+    /// Whether the worker refused the latest renewal.
+    refused: bool,
     /// Time at which all runs on the worker have certainly stopped; none while no worker holds a lease.
     expired_by: Option<BootTime>,
 }
@@ -39,6 +41,7 @@
             clock: None,
             deadline_ms: None,
             silent: false,
+            refused: false,
             expired_by: Some(now + timing.expiry_bound(timing.worker_lease)),
         }
     }
@@ -60,13 +63,14 @@
         self.clock = None;
         self.deadline_ms = None;
         self.silent = false;
+        self.refused = false;
     }
 
-    /// Records a reading of the worker's clock that arrived at `now`; the worker is no longer
-    /// silent.
+    /// Records a reading of the worker's clock that arrived at `now` with the answer to a renewal.
     pub(super) fn record_clock(&mut self, now: BootTime, clock_ms: u64) {
         self.clock = Some((now, clock_ms));
         self.silent = false;
+        self.refused = false;
     }
 
     /// Records that a renewal was not answered. The deadline is not extended until the worker
@@ -75,17 +79,28 @@
         self.silent = true;
     }
 
+    /// Records that a renewal was refused. Like that of a silent worker, the lease then expires unless the
+    /// worker accepts a renewal.
+    pub(super) fn record_refusal(&mut self) {
+        self.refused = true;
+    }
+
+    /// Whether the worker refused the latest renewal.
+    pub(super) fn is_refused(&self) -> bool {
+        self.refused
+    }
+
     /// Whether the worker left the latest renewal unanswered.
     pub(super) fn is_silent(&self) -> bool {
         self.silent
     }
 
     /// Extends the lease and returns its deadline, on the worker's clock and within the leader's
-    /// grant. Returns the earlier deadline while the worker is silent, and none if its clock is
-    /// unknown or the grant is nearly over. A deadline may be earlier than one before it; it never
-    /// shortens the lease of the worker.
+    /// grant. Returns the earlier deadline while the worker is silent or refuses renewals, and none if
+    /// its clock is unknown or the grant is nearly over. A deadline may be earlier than one before it;
+    /// it never shortens the lease of the worker.
     pub(super) fn extend_deadline(&mut self, now: BootTime) -> Option<u64> {
-        if self.silent {
+        if self.silent || self.refused {
             return self.deadline_ms;
         }
         let (read_at, clock_ms) = self.clock?;
--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -106,7 +106,9 @@
 
     /// Time that the worker may wait for a run to end before it answers a renewal.
     pub(super) fn renewal_wait(&self, worker: &LocalWorker) -> Duration {
-        if !worker.has_list || !worker.completions.is_empty() || worker.silent {
+        // After a refused renewal, the lease is extended again only once one is answered.
+        let is_expiring = worker.silent || self.lease.is_refused();
+        if !worker.has_list || !worker.completions.is_empty() || is_expiring {
             return Duration::ZERO;
         }
         if !self.unconfirmed_stops.is_empty() && !worker.omits_rows {
@@ -138,7 +140,10 @@
                 self.handle_renewal_report(now, report);
             }
             RenewalAnswer::OtherIncarnation => self.replace_worker("other_incarnation"),
-            RenewalAnswer::Refused => self.renewal = RenewalPlan::DueAt(now + RENEWAL_BACKOFF),
+            RenewalAnswer::Refused => {
+                self.renewal = RenewalPlan::DueAt(now + RENEWAL_BACKOFF);
+                self.lease.record_refusal();
+            }
             RenewalAnswer::Unreachable if self.leaving => self.replace_worker("left"),
             RenewalAnswer::Unreachable | RenewalAnswer::Unanswered => {
                 self.renewal = RenewalPlan::DueAt(now + RENEWAL_BACKOFF);
