Leader client: control processes that were removed are no longer tried

What callers saw: nothing that is known; each search for the leader after an exchange of control VMs could take up to 0.4 s longer for each VM that was gone for good, while an entry refuses new jobs after 0.6 s without a leader.

Cause: the client only ever added addresses, and a VM that is down refuses no connection.

Change: an answer of the leader replaces the known addresses by the members that it names and the seeds of the settings file, which are read again while the process runs. A redirect, whose sender may lag, still only adds.

--- a/crates/guavavane_cell/src/leader_client.rs
+++ b/crates/guavavane_cell/src/leader_client.rs
@@ -57,7 +57,8 @@
     pub hello: ToControl,
     /// Seeds, which are read again each time that all known addresses have been tried in vain.
     pub seeds: SeedAddresses,
-    /// Known addresses of control processes: all seeds so far and all members that peers have named.
+    /// Known addresses of control processes: the seeds and members that the latest leader has named, and
+    /// all others that have become known since.
     pub control_addresses: IndexSet<SocketAddr>,
     /// Leader that the last redirect named; it is tried first.
     pub redirect: Option<SocketAddr>,
@@ -165,7 +166,7 @@
                         tracing::info!(event = "control_found", %peer, term);
                         self.emit(SessionEvent::Opened(sender.clone()));
                     }
-                    self.add_members(&members);
+                    self.replace_addresses(&members);
                     self.emit(SessionEvent::Pong { sent_at, term });
                 }
                 other => self.emit(SessionEvent::Message(other)),
@@ -183,7 +184,14 @@
         let _ = self.events.send(event);
     }
 
-    /// Adds the addresses of members. Former members stay known, since trying them costs little.
+    /// Replaces the known addresses by the seeds and the members that the leader names. Each search for
+    /// the leader would wait for former members that are gone.
+    fn replace_addresses(&mut self, members: &[SocketAddr]) {
+        let seeds = self.seeds.addresses();
+        self.control_addresses = members.iter().copied().chain(seeds).collect();
+    }
+
+    /// Adds the members that a replica names which may lag behind its group.
     fn add_members(&mut self, members: &[SocketAddr]) {
         self.control_addresses.extend(members.iter().copied());
     }
