--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -186,22 +186,7 @@
             (CommitPurpose::Start(choices), LedgerOutcome::Started(started)) => {
                 let committed = choices.iter().zip(started).filter(|(_, started)| *started);
                 let committed: Vec<&StartChoice> = committed.map(|(choice, _)| choice).collect();
-                let now = BootClock.now();
-                if let Some(state) = &mut self.leader_state {
-                    let ordered = committed.iter().map(|choice| (choice.task, choice.run));
-                    state.ordered_at.extend(ordered.map(|run| (run, now)));
-                }
-                // An agent throttles a task of an image that it knows nothing of as one that interferes
-                // strongly, so the estimates go first.
-                let workers: IndexSet<WorkerIndex> =
-                    committed.iter().map(|choice| choice.worker).collect();
-                for worker in workers {
-                    self.send_estimates(worker);
-                }
-                let runs = committed
-                    .iter()
-                    .map(|choice| (choice.worker, choice.task, choice.run));
-                self.send_run_orders(runs);
+                self.order_committed_starts(&committed);
             }
             (CommitPurpose::Lose { worker, ended }, _) => self.end_pending_loss(worker, ended),
             (CommitPurpose::Withdraw { .. } | CommitPurpose::Release, _) => self.request_pass(),
@@ -209,6 +194,33 @@
         }
     }
 
+    /// Orders committed starts. A ticket may have expired before the commit: the worker would refuse
+    /// the start, so its agent is told to stop the run instead, which withdraws it.
+    fn order_committed_starts(&mut self, committed: &[&StartChoice]) {
+        let now = BootClock.now();
+        if let Some(state) = &mut self.leader_state {
+            let ordered = committed.iter().map(|choice| (choice.task, choice.run));
+            state.ordered_at.extend(ordered.map(|run| (run, now)));
+        }
+        // An agent throttles a task of an image that it knows nothing of as one that interferes
+        // strongly, so the estimates go first.
+        let workers: IndexSet<WorkerIndex> = committed.iter().map(|choice| choice.worker).collect();
+        for worker in workers {
+            self.send_estimates(worker);
+        }
+        let (startable, expired): (Vec<&StartChoice>, Vec<&StartChoice>) = committed
+            .iter()
+            .partition(|choice| self.has_required_ticket(choice.worker, choice.task));
+        for choice in expired {
+            tracing::info!(event = "ticket_expired", task = %choice.task, run = %choice.run);
+            self.send_stop(choice.worker, choice.task, choice.run);
+        }
+        let runs = startable
+            .iter()
+            .map(|choice| (choice.worker, choice.task, choice.run));
+        self.send_run_orders(runs);
+    }
+
     fn finish_completions(
         &mut self,
         worker: WorkerIndex,
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -135,7 +135,7 @@
             let is_desired = self
                 .quorum
                 .read_local(|ledger| ledger.is_desired(task, run, index));
-            if !is_running && is_desired && !self.accepts_starts(index) {
+            if !is_running && is_desired && !self.may_order_start(index, task) {
                 self.send_stop(index, task, run);
             } else if !is_running || !is_desired || self.is_throttling_relevant(index, task) {
                 self.send_run_order(index, task, run);
@@ -178,6 +178,25 @@
         }
     }
 
+    /// Whether the start of a run that the worker lacks may be ordered.
+    fn may_order_start(&self, index: WorkerIndex, task: TaskKey) -> bool {
+        self.accepts_starts(index) && self.has_required_ticket(index, task)
+    }
+
+    /// Whether a start on the worker needs no ticket of the advice service, or a valid one is held.
+    pub(super) fn has_required_ticket(&self, index: WorkerIndex, task: TaskKey) -> bool {
+        let needs_ticket = self.quorum.read_local(|ledger| {
+            let job = ledger.job(task.step.job);
+            let queue = job.and_then(|job| ledger.catalog().queue(&job.queue));
+            queue.is_some_and(|queue| queue.advice.is_some())
+        });
+        let ticket = self.leader_state.as_ref().and_then(|state| {
+            let now = BootClock.now();
+            state.advice.ticket(now, task.step, index)
+        });
+        !needs_ticket || ticket.is_some()
+    }
+
     /// Whether a committed start may still be sent to the worker.
     fn accepts_starts(&self, index: WorkerIndex) -> bool {
         let state = self
