--- a/crates/guavavane_cell/tests/advice.rs
+++ b/crates/guavavane_cell/tests/advice.rs
@@ -31,8 +31,9 @@
 
 /// Time without a message after which a test expects no more.
 const QUIET_PERIOD: Duration = Duration::from_millis(400);
-/// Longest wait for the starts of a step; covers the syncs of a disk that other processes keep busy.
-const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest wait for the starts of a step: the users' 3 s for a task whose turn has come, after the 4 s
+/// within which the cell has to be stable.
+const START_TIMEOUT: Duration = Duration::from_secs(7);
 /// Number of tasks of the job.
 const TASKS: u64 = 3;
 
