Pending jobs: a committed start that reached no worker does not count as started

Cause: JobRecord::started was set when a start was committed (ledger/apply.rs, start_run), and pending_jobs counted only jobs without it. The protocol counts jobs of which no task has started. A start that is committed for a VM that has just lost power reaches no worker, and its job waits for the leader's bound of 12.7 s.

Change: `started` says that a worker has reported the end of a run. Until then a job counts as pending unless a worker that answers its agent, on a session with this leader, holds one of its runs. The state of a single job is `running` as before while it has a run; it is `queued` again if its only starts were withdrawn or lost. Too many jobs may count as pending while a worker with begun runs is silent, and after an election until the agents have reported.

--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -77,8 +77,9 @@
     let Some(job) = ledger.job(key) else {
         return CallerReply::NoJob;
     };
+    let is_running = || job.started || ledger.run_holders(key).next().is_some();
     CallerReply::State(match job.phase {
-        JobPhase::Active if job.started => JobState::Running,
+        JobPhase::Active if is_running() => JobState::Running,
         JobPhase::Active => JobState::Queued,
         JobPhase::Completed => JobState::Completed,
         JobPhase::Failed => JobState::Failed,
@@ -87,6 +88,13 @@
 }
 
 impl ControlEngine {
+    fn pending_jobs(&self, queue: &str) -> usize {
+        let state = self.leader_state.as_ref();
+        let answers = |worker| state.is_some_and(|state| state.worker_answers(worker));
+        self.quorum
+            .read_local(|ledger| ledger.pending_jobs(queue, answers))
+    }
+
     pub(super) fn serve_call(&mut self, origin: CallOrigin, request: CallerRequest) {
         let target = self
             .quorum
@@ -94,8 +102,7 @@
         let reply = match (target, request.action) {
             (Err(reply), _) => reply,
             (Ok(CallTarget::Queue { queue }), CallerAction::Query) => {
-                let pending = self.quorum.read_local(|ledger| ledger.pending_jobs(&queue));
-                CallerReply::Pending(pending as u64)
+                CallerReply::Pending(self.pending_jobs(&queue) as u64)
             }
             (Ok(CallTarget::Queue { .. }), _) => {
                 CallerReply::Invalid("the path names no job".to_owned())
--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -187,6 +187,12 @@
         self.sessions.get(&session)
     }
 
+    /// Whether the worker's agent has a session on which it has reported that the worker answers.
+    pub(super) fn worker_answers(&self, index: WorkerIndex) -> bool {
+        let worker = self.workers.get(&index);
+        worker.is_some_and(|worker| worker.session.is_some() && !worker.silent)
+    }
+
     /// State of a worker, whose condition for scheduling may change.
     pub(super) fn worker_mut(&mut self, index: WorkerIndex) -> Option<&mut WorkerState> {
         self.capacities.mark_changed(index);
@@ -199,7 +205,7 @@
             return WorkerCondition::default();
         };
         WorkerCondition {
-            schedulable: worker.session.is_some() && !worker.draining && !worker.silent,
+            schedulable: self.worker_answers(index) && !worker.draining,
             consecutive_failures: worker.consecutive_failures,
             utilisations: worker.utilisations.clone(),
             observed_load: worker.observed_load.clone(),
--- a/crates/guavavane_jobs/src/ledger.rs
+++ b/crates/guavavane_jobs/src/ledger.rs
@@ -150,12 +150,20 @@
         })
     }
 
-    /// Number of a queue's active jobs of which no start was committed.
-    pub fn pending_jobs(&self, queue: &str) -> usize {
-        let is_pending = |job: &&JobRecord| {
-            job.phase == JobPhase::Active && !job.started && &*job.queue == queue
+    /// Number of a queue's active jobs of which no task is known to have started. `answers` tells
+    /// whether a worker answers its agent, and the agent the leader: a start that was committed for
+    /// any other worker may never have reached it.
+    pub fn pending_jobs(&self, queue: &str, answers: impl Fn(WorkerIndex) -> bool) -> usize {
+        let is_pending = |(key, job): &(JobKey, &JobRecord)| {
+            let is_active = job.phase == JobPhase::Active && &*job.queue == queue;
+            is_active && !job.started && !self.run_holders(*key).any(&answers)
         };
-        self.jobs.values().filter(is_pending).count()
+        self.jobs().filter(is_pending).count()
+    }
+
+    /// Worker of each run of a job.
+    pub fn run_holders(&self, job: JobKey) -> impl Iterator<Item = WorkerIndex> + '_ {
+        self.index.runs_of(job).map(|(worker, _)| worker)
     }
 
     /// Specification of a step; none if its job has ended.
--- a/crates/guavavane_jobs/src/ledger/apply.rs
+++ b/crates/guavavane_jobs/src/ledger/apply.rs
@@ -281,9 +281,6 @@
             worker.runs.insert(choice.task, run_record);
             self.index.add_run(choice.worker, choice.task);
         }
-        if let Some(job) = self.jobs.get_mut(&key.job) {
-            job.started = true;
-        }
         true
     }
 
@@ -318,6 +315,9 @@
             };
             // A lower number may arrive later; the run tells whether the completion is new.
             worker.last_completion = worker.last_completion.max(completion.number);
+            if let Some(job) = self.jobs.get_mut(&completion.task.step.job) {
+                job.started = true;
+            }
             if worker
                 .runs
                 .get(&completion.task)
--- a/crates/guavavane_jobs/src/ledger/record.rs
+++ b/crates/guavavane_jobs/src/ledger/record.rs
@@ -47,7 +47,7 @@
     pub spec: Option<Arc<JobSpec>>,
     /// Phase of the job's life cycle.
     pub phase: JobPhase,
-    /// Whether a start of a task was ever committed.
+    /// Whether a worker has reported the end of a run, so that a task has certainly started.
     pub started: bool,
     /// Failures of one task after which the job fails.
     pub attempts_max: u32,
