Jobs: compare the workers of each VM with the records of the ledger

Cause: the index that JobLedger::workers_on reads was compared with nothing, and each VM of the random sequences had one worker.

Change: indexes_agree_with_the_records_of_the_ledger also adds later incarnations on the VMs of earlier workers, and compares the index of each VM, of those that have lost their last worker too, with the records that name the VM.

Not yet run in the debug profile.

--- a/crates/guavavane_jobs/tests/capacity_table.rs
+++ b/crates/guavavane_jobs/tests/capacity_table.rs
@@ -35,6 +35,9 @@
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::TaskKey;
+use guavavane_jobs::prelude::WorkerFacts;
+use guavavane_jobs::prelude::WorkerKey;
+use guavavane_model::prelude::ResourceVector;
 use guavavane_quorum::prelude::StateMachine;
 use guavavane_testing::for_each_seed;
 
@@ -171,11 +174,15 @@
                 ledger.restore(&snapshot).unwrap();
             }
             let before = ledger.clone();
+            if random.random_bool(0.1) {
+                apply(&mut ledger, next_incarnation(random, last_key));
+            }
             if let Some(command) = random_command(&mut ledger, random, &mut last_key) {
                 apply(&mut ledger, command);
             }
             check_undesired_runs(&ledger);
             check_changes(&before, &ledger);
+            check_workers_of_vms(&before, &ledger);
             for (index, worker) in ledger.workers() {
                 assert_eq!(ledger.worker_index(&worker.key), Some(index));
             }
@@ -194,6 +201,44 @@
     assert_eq!(indexed, undesired);
 }
 
+/// A later incarnation, perhaps one that the ledger has already, on the VM of any earlier worker.
+fn next_incarnation(random: &mut ChaCha8Rng, last_key: u64) -> LedgerCommand {
+    let number = random.random_range(0..=last_key);
+    LedgerCommand::AddWorker {
+        key: WorkerKey {
+            name: Arc::from(format!("worker-{number}")),
+            started_ms: random.random_range(1..5),
+        },
+        node: Arc::from(format!("vm-{number}")),
+        facts: WorkerFacts {
+            pool: Arc::from("pool"),
+            data_centre: Arc::from("caxias"),
+            capacity: ResourceVector::new(16_000, 64_000, 0),
+            labels: Vec::new(),
+        },
+    }
+}
+
+/// Checks that the workers of each VM, of those that have lost their last one too, are those whose
+/// records name it.
+fn check_workers_of_vms(before: &JobLedger, after: &JobLedger) {
+    let workers = before.workers().chain(after.workers());
+    for (_, worker) in workers {
+        let recorded = after
+            .workers()
+            .filter(|(_, other)| other.node == worker.node);
+        let recorded: IndexSet<WorkerIndex> = recorded.map(|(index, _)| index).collect();
+        let indexed: Vec<WorkerIndex> = after.workers_on(&worker.node).collect();
+        assert_eq!(
+            indexed.len(),
+            recorded.len(),
+            "{}: {indexed:?}",
+            worker.node
+        );
+        assert_eq!(indexed.into_iter().collect::<IndexSet<_>>(), recorded);
+    }
+}
+
 /// Checks that each worker whose record differs is named among the changes.
 fn check_changes(before: &JobLedger, after: &JobLedger) {
     let changed = after.workers_changed_since(before.worker_revision());
