Soak: lose workers together with their agent or the leader

The tasks must run elsewhere within 4 s of the moment at which the lease bound is over, the agent is back and the leader was lost. No run is doubled: the check at the end covers these runs too.

--- a/tools/soak/src/caller.rs
+++ b/tools/soak/src/caller.rs
@@ -13,6 +13,8 @@
 
 /// Path prefix of the queues; the job's key follows as 16 hexadecimal digits.
 pub const PATH_PREFIX: &str = "/tally/";
+/// Timeout for the response of a control process that is asked whether it leads.
+const LEADER_QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for a response; longer than the timeout of the queues, 3000 ms.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(3_500);
 
@@ -120,3 +122,12 @@
     let config = serde_json::from_str::<Value>(&text).ok()?;
     config["Version"].as_u64()
 }
+
+/// Whether a control process leads: the others redirect a read of the configuration.
+pub fn is_leader(control: SocketAddr) -> bool {
+    let request = attohttpc::get(format!("http://{control}/Config.Get"))
+        .timeout(LEADER_QUERY_TIMEOUT)
+        .follow_redirects(false);
+    let ok_status = StatusCode::OK.as_u16();
+    matches!(read_result(request.send()), RequestResult::Answered(status, _) if status == ok_status)
+}
--- a/tools/soak/src/cell.rs
+++ b/tools/soak/src/cell.rs
@@ -7,6 +7,9 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -20,6 +23,7 @@
 use crate::programs::SoakProgram;
 use crate::programs::WORKER_RELAY_OCTET;
 use crate::worker::run_worker;
+use guavavane_standin::prelude::RelayMode;
 use guavavane_standin::prelude::TcpRelay;
 use guavavane_standin::simulated_worker::RunHistory;
 use guavavane_standin::simulated_worker::SimulatedWorker;
@@ -49,9 +53,55 @@
     subnet: u8,
     /// Runs of all workers.
     pub history: RunHistory,
+    /// Whether the heartbeats of each worker are paused.
+    heartbeats_paused: [Arc<AtomicBool>; WORKER_COUNT as usize],
+}
+
+/// How a worker is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerLoss {
+    /// The worker sends heartbeats and leaves all calls unanswered.
+    Silent,
+    /// The worker sends nothing and its connections are closed, as if it were gone for good.
+    Gone,
 }
 
 impl SoakCell {
+    /// Index of the agent of a worker among the programs.
+    pub fn agent_index(&self, worker: usize) -> usize {
+        usize::from(CONTROL_COUNT + ENTRY_COUNT) + worker
+    }
+
+    /// Number of the control process that leads; none if none says so.
+    pub fn find_leader(&self) -> Option<usize> {
+        let leader = (0..CONTROL_COUNT).find(|number| {
+            let address = self.control_address(*number);
+            caller::is_leader(address)
+        });
+        leader.map(usize::from)
+    }
+
+    /// Separates a worker from its agent.
+    pub fn lose_worker(&self, worker: usize, loss: WorkerLoss) {
+        let relay_mode = match loss {
+            WorkerLoss::Silent => RelayMode::Drop,
+            WorkerLoss::Gone => RelayMode::Close,
+        };
+        self.worker_relay(worker).set_mode(relay_mode);
+        let is_gone = loss == WorkerLoss::Gone;
+        self.heartbeats_paused[worker].store(is_gone, Ordering::Relaxed);
+    }
+
+    /// Connects a lost worker to its agent again.
+    pub fn restore_worker(&self, worker: usize) {
+        self.worker_relay(worker).set_mode(RelayMode::Pass);
+        self.heartbeats_paused[worker].store(false, Ordering::Relaxed);
+    }
+
+    fn worker_relay(&self, worker: usize) -> &TcpRelay {
+        &self.relays[usize::from(ENTRY_COUNT) + worker]
+    }
+
     /// Address of the relay of an entry; `number` wraps around after the last entry.
     pub fn entry_address(&self, number: u8) -> SocketAddr {
         SocketAddr::from((
@@ -142,6 +192,7 @@
         ports,
         subnet,
         history: RunHistory::default(),
+        heartbeats_paused: Default::default(),
     };
     start_workers(&cell)?;
     cell.put_config_until(1, Instant::now() + START_TIMEOUT)?;
@@ -166,6 +217,7 @@
 /// Starts the simulated workers on a separate thread.
 fn start_workers(cell: &SoakCell) -> anyhow::Result<()> {
     let (subnet, ports, history) = (cell.subnet, cell.ports, cell.history.clone());
+    let heartbeats_paused = cell.heartbeats_paused.clone();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -193,6 +245,7 @@
                         SocketAddr::from(worker_address),
                         SocketAddr::from(agent_address),
                         usize::from(number),
+                        Arc::clone(&heartbeats_paused[usize::from(number)]),
                     );
                     started.await.expect("the address of a worker is free");
                 }
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -81,20 +81,39 @@
     pub ended_at: Instant,
 }
 
-/// Restart of a control process that begins later.
+/// Outage of a process that begins later.
 #[derive(Clone, Copy, Debug)]
-struct PlannedRestart {
-    process: usize,
-    begins_at: Instant,
-    downtime: Duration,
-    signal: Signal,
+pub struct PlannedOutage {
+    /// Index of the process.
+    pub process: usize,
+    /// Time at which the process receives the signal.
+    pub begins_at: Instant,
+    /// Time until the process is resumed or restarted.
+    pub downtime: Duration,
+    /// Signal that ends or suspends the process.
+    pub signal: Signal,
+}
+
+impl PlannedOutage {
+    /// Time at which the process is back.
+    pub fn ends_at(&self) -> Instant {
+        self.begins_at + self.downtime
+    }
+
+    fn fault(&self) -> SoakFault {
+        if self.signal == Signal::STOP {
+            SoakFault::Suspended(self.process)
+        } else {
+            SoakFault::Terminated(self.process)
+        }
+    }
 }
 
 /// Active, planned and ended faults of a run.
 #[derive(Debug, Default)]
 pub struct FaultSchedule {
     active: Vec<ActiveFault>,
-    planned: Vec<PlannedRestart>,
+    planned: Vec<PlannedOutage>,
     /// Ended faults.
     pub spans: Vec<FaultSpan>,
     /// Control process whose disk was faulty last.
@@ -176,7 +195,7 @@
         let first = random.random_range(0..usize::from(CONTROL_COUNT));
         let mut begins_at = Instant::now();
         for offset in 0..usize::from(CONTROL_COUNT) {
-            self.planned.push(PlannedRestart {
+            self.plan_outage(PlannedOutage {
                 process: (first + offset) % usize::from(CONTROL_COUNT),
                 begins_at,
                 downtime: random_duration(random, RESTART_DOWNTIME_MS),
@@ -190,7 +209,12 @@
         }
     }
 
-    /// Ends the faults whose time is over, and begins the planned restarts that are due.
+    /// Plans an outage of a process.
+    pub fn plan_outage(&mut self, outage: PlannedOutage) {
+        self.planned.push(outage);
+    }
+
+    /// Ends the faults whose time is over, and begins the planned outages that are due.
     ///
     /// # Errors
     ///
@@ -200,26 +224,26 @@
         self.end_faults(cell, program, |fault| fault.ends_at <= now)?;
         let (due, planned) = std::mem::take(&mut self.planned)
             .into_iter()
-            .partition::<Vec<_>, _>(|restart| restart.begins_at <= now);
+            .partition::<Vec<_>, _>(|outage| outage.begins_at <= now);
         self.planned = planned;
-        for restart in due {
-            self.begin_restart(cell, restart);
+        for outage in due {
+            self.begin_outage(cell, outage);
         }
         Ok(())
     }
 
-    /// Terminates the process unless it is suspended or terminated already.
-    fn begin_restart(&mut self, cell: &mut SoakCell, restart: PlannedRestart) {
+    /// Signals the process unless it is suspended or terminated already.
+    fn begin_outage(&mut self, cell: &mut SoakCell, outage: PlannedOutage) {
         let mut affected = self.active.iter().filter_map(ActiveFault::process_index);
-        if affected.any(|process| process == restart.process) {
+        if affected.any(|process| process == outage.process) {
             return;
         }
-        cell.programs[restart.process].signal(restart.signal);
-        let fault = SoakFault::Terminated(restart.process);
-        self.active.push(ActiveFault::new(fault, restart.downtime));
+        cell.programs[outage.process].signal(outage.signal);
+        self.active
+            .push(ActiveFault::new(outage.fault(), outage.downtime));
     }
 
-    /// Ends all faults; planned restarts are dropped.
+    /// Ends all faults; planned outages are dropped.
     ///
     /// # Errors
     ///
@@ -293,6 +317,7 @@
     }
 }
 
-fn random_duration(random: &mut ChaCha8Rng, range_ms: std::ops::Range<u64>) -> Duration {
+/// Draws a duration in milliseconds from a range.
+pub fn random_duration(random: &mut ChaCha8Rng, range_ms: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(random.random_range(range_ms))
 }
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`cell`] holds both, and [`connection`] keeps connections to the processes open. [`caller`]
 //! submits jobs, queries their states and sends configurations, [`operator`] sends them in quick
 //! succession. [`faults`] and [`disk`] inject
-//! faults, [`subnet`] keeps soaks apart that run at the same time, [`run`] executes one seed, and
+//! faults, [`lost_worker`] loses a worker together with its agent and the leader, [`subnet`] keeps soaks apart that run at the same time, [`run`] executes one seed, and
 //! [`checks`] checks what callers and workers observed; [`machine_load`] measures how busy the machine was.
 
 pub mod caller;
@@ -13,6 +13,7 @@
 pub mod connection;
 pub mod disk;
 pub mod faults;
+pub mod lost_worker;
 pub mod machine_load;
 pub mod operator;
 pub mod programs;
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -6,6 +6,8 @@
 //! a task overlap, no run starts after one that succeeded, and long-running tasks run again in
 //! time. With faults of the control processes, one of them loses its disk at the end, and the
 //! others must go on: an acknowledged configuration stays, and a new one is acknowledged in time.
+//! Last, workers are lost together with their agent or the leader, and their long-running tasks must
+//! run elsewhere in time.
 
 use std::path::Path;
 use std::thread;
@@ -33,6 +35,8 @@
 use crate::connection::OpenConnections;
 use crate::faults::FaultSchedule;
 use crate::faults::FaultSpan;
+use crate::lost_worker::LostWorkerPlan;
+use crate::lost_worker::LostWorkerTrial;
 use crate::machine_load::LoadWatch;
 use crate::machine_load::MachineLoad;
 use crate::operator::ConfigOperator;
@@ -48,8 +52,10 @@
 const LONG_RUNNING_KEY_MAX: u64 = 100;
 /// Number of tasks of a job with long-running tasks.
 const LONG_RUNNING_TASKS: u64 = 2;
-/// Generator stream of the faults of control processes; other draws use stream 0.
+/// Generator stream of the faults of control processes; other draws use stream 0 or 2.
 const CONTROL_FAULT_STREAM: u64 = 1;
+/// Generator stream of the lost workers.
+const LOST_WORKER_STREAM: u64 = 2;
 /// Time in which a control process catches up after a fault.
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 /// Time for which a control process is down when it loses its disk.
@@ -112,6 +118,10 @@
     pub versions: SentVersions,
     /// Long-running tasks of accepted jobs.
     pub long_running_tasks: usize,
+    /// Lost workers whose long-running tasks were watched.
+    pub lost_workers: usize,
+    /// Longest time in which such a task ran elsewhere, from the moment at which it could.
+    pub restart_time_max: Duration,
     /// Runs that workers started.
     pub runs: usize,
     /// Load under which the run was played.
@@ -202,7 +212,12 @@
             self.lose_disk()?;
         }
         wait_until_completed(&self.cell, jobs.batch_keys)?;
-        self.watch_long_running(&jobs.long_running)?;
+        let watch_time = match self.settings.scope {
+            FaultScope::ProcessesAndNetwork => Duration::ZERO,
+            FaultScope::ControlProcesses => LOST_DISK_WATCH_TIME,
+        };
+        self.watch_long_running(&jobs.long_running, watch_time)?;
+        self.lose_workers(&jobs.long_running)?;
         self.report.long_running_tasks = jobs.long_running.len();
         self.report.runs = self.cell.history.all().len();
         match self.cell.history.find_duplicate_run() {
@@ -331,13 +346,39 @@
         Ok(())
     }
 
-    /// Fails if a long-running task has been, or is, idle for too long.
-    fn watch_long_running(&self, tasks: &[LongRunningTask]) -> anyhow::Result<()> {
+    /// Loses workers with long-running tasks, one after the other, each in a different way.
+    fn lose_workers(&mut self, tasks: &[LongRunningTask]) -> anyhow::Result<()> {
+        let mut random = ChaCha8Rng::seed_from_u64(self.settings.seed);
+        random.set_stream(LOST_WORKER_STREAM);
+        let plans = [
+            LostWorkerPlan::with_agent(&mut random),
+            LostWorkerPlan::with_leader(&mut random),
+        ];
+        for plan in plans {
+            let trial = LostWorkerTrial {
+                program: self.program,
+                cell: &mut self.cell,
+                schedule: &mut self.schedule,
+                plan,
+            };
+            let Some(restart_time) = trial.run(tasks).with_context(|| format!("{plan:?}"))? else {
+                continue;
+            };
+            self.report.lost_workers += 1;
+            self.report.restart_time_max = self.report.restart_time_max.max(restart_time);
+            self.watch_long_running(tasks, Duration::ZERO)?;
+        }
+        Ok(())
+    }
+
+    /// Watches the long-running tasks for at least `time_min`; fails if one of them has been, or is,
+    /// idle for too long.
+    fn watch_long_running(
+        &self,
+        tasks: &[LongRunningTask],
+        time_min: Duration,
+    ) -> anyhow::Result<()> {
         let started_at = Instant::now();
-        let (time_min, time_max) = match self.settings.scope {
-            FaultScope::ProcessesAndNetwork => (Duration::ZERO, WATCH_TIME_MAX),
-            FaultScope::ControlProcesses => (LOST_DISK_WATCH_TIME, WATCH_TIME_MAX),
-        };
         loop {
             let runs = self.cell.history.all();
             let now = Instant::now();
@@ -348,7 +389,7 @@
             if watched >= time_min && all_running(tasks, &runs) {
                 return Ok(());
             }
-            if watched > time_max {
+            if watched > WATCH_TIME_MAX {
                 bail!("long-running tasks don't all run at the same time");
             }
             thread::sleep(WATCH_INTERVAL);
--- a/tools/soak/src/worker.rs
+++ b/tools/soak/src/worker.rs
@@ -1,6 +1,8 @@
 //! HTTP server of a simulated worker, and its heartbeats to its agent.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,6 +34,7 @@
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Serves a worker and sends its heartbeats to its agent, in tasks that run until the runtime ends.
+/// No heartbeat is sent while `heartbeats_paused` is true.
 ///
 /// # Errors
 ///
@@ -41,6 +44,7 @@
     address: SocketAddr,
     agent: SocketAddr,
     number: usize,
+    heartbeats_paused: Arc<AtomicBool>,
 ) -> std::io::Result<()> {
     let key = WorkerKey {
         name: Arc::from(format!("i-{number}")),
@@ -52,11 +56,11 @@
         async move { answer_call(&worker, key, request).await }
     })
     .await?;
-    tokio::spawn(send_heartbeats(agent, number));
+    tokio::spawn(send_heartbeats(agent, number, heartbeats_paused));
     Ok(())
 }
 
-async fn send_heartbeats(agent: SocketAddr, number: usize) {
+async fn send_heartbeats(agent: SocketAddr, number: usize, paused: Arc<AtomicBool>) {
     let client = PlatformClient::new(agent);
     let paths = [
         "/Instances.Heartbeat/i-0",
@@ -64,6 +68,9 @@
         "/Instances.Heartbeat/i-2",
     ];
     for sequence in 1_u64.. {
+        while paused.load(Ordering::Relaxed) {
+            tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        }
         let body = json!({
             "Service": "pool", "Addr": "127.0.0.1:1", "Zone": "caxias", "Version": "v1",
             "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Seq": sequence, "born": 1,
