Cell: test that workers which never answer don't postpone the expiry

Cause: nothing showed that a new incarnation every 300 ms, none of which answers, leaves the expiry of the lease as it is.

--- a/crates/guavavane_cell/tests/unreported_expiry.rs
+++ b/crates/guavavane_cell/tests/unreported_expiry.rs
@@ -25,6 +25,8 @@
 const TASK_RUN_TIME: Duration = Duration::from_secs(60);
 /// Longest wait for a start that nothing delays.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between the heartbeats of two incarnations; shorter than the worker's lease.
+const REGISTRATION_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest time without a run after the end of the worker's lease.
 const RESTART_MAX: Duration = Duration::from_secs(1);
 
@@ -81,3 +83,28 @@
     );
     assert_restarts_after_worker_lease(&cell, silent_since).await;
 }
+
+/// Sends the heartbeats of one new incarnation after the other, none of which answers a call.
+async fn register_incarnations(cell: &TestCell, worker: usize) {
+    let mut heartbeat = worker_heartbeat(worker);
+    loop {
+        heartbeat.key.started_ms += 1;
+        assert!(
+            cell.agents[worker]
+                .record_heartbeat(heartbeat.clone())
+                .await
+        );
+        tokio::time::sleep(REGISTRATION_INTERVAL).await;
+    }
+}
+
+#[tokio::test]
+async fn workers_that_register_and_never_answer_do_not_postpone_the_expiry() {
+    let mut cell = TestCell::start(2, TASK_RUN_TIME).await;
+    let silent_since = Instant::now();
+    let lost = lose_worker_and_restart_agent(&mut cell).await;
+    tokio::select! {
+        () = register_incarnations(&cell, lost) => {}
+        () = assert_restarts_after_worker_lease(&cell, silent_since) => {}
+    }
+}
