Cell: failing test of a delayed expiry after the later session has closed

Cause: handle_expired_lease (control/worker.rs) compares the session of the message with WorkerState::session, which close_session (control/engine.rs) sets to none; is_none_or then lets every session pass. A LeaseExpired of an earlier session that arrives after the worker was reported on a later one, and that one has closed, frees runs that may go on.

Not mended here: the leader would have to keep the latest session on which a worker was reported beyond its close.

--- a/crates/guavavane_cell/tests/lost_lease.rs
+++ b/crates/guavavane_cell/tests/lost_lease.rs
@@ -103,3 +103,12 @@
     assert!(later.send(ToControl::LeaseExpired));
     sessions.assert_freed(TASKS).await;
 }
+
+#[tokio::test]
+async fn a_delayed_expiry_of_an_earlier_session_frees_nothing_after_the_later_one_has_closed() {
+    let mut sessions = TwoSessions::open().await;
+    sessions.later = None;
+    tokio::time::sleep(QUIET_PERIOD).await;
+    assert!(sessions.earlier.0.send(ToControl::LeaseExpired));
+    sessions.assert_freed(0).await;
+}
