--- a/crates/guavavane_cell/tests/unreported_expiry.rs
+++ b/crates/guavavane_cell/tests/unreported_expiry.rs
@@ -30,6 +30,8 @@
 const STOP_INTERVAL: Duration = Duration::from_millis(450);
 /// Time between two checks of a worker for the end of its lease.
 const ADVANCE_INTERVAL: Duration = Duration::from_millis(5);
+/// Time between the heartbeats of two incarnations; shorter than the worker's lease.
+const REGISTRATION_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest time without a run after the end of the worker's lease.
 const RESTART_MAX: Duration = Duration::from_secs(1);
 
@@ -100,3 +102,28 @@
     }
     assert_restarts_after_worker_lease(&cell, silent_since).await;
 }
+
+/// Sends the heartbeats of one new incarnation after the other, none of which answers a call.
+async fn register_incarnations(cell: &TestCell, worker: usize) {
+    let mut heartbeat = worker_heartbeat(worker);
+    loop {
+        heartbeat.key.started_ms += 1;
+        assert!(
+            cell.agents[worker]
+                .record_heartbeat(heartbeat.clone())
+                .await
+        );
+        tokio::time::sleep(REGISTRATION_INTERVAL).await;
+    }
+}
+
+#[tokio::test]
+async fn workers_that_register_and_never_answer_do_not_postpone_the_expiry() {
+    let mut cell = TestCell::start(2, TASK_RUN_TIME).await;
+    let silent_since = Instant::now();
+    let lost = lose_worker_and_restart_agent(&mut cell).await;
+    tokio::select! {
+        () = register_incarnations(&cell, lost) => {}
+        () = assert_restarts_after_worker_lease(&cell, silent_since) => {}
+    }
+}
