Soak: count the time to a restart only while a leader is in office

Change: a thread for each control process asks whether it leads; the 4 s are counted from the later of the moment at which the restart was possible and the beginning of the present leader's office. Without a restart 20 s after the loss the check fails all the same.

--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`cell`] holds both, and [`connection`] keeps connections to the processes open. [`caller`]
 //! submits jobs, queries their states and sends configurations, [`operator`] sends them in quick
 //! succession. [`faults`] and [`disk`] inject
-//! faults, [`lost_worker`] loses a worker together with its agent and the leader, [`subnet`] keeps soaks apart that run at the same time, [`run`] executes one seed, and
+//! faults, [`lost_worker`] loses a worker together with its agent and the leader, [`office`] watches which process leads, [`subnet`] keeps soaks apart that run at the same time, [`run`] executes one seed, and
 //! [`checks`] checks what callers and workers observed; [`machine_load`] measures how busy the machine was.
 
 pub mod caller;
@@ -15,6 +15,7 @@
 pub mod faults;
 pub mod lost_worker;
 pub mod machine_load;
+pub mod office;
 pub mod operator;
 pub mod programs;
 pub mod run;
--- a/tools/soak/src/lost_worker.rs
+++ b/tools/soak/src/lost_worker.rs
@@ -22,6 +22,7 @@
 use crate::faults::FaultSchedule;
 use crate::faults::FaultSpan;
 use crate::faults::PlannedOutage;
+use crate::office::OfficeWatch;
 use guavavane_cell::prelude::LeaseTiming;
 use guavavane_standin::simulated_worker::RecordedRun;
 
@@ -31,8 +32,8 @@
     worker_lease: Duration::from_millis(2_500),
     thaw_slack: Duration::from_millis(300),
 };
-/// Longest time until a task runs elsewhere after its worker's lease has certainly expired, its
-/// agent is back and the leader was lost: an election, new sessions and a start.
+/// Longest time until a task runs elsewhere while a leader is in office, after its worker's lease has
+/// certainly expired, its agent is back and the former leader was lost: new sessions and a start.
 const RESTART_TIME_MAX: Duration = Duration::from_secs(4);
 /// Delay of the other faults after the loss of the worker, in milliseconds.
 const FAULT_DELAY_MS: std::ops::Range<u64> = 0..1_000;
@@ -45,6 +46,8 @@
 const LEADER_DOWNTIME_MS: std::ops::Range<u64> = 2_000..4_000;
 /// Timeout for a control process that leads.
 const LEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time from the loss of a worker until a leader that stays in office.
+const OFFICE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time between two looks at the runs.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -186,6 +189,7 @@
             .into_iter()
             .for_each(|outage| self.schedule.plan_outage(outage));
         let mut leader_outage: Option<PlannedOutage> = None;
+        let office = OfficeWatch::start(self.cell);
         loop {
             self.schedule.advance(self.cell, self.program)?;
             self.schedule.restart_exited(self.cell, self.program)?;
@@ -200,9 +204,13 @@
             if let Some(restarted_at) = restarted_at(worker, lost_at, lost_runs, &runs) {
                 return Ok(restarted_at.saturating_duration_since(possible_at));
             }
-            if possible_at.elapsed() > RESTART_TIME_MAX {
-                return Err(missing_restart(worker, lost_at, lost_runs, &runs))
-                    .with_context(|| format!("worker {worker}, leader {leader}"));
+            let office_since = office.since();
+            let counted_from = office_since.map(|since| since.max(possible_at));
+            let is_late = counted_from.is_some_and(|from| from.elapsed() > RESTART_TIME_MAX);
+            if is_late || lost_at.elapsed() > OFFICE_TIMEOUT {
+                return Err(missing_restart(worker, lost_at, lost_runs, &runs)).with_context(
+                    || format!("worker {worker}, leader {leader}, {office_since:?}"),
+                );
             }
             thread::sleep(POLL_INTERVAL);
         }
