--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -96,7 +96,7 @@
     pub(super) has_unreported_loss: bool,
     /// Latest incarnations that have ended for good, which each session reports again.
     pub(super) ended_workers: VecDeque<WorkerKey>,
-    /// Reply to a shutdown that waits for the lease of a silent worker.
+    /// Reply to a shutdown that waits for a lease to expire.
     pending_shutdown: Option<oneshot::Sender<()>>,
     pub(super) renewal: RenewalPlan,
     /// Time of the next utilisation report to the leader.
@@ -211,9 +211,9 @@
     /// the next one would begin the wait anew. The runs of a worker that answers go on, and the next
     /// process reports them.
     fn confirm_shutdown(&mut self) {
-        let answering = |worker: &LocalWorker| worker.has_list && !worker.silent;
-        let is_answering = self.worker.as_ref().is_some_and(answering);
-        let awaits_expiry = self.lease.is_held() && !is_answering;
+        let answers = |worker: &LocalWorker| worker.has_list && !worker.silent;
+        let is_renewed = self.worker.as_ref().is_some_and(answers) && !self.lease.is_refused();
+        let awaits_expiry = self.lease.is_held() && !is_renewed;
         if awaits_expiry || self.has_unreported_loss {
             return;
         }
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -86,6 +86,7 @@
         state.capacities.mark_changed(index);
         let worker_state = state.workers.entry(index);
         let worker_state = worker_state.or_insert_with(|| WorkerState::new(lease_expires_at));
+        let is_repeated = worker_state.session == Some(session);
         worker_state.session = Some(session);
         worker_state.draining = report.draining;
         worker_state.epoch = report.epoch;
@@ -93,7 +94,7 @@
         tracing::info!(event = "worker_adopted", worker = %report.key, index = index.0, draining = report.draining, running = report.running.len());
         self.lose_other_incarnations(index);
         self.send_estimates(index);
-        self.reconcile_runs(index, &report);
+        self.reconcile_runs(index, &report, is_repeated);
         self.handle_completions(&report.key, report.completions);
         self.request_pass();
     }
@@ -111,10 +112,11 @@
     }
 
     /// Starts runs that the worker lacks and stops runs that are not desired on it. A desired run
-    /// that may not start now is stopped as well, so that its agent withdraws it. The start of a
+    /// that may not start now is stopped as well, so that its agent withdraws it; but not for want of a
+    /// ticket if the report is repeated on its session, since the start may be under way. The start of a
     /// running run that throttling concerns is ordered again, since a new process of the agent lacks
     /// its attributes; an agent ignores the repetition but for these.
-    fn reconcile_runs(&self, index: WorkerIndex, report: &WorkerReport) {
+    fn reconcile_runs(&self, index: WorkerIndex, report: &WorkerReport, is_repeated: bool) {
         let recorded: Vec<(TaskKey, RunNumber)> = self.quorum.read_local(|ledger| {
             let runs = ledger.worker(index).map(|worker| &worker.runs);
             let runs = runs.into_iter().flatten();
@@ -132,7 +134,9 @@
             let is_desired = self
                 .quorum
                 .read_local(|ledger| ledger.is_desired(task, run, index));
-            if !is_running && is_desired && !self.may_order_start(index, task) {
+            let may_start = self.accepts_starts(index)
+                && (is_repeated || self.has_required_ticket(index, task));
+            if !is_running && is_desired && !may_start {
                 self.send_stop(index, task, run);
             } else if !is_running || !is_desired || self.is_throttling_relevant(index, task) {
                 self.send_run_order(index, task, run);
@@ -175,11 +179,6 @@
         }
     }
 
-    /// Whether the start of a run that the worker lacks may be ordered.
-    fn may_order_start(&self, index: WorkerIndex, task: TaskKey) -> bool {
-        self.accepts_starts(index) && self.has_required_ticket(index, task)
-    }
-
     /// Whether a start on the worker needs no ticket of the advice service, or a valid one is held.
     pub(super) fn has_required_ticket(&self, index: WorkerIndex, task: TaskKey) -> bool {
         let needs_ticket = self.quorum.read_local(|ledger| {
@@ -293,6 +292,11 @@
         };
         for worker in self.workers_on(&node) {
             self.declare_worker_lost(worker, false, "lease_expired");
+            let state = self.leader_state.as_mut();
+            if let Some(loss) = state.and_then(|state| state.pending_losses.get_mut(&worker)) {
+                // Its report is older than the expiry, and its orders would be void.
+                loss.deferred = None;
+            }
         }
     }
 
--- a/crates/guavavane_cell/src/leader_client.rs
+++ b/crates/guavavane_cell/src/leader_client.rs
@@ -57,8 +57,8 @@
     pub hello: ToControl,
     /// Seeds, which are read again each time that all known addresses have been tried in vain.
     pub seeds: SeedAddresses,
-    /// Known addresses of control processes: the seeds and members that the latest leader has named, and
-    /// all others that have become known since.
+    /// Known addresses of control processes: the seeds, the members that the latest leader has named, and
+    /// those that other processes have named since.
     pub control_addresses: IndexSet<SocketAddr>,
     /// Leader that the last redirect named; it is tried first.
     pub redirect: Option<SocketAddr>,
@@ -191,7 +191,7 @@
         self.control_addresses = members.iter().copied().chain(seeds).collect();
     }
 
-    /// Adds the members that a replica names which may lag behind its group.
+    /// Adds the members that a replica names. It may lag behind its group, so none is removed.
     fn add_members(&mut self, members: &[SocketAddr]) {
         self.control_addresses.extend(members.iter().copied());
     }
