--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -213,7 +213,7 @@
     fn confirm_shutdown(&mut self) {
         let answers = |worker: &LocalWorker| worker.has_list && !worker.silent;
         let is_renewed = self.worker.as_ref().is_some_and(answers) && !self.lease.is_refused();
-        let awaits_expiry = self.lease.is_held() && !is_renewed;
+        let awaits_expiry = self.lease.may_be_held() && !is_renewed;
         if awaits_expiry || self.has_unreported_loss {
             return;
         }
--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -128,7 +128,7 @@
     }
 
     /// Whether a worker on this VM may hold a lease.
-    pub(super) fn is_held(&self) -> bool {
+    pub(super) fn may_be_held(&self) -> bool {
         self.expired_by.is_some()
     }
 
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -84,7 +84,7 @@
         for key in &self.ended_workers {
             self.send_to_leader(ToControl::WorkerEnded { key: key.clone() });
         }
-        if !self.lease.is_held() {
+        if !self.lease.may_be_held() {
             self.send_to_leader(ToControl::LeaseExpired);
         }
         self.has_unreported_loss = false;
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -289,12 +289,12 @@
     }
 
     fn handle_session_message(&mut self, id: SessionId, message: ToControl) {
-        let is_statement = matches!(
+        let reports_worker = matches!(
             message,
             ToControl::WorkerReport(_) | ToControl::LeaseExpired
         );
-        if let Some(state) = self.leader_state.as_mut().filter(|_| is_statement) {
-            state.record_reporting_session(id);
+        if let Some(state) = self.leader_state.as_mut().filter(|_| reports_worker) {
+            state.replace_reporting_session(id);
         }
         match message {
             ToControl::Ping { sent_at } => self.answer_ping(id, sent_at),
--- a/crates/guavavane_cell/src/control/session.rs
+++ b/crates/guavavane_cell/src/control/session.rs
@@ -51,9 +51,9 @@
         true
     }
 
-    /// Records that an agent reports on this session and closes the one on which it reported before:
+    /// Makes this the session on which an agent reports and closes the one on which it reported before:
     /// messages that still arrive there are outdated.
-    pub(super) fn record_reporting_session(&mut self, id: SessionId) {
+    pub(super) fn replace_reporting_session(&mut self, id: SessionId) {
         let Some(node) = self.session_node(id).cloned() else {
             return;
         };
--- a/crates/guavavane_cell/tests/advice.rs
+++ b/crates/guavavane_cell/tests/advice.rs
@@ -2,7 +2,7 @@
 //!
 //! Guards against starts on a worker that the service did not allow, starts with an expired
 //! ticket or none, a lost request that blocks a step for ever, and jobs accepted where no service
-//! exists. Each start waits for a commit, and so for the disk of the machine that runs the test.
+//! exists.
 
 #![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
 
@@ -31,8 +31,8 @@
 
 /// Time without a message after which a test expects no more.
 const QUIET_PERIOD: Duration = Duration::from_millis(400);
-/// Longest wait for the starts of a step: the users' 3 s for a task whose turn has come, after the 4 s
-/// within which the cell has to be stable.
+/// Longest wait for the starts of a step: 4 s for the cell to become stable, and 3 s in which a task
+/// that can run may wait.
 const START_TIMEOUT: Duration = Duration::from_secs(7);
 /// Number of tasks of the job.
 const TASKS: u64 = 3;
--- a/crates/guavavane_cell/tests/pending_jobs.rs
+++ b/crates/guavavane_cell/tests/pending_jobs.rs
@@ -12,6 +12,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::time::timeout;
+
 use crate::support::open_agent_session;
 use crate::support::open_silent_session;
 use crate::support::step;
@@ -27,7 +29,6 @@
 use guavavane_cell::prelude::CallerReply;
 use guavavane_transport::prelude::StreamReceiver;
 use guavavane_transport::prelude::StreamSender;
-use tokio::time::timeout;
 
 /// Run time of a task, longer than the test.
 const TASK_RUN_TIME: Duration = Duration::from_secs(60);
--- a/crates/guavavane_cell/tests/unreported_expiry.rs
+++ b/crates/guavavane_cell/tests/unreported_expiry.rs
@@ -90,8 +90,7 @@
 }
 
 #[tokio::test]
-async fn tasks_of_a_worker_that_is_gone_restart_soon_although_its_agent_is_stopped_again_and_again()
-{
+async fn tasks_of_a_worker_that_is_gone_restart_soon_although_its_agent_is_stopped_repeatedly() {
     let mut cell = TestCell::start(2, TASK_RUN_TIME).await;
     let silent_since = Instant::now();
     let lost = lose_worker_and_restart_agent(&mut cell).await;
