Leader: session_outdated is logged only for a session that was still open

The map keeps the latest session of each VM when it closes, so that each later session of an agent logged the line for a session that had ended in order.

--- a/crates/guavavane_cell/src/control/session.rs
+++ b/crates/guavavane_cell/src/control/session.rs
@@ -57,14 +57,15 @@
         let Some(node) = self.session_node(id).cloned() else {
             return;
         };
-        let earlier = self.reporting_sessions.insert(node, id);
-        if let Some(earlier) = earlier.filter(|earlier| *earlier != id) {
+        let Some(earlier) = self.reporting_sessions.insert(node, id) else {
+            return;
+        };
+        if earlier != id && self.close_session(earlier) {
             tracing::info!(
                 event = "session_outdated",
                 session = earlier.0,
                 later = id.0
             );
-            self.close_session(earlier);
         }
     }
 
