--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -79,7 +79,7 @@
 
     /// Reports the ended incarnations and an expired lease to a new session: the leader of an earlier
     /// one may have been lost before it committed them, and so may an earlier process of the agent. A
-    /// leader that has nothing to free ignores the reports.
+    /// leader that has nothing to free commits them without effect.
     pub(super) fn report_losses(&mut self) {
         for key in &self.ended_workers {
             self.send_to_leader(ToControl::WorkerEnded { key: key.clone() });
