Review case 3: a burst of jobs that need advice starves their queue

Cause: eight requests wait for each other at the advice service, and a ticket is counted from its request: all tickets arrive too old, and the steps ask again (AdviceCache). Run: review/3/run.sh five times, and once with TROUBLE=0.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -13,6 +13,7 @@
         "reborn" => reborn(trouble, record),
         "gang" => gang(trouble, record),
         "probation" => probation(trouble, record),
+        "advice" => advice(trouble, record),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -209,3 +210,41 @@
     ];
     finish(&cell, record, summary, &breaks)
 }
+
+/// LOST: jobs of a queue that needs advice come in a burst; from then on none of them starts.
+fn advice(trouble: bool, record: &str) -> Result<bool, String> {
+    let cell = Cell::start(3)?;
+    let cell = std::sync::Arc::new(cell);
+    let began = std::time::Instant::now();
+    let usual_ms = 530;
+    let burst_ms = usual_ms * 10 / 26;
+    let mut clients = Vec::new();
+    let (mut at_ms, mut number) = (0, 0_u64);
+    while at_ms < 16_000 {
+        let job = 0x4000_0000_0000_0001 + number;
+        number += 1;
+        let client = std::sync::Arc::clone(&cell);
+        clients.push(thread::spawn(move || {
+            let body = "{\"Spec\":\"ms=400\",\"Phases\":[{\"Count\":4,\"Cpu\":500,\"MemMb\":480,\"EstimateMs\":400}]}";
+            client.submit(job, body).then_some(job)
+        }));
+        let in_burst = trouble && (5_000..9_000).contains(&at_ms);
+        at_ms += if in_burst { burst_ms } else { usual_ms };
+        thread::sleep(Duration::from_millis(at_ms).saturating_sub(began.elapsed()));
+    }
+    let accepted: Vec<u64> = clients.into_iter().filter_map(|client| client.join().ok()?).collect();
+    // `finish_s` is 14.
+    sleep_ms(20_000);
+    let runs = cell.record.runs.lock().unwrap().clone();
+    let mut breaks = Vec::new();
+    for job in &accepted {
+        let prefix = format!("{job:016x}");
+        if !runs.iter().any(|run| run.task.starts_with(&prefix)) {
+            let state = cell.state(*job);
+            breaks.push(format!("LOST: job {prefix} was accepted, is {state:?} 20 s after the end of the traffic and has never started"));
+        }
+    }
+    let running: usize = cell.workers.iter().map(|worker| worker.running().len()).sum();
+    let summary = vec![format!("{} jobs accepted; {running} tasks run on {WORKERS} workers at the end", accepted.len())];
+    finish(&cell, record, summary, &breaks)
+}
--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -10,6 +10,7 @@
 
 use crate::http::{call, Response};
 use crate::json::Json;
+use crate::advice::{self, Tickets};
 use crate::worker::{Gangs, Record, Worker};
 
 pub const PROGRAM: &str = "target/release/guavavane-platform";
@@ -92,9 +93,9 @@
     let first = std::process::id() % 70;
     let subnets = (0..70).map(|offset| 20 + ((first + offset) % 70) as u8);
     subnets.into_iter().find(|subnet| {
-        let octets = [10, 11, 12, 30, 31, 50, 57, 70, 77];
+        let octets = [10, 11, 12, 30, 31, 50, 57, 70, 77, 90];
         octets.iter().all(|octet| {
-            let ports = [9464, 27720, 27721, 27722, 27723, 27724];
+            let ports = [9464, 27720, 27721, 27722, 27723, 27724, 27725];
             ports.iter().all(|port| TcpListener::bind((ip(*subnet, *octet), *port)).is_ok())
         })
     })
@@ -106,7 +107,8 @@
         self.controls.iter_mut().chain(others)
     }
 
-    /// Starts all processes and workers, and puts the first configuration in force.
+    /// Starts all processes and workers, and puts the first configuration in force. It has the queue
+    /// `/slip/`, and the queue `/lot/` for jobs whose ids begin with 4, which needs advice.
     pub fn start(attempts: u64) -> Result<Self, String> {
         if !Path::new(PROGRAM).exists() {
             return Err(format!("{PROGRAM} is missing: build it first"));
@@ -141,6 +143,9 @@
             self.agents.push(process);
         }
         let gangs = Arc::new(Gangs::default());
+        let tickets = Arc::new(Tickets::default());
+        advice::start(self.advice_address(), &self.record, &tickets)
+            .map_err(|error| error.to_string())?;
         for number in 0..WORKERS {
             let worker = Worker::start(
                 number,
@@ -150,6 +155,7 @@
                 SocketAddr::from((ip(self.subnet, 50 + number), 27721)),
                 &self.record,
                 &gangs,
+                &tickets,
             );
             self.workers.push(worker.map_err(|error| error.to_string())?);
         }
@@ -175,9 +181,10 @@
             "NodeName = \"{name}\"\nRole = \"{role}\"\nMachineClass = \"{class}\"\nIp = \"{own}\"\n\
              Zone = \"{zone}\"\nRegion = \"serra\"\nPortRange = [27720,27720]\nSeeds = [{}]\n\
              Bootstrap = true\nInFaultBudget = {}\nDiscovery = \"local\"\nEntry = \"vip\"\n\
-             HeartbeatMs = 1500\nconfig_mode = \"highest\"\nOrders = \"call\"\n",
+             HeartbeatMs = 1500\nconfig_mode = \"highest\"\nOrders = \"call\"\nAdvice = \"{}\"\n",
             seeds.join(","),
-            role == "control"
+            role == "control",
+            self.advice_address()
         );
         match role {
             "control" => {
@@ -215,10 +222,16 @@
             "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-slip\",\"Host\":\"slip.example\",\
              \"PathPrefix\":\"/slip/\",\"Kind\":\"unsafe\",\"TimeoutMs\":3000,\
              \"TargetLatencyMs\":1000,\"Priority\":0,\"Service\":\"svc\",\"MaxAttempts\":{attempts},\
-             \"Stretch\":1.5}}],\"Services\":[{{\"Name\":\"svc\",\"HealthPath\":\"/health\",\
+             \"Stretch\":1.5}},{{\"Name\":\"r-lot\",\"Host\":\"slip.example\",\"PathPrefix\":\"/lot/\",\
+             \"Kind\":\"unsafe\",\"TimeoutMs\":3000,\"TargetLatencyMs\":1000,\"Priority\":1,\
+             \"Service\":\"svc\",\"MaxAttempts\":{attempts},\"Stretch\":2.0,\"Advice\":{{\
+             \"DecisionMs\":{},\"IntervalMs\":{},\"ValidityMs\":{}}}}}],\"Services\":[{{\"Name\":\"svc\",\"HealthPath\":\"/health\",\
              \"MaxConns\":64,\"Protocol\":\"h1\",\"Tls\":false,\"ColdStartS\":0.0,\"ColdPerS\":0.0,\
              \"AdmissionCheck\":true,\"Standby\":false}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\
-             \"MaxBodyBytes\":262144,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}"
+             \"MaxBodyBytes\":262144,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}",
+            advice::DECISION_MS,
+            advice::INTERVAL_MS,
+            advice::VALIDITY_MS
         );
         let began = Instant::now();
         let mut number = 0;
@@ -275,12 +288,17 @@
         Err("the first job was not completed".to_owned())
     }
 
+    fn advice_address(&self) -> SocketAddr {
+        SocketAddr::from((ip(self.subnet, 90), 27725))
+    }
+
     fn front(&self, number: usize) -> SocketAddr {
         SocketAddr::from((ip(self.subnet, 30 + number % ENTRIES), 27722))
     }
 
     fn client(&self, method: &str, job: u64, body: &str) -> Option<Response> {
-        let path = format!("/slip/{job:016x}");
+        let queue = if job >> 60 == 4 { "lot" } else { "slip" };
+        let path = format!("/{queue}/{job:016x}");
         let wait = Duration::from_secs(3);
         (0..4).find_map(|attempt| {
             let entry = self.front(job as usize + attempt);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! platform's pages describe them. It uses the standard library only. Exit status: 0 if the rule held,
 //! 1 if it was broken, 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
+mod advice;
 mod cases;
 mod cell;
 mod http;
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use crate::advice::Tickets;
 use crate::http::{call, read_request, write_response, Request};
 use crate::json::Json;
 
@@ -140,6 +141,7 @@
     down: Mutex<bool>,
     record: Arc<Record>,
     gangs: Arc<Gangs>,
+    tickets: Arc<Tickets>,
 }
 
 fn spec_number(spec: &str, key: &str) -> Option<u64> {
@@ -156,6 +158,7 @@
         agent: SocketAddr,
         record: &Arc<Record>,
         gangs: &Arc<Gangs>,
+        tickets: &Arc<Tickets>,
     ) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind(address)?;
         let worker = Arc::new(Self {
@@ -171,6 +174,7 @@
             down: Mutex::new(false),
             record: Arc::clone(record),
             gangs: Arc::clone(gangs),
+            tickets: Arc::clone(tickets),
         });
         let accepting = Arc::clone(&worker);
         thread::spawn(move || {
@@ -353,6 +357,10 @@
         if life.running.contains_key(task) || life.ended.get(task).is_some_and(|e| run <= *e) {
             return refuse("old");
         }
+        let ticket = body.text("Ticket").unwrap_or("");
+        if task.starts_with('4') && !self.tickets.allows(&step_of(task), &self.id, ticket) {
+            return refuse("ticket");
+        }
         let only = spec_number(spec, "only");
         let index: u64 = task.rsplit('.').next().and_then(|i| i.parse().ok()).unwrap_or(0);
         let gang = spec_number(spec, "gang");
