--- a/review/standin/advice.rs
+++ b/review/standin/advice.rs
@@ -2,12 +2,17 @@
 
 use std::collections::HashMap;
 use std::io::BufReader;
-use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Condvar, Mutex};
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::http::{read_request, write_response};
+use crate::http::read_request;
+use crate::http::write_response;
 use crate::json::Json;
 use crate::worker::Record;
 
@@ -23,7 +28,11 @@
 impl Tickets {
     pub fn allows(&self, step: &str, worker: &str, ticket: &str) -> bool {
         let key = (step.to_owned(), worker.to_owned(), ticket.to_owned());
-        self.0.lock().unwrap().get(&key).is_some_and(|until| Instant::now() < *until)
+        self.0
+            .lock()
+            .unwrap()
+            .get(&key)
+            .is_some_and(|until| Instant::now() < *until)
     }
 }
 
@@ -44,8 +53,11 @@
     let (record, tickets) = (Arc::clone(record), Arc::clone(tickets));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (turns, record, tickets) =
-                (Arc::clone(&turns), Arc::clone(&record), Arc::clone(&tickets));
+            let (turns, record, tickets) = (
+                Arc::clone(&turns),
+                Arc::clone(&record),
+                Arc::clone(&tickets),
+            );
             thread::spawn(move || {
                 let Ok(mut writer) = stream.try_clone() else {
                     return;
@@ -66,8 +78,13 @@
 
 fn advise(body: &str, turns: &Turns, record: &Record, tickets: &Tickets) -> (u16, String) {
     let parsed = Json::parse(body);
-    let step = parsed.as_ref().and_then(|body| body.text("Phase")).map(str::to_owned);
-    let workers = parsed.as_ref().and_then(|body| body.get("Workers").cloned());
+    let step = parsed
+        .as_ref()
+        .and_then(|body| body.text("Phase"))
+        .map(str::to_owned);
+    let workers = parsed
+        .as_ref()
+        .and_then(|body| body.get("Workers").cloned());
     let (Some(step), Some(Json::List(workers))) = (step, workers) else {
         return (400, String::new());
     };
@@ -78,12 +95,17 @@
     }
     let turn = state.0;
     state.0 += 1;
-    record.line(format!("advice on {step} is asked, {} calls before it", turn - state.1));
+    record.line(format!(
+        "advice on {step} is asked, {} calls before it",
+        turn - state.1
+    ));
     while state.1 != turn {
         state = turns.served.wait(state).unwrap();
     }
     drop(state);
-    thread::sleep(Duration::from_millis(DECISION_MS + INTERVAL_MS * workers.len() as u64));
+    thread::sleep(Duration::from_millis(
+        DECISION_MS + INTERVAL_MS * workers.len() as u64,
+    ));
     let until = Instant::now() + Duration::from_millis(VALIDITY_MS);
     let mut good = Vec::new();
     for worker in &workers {
@@ -95,8 +117,17 @@
         let key = (step.clone(), worker.clone(), ticket);
         tickets.0.lock().unwrap().insert(key, until);
     }
-    record.line(format!("advice on {step} is given for {} workers", good.len()));
+    record.line(format!(
+        "advice on {step} is given for {} workers",
+        good.len()
+    ));
     turns.turns.lock().unwrap().1 += 1;
     turns.served.notify_all();
-    (200, format!("{{\"Good\":[{}],\"ValidityMs\":{VALIDITY_MS}}}", good.join(",")))
+    (
+        200,
+        format!(
+            "{{\"Good\":[{}],\"ValidityMs\":{VALIDITY_MS}}}",
+            good.join(",")
+        ),
+    )
 }
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -4,7 +4,10 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::cell::{Cell, SIGCONT, SIGSTOP, WORKERS};
+use crate::cell::Cell;
+use crate::cell::SIGCONT;
+use crate::cell::SIGSTOP;
+use crate::cell::WORKERS;
 use crate::worker::RunSeen;
 
 /// Runs a case; returns whether the rule held.
@@ -22,7 +25,12 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
-fn finish(cell: &Cell, record: &str, mut summary: Vec<String>, breaks: &[String]) -> Result<bool, String> {
+fn finish(
+    cell: &Cell,
+    record: &str,
+    mut summary: Vec<String>,
+    breaks: &[String],
+) -> Result<bool, String> {
     summary.push(format!("{} breaks of the rule", breaks.len()));
     summary.extend(breaks.iter().cloned());
     cell.write_record(record, &summary)?;
@@ -100,8 +108,14 @@
     thread::sleep(rest);
     let runs = cell.record.runs.lock().unwrap().clone();
     let breaks = overlaps(&runs, cell.record.now_ms());
-    let mut summary = vec![format!("{} jobs accepted, {} runs", accepted.len(), runs.len())];
-    let open = accepted.iter().filter(|(job, lasts)| !lasts && cell.state(*job).as_deref() != Some("completed"));
+    let mut summary = vec![format!(
+        "{} jobs accepted, {} runs",
+        accepted.len(),
+        runs.len()
+    )];
+    let open = accepted
+        .iter()
+        .filter(|(job, lasts)| !lasts && cell.state(*job).as_deref() != Some("completed"));
     summary.push(format!("{} finite jobs not completed", open.count()));
     finish(&cell, record, summary, &breaks)
 }
@@ -112,7 +126,8 @@
     let cell = Cell::start(2)?;
     let job = 0x2000_0000_0000_0001;
     let task = format!("{job:016x}.0.0.0");
-    let body = "{\"Spec\":\"ms=5000;gang=2;fail=1000;only=0\",\"Phases\":[{\"Count\":2,\"Cpu\":500,\
+    let body =
+        "{\"Spec\":\"ms=5000;gang=2;fail=1000;only=0\",\"Phases\":[{\"Count\":2,\"Cpu\":500,\
                 \"MemMb\":64,\"EstimateMs\":5000,\"Gang\":true,\"AntiAffinity\":1}]}";
     if !cell.submit(job, body) {
         return Err("the job was not accepted".to_owned());
@@ -120,16 +135,20 @@
     let first = (0..200).find_map(|_| {
         sleep_ms(10);
         let runs = cell.record.runs.lock().unwrap();
-        runs.iter().find(|run| run.task == task).map(|run| run.worker)
+        runs.iter()
+            .find(|run| run.task == task)
+            .map(|run| run.worker)
     });
     let worker = first.ok_or("the gang did not start")?;
     if trouble {
         sleep_ms(400);
-        cell.record.line(format!("{} is frozen", cell.agents[worker].name));
+        cell.record
+            .line(format!("{} is frozen", cell.agents[worker].name));
         cell.agents[worker].signal(SIGSTOP);
         sleep_ms(1_200);
         cell.agents[worker].signal(SIGCONT);
-        cell.record.line(format!("{} wakes", cell.agents[worker].name));
+        cell.record
+            .line(format!("{} wakes", cell.agents[worker].name));
     }
     sleep_ms(14_000);
     let state = cell.state(job);
@@ -145,7 +164,12 @@
             breaks.push(format!("BUDGET: run {} of {task} starts after {failed} runs have ended failed, MaxAttempts is 2", start.run));
         }
     }
-    let summary = vec![format!("the job is shown as {state:?}; {} runs of its tasks", runs.iter().filter(|r| r.task.starts_with(&format!("{job:016x}"))).count())];
+    let summary = vec![format!(
+        "the job is shown as {state:?}; {} runs of its tasks",
+        runs.iter()
+            .filter(|r| r.task.starts_with(&format!("{job:016x}")))
+            .count()
+    )];
     finish(&cell, record, summary, &breaks)
 }
 
@@ -193,7 +217,11 @@
     sleep_ms(30_000);
     let state = cell.state(poison);
     let waited = cell.record.now_ms() - handed_in;
-    let running: usize = cell.workers.iter().map(|worker| worker.running().len()).sum();
+    let running: usize = cell
+        .workers
+        .iter()
+        .map(|worker| worker.running().len())
+        .sum();
     let runs = cell.record.runs.lock().unwrap().clone();
     let mut breaks = Vec::new();
     for job in &later {
@@ -204,7 +232,11 @@
         }
     }
     let summary = vec![
-        format!("{} jobs before and {} jobs after the job that can't be done were accepted", accepted.len(), later.len()),
+        format!(
+            "{} jobs before and {} jobs after the job that can't be done were accepted",
+            accepted.len(),
+            later.len()
+        ),
         format!("the job that can't be done is shown as {state:?}"),
         format!("{running} tasks run on {WORKERS} workers of 16000 Cpu each, of 1000 Cpu each"),
     ];
@@ -232,7 +264,10 @@
         at_ms += if in_burst { burst_ms } else { usual_ms };
         thread::sleep(Duration::from_millis(at_ms).saturating_sub(began.elapsed()));
     }
-    let accepted: Vec<u64> = clients.into_iter().filter_map(|client| client.join().ok()?).collect();
+    let accepted: Vec<u64> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok()?)
+        .collect();
     // `finish_s` is 14.
     sleep_ms(20_000);
     let runs = cell.record.runs.lock().unwrap().clone();
@@ -244,7 +279,14 @@
             breaks.push(format!("LOST: job {prefix} was accepted, is {state:?} 20 s after the end of the traffic and has never started"));
         }
     }
-    let running: usize = cell.workers.iter().map(|worker| worker.running().len()).sum();
-    let summary = vec![format!("{} jobs accepted; {running} tasks run on {WORKERS} workers at the end", accepted.len())];
+    let running: usize = cell
+        .workers
+        .iter()
+        .map(|worker| worker.running().len())
+        .sum();
+    let summary = vec![format!(
+        "{} jobs accepted; {running} tasks run on {WORKERS} workers at the end",
+        accepted.len()
+    )];
     finish(&cell, record, summary, &breaks)
 }
--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -1,17 +1,27 @@
 //! Processes under test: their settings, start, signals and end; and the operator and clients.
 
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::http::{call, Response};
+use crate::advice;
+use crate::advice::Tickets;
+use crate::http::call;
+use crate::http::Response;
 use crate::json::Json;
-use crate::advice::{self, Tickets};
-use crate::worker::{Gangs, Record, Worker};
+use crate::worker::Gangs;
+use crate::worker::Record;
+use crate::worker::Worker;
 
 pub const PROGRAM: &str = "target/release/guavavane-platform";
 pub const WORKERS: usize = 8;
@@ -35,7 +45,10 @@
 
 impl Process {
     pub fn start(&mut self) -> std::io::Result<()> {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let child = Command::new(PROGRAM)
             .arg(self.role)
             .env("GUAVAVANE_CONFIG", &self.settings)
@@ -96,7 +109,9 @@
         let octets = [10, 11, 12, 30, 31, 50, 57, 70, 77, 90];
         octets.iter().all(|octet| {
             let ports = [9464, 27720, 27721, 27722, 27723, 27724, 27725];
-            ports.iter().all(|port| TcpListener::bind((ip(*subnet, *octet), *port)).is_ok())
+            ports
+                .iter()
+                .all(|port| TcpListener::bind((ip(*subnet, *octet), *port)).is_ok())
         })
     })
 }
@@ -157,7 +172,8 @@
                 &gangs,
                 &tickets,
             );
-            self.workers.push(worker.map_err(|error| error.to_string())?);
+            self.workers
+                .push(worker.map_err(|error| error.to_string())?);
         }
         self.put_config(1, attempts)?;
         self.await_workers()
@@ -173,8 +189,9 @@
         let subnet = self.subnet;
         let own = ip(subnet, octet + number);
         let name = format!("{class}-{}-{}", ZONES[number % 3], number / 3 + 1);
-        let seeds: Vec<String> =
-            (0..CONTROLS).map(|seed| format!("\"{}:27721\"", ip(subnet, 10 + seed))).collect();
+        let seeds: Vec<String> = (0..CONTROLS)
+            .map(|seed| format!("\"{}:27721\"", ip(subnet, 10 + seed)))
+            .collect();
         let settings = self.folder.join(format!("{name}.toml"));
         let zone = ZONES[number % 3];
         let mut text = format!(
@@ -194,9 +211,8 @@
                 text += &format!("[Listen]\nControlAddr = \"{own}:27721\"\n");
             }
             "entry" => {
-                text += &format!(
-                    "[Listen]\nFront = \"{own}:27722\"\nReadyAddr = \"{own}:27723\"\n"
-                );
+                text +=
+                    &format!("[Listen]\nFront = \"{own}:27722\"\nReadyAddr = \"{own}:27723\"\n");
             }
             _ => {
                 let worker = ip(subnet, 70 + number);
@@ -211,7 +227,13 @@
                  ImpactMs = 4000\n";
         fs::write(&settings, text).map_err(|error| error.to_string())?;
         let log = self.folder.join(format!("{name}.log"));
-        let mut process = Process { name, role, settings, log, child: None };
+        let mut process = Process {
+            name,
+            role,
+            settings,
+            log,
+            child: None,
+        };
         process.start().map_err(|error| error.to_string())?;
         Ok(process)
     }
@@ -243,15 +265,22 @@
                 let response = call(address, "POST", "control", "/Config.Put", &body, second);
                 match response {
                     Some(Response { status: 200, .. }) => {
-                        self.record.line(format!("configuration {version} is acknowledged"));
+                        self.record
+                            .line(format!("configuration {version} is acknowledged"));
                         return Ok(());
                     }
                     Some(response) if response.status == 307 => {
-                        let location = response.headers.iter().find(|(n, _)| {
-                            n.eq_ignore_ascii_case("location")
-                        });
+                        let location = response
+                            .headers
+                            .iter()
+                            .find(|(n, _)| n.eq_ignore_ascii_case("location"));
                         let next = location.and_then(|(_, value)| {
-                            value.strip_prefix("http://")?.split('/').next()?.parse().ok()
+                            value
+                                .strip_prefix("http://")?
+                                .split('/')
+                                .next()?
+                                .parse()
+                                .ok()
                         });
                         match next {
                             Some(next) => address = next,
@@ -304,14 +333,16 @@
             let entry = self.front(job as usize + attempt);
             let response = call(entry, method, "slip.example", &path, body, wait);
             let shown = response.as_ref().map(|r| (r.status, r.body.clone()));
-            self.record.line(format!("client {method} {job:016x} {body} -> {shown:?}"));
+            self.record
+                .line(format!("client {method} {job:016x} {body} -> {shown:?}"));
             response.filter(|response| response.status < 500 && response.status != 429)
         })
     }
 
     /// Submits a job as a client does; returns whether it was accepted.
     pub fn submit(&self, job: u64, body: &str) -> bool {
-        self.client("POST", job, body).is_some_and(|response| response.status == 200)
+        self.client("POST", job, body)
+            .is_some_and(|response| response.status == 200)
     }
 
     /// State of a job as its client sees it.
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -1,7 +1,11 @@
 //! HTTP/1.1 client and server.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::time::Duration;
 
 pub struct Request {
@@ -12,7 +16,10 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 }
@@ -38,7 +45,9 @@
 }
 
 fn read_body(reader: &mut impl Read, headers: &[(String, String)]) -> Option<String> {
-    let length = headers.iter().find(|(n, _)| n.eq_ignore_ascii_case("content-length"));
+    let length = headers
+        .iter()
+        .find(|(n, _)| n.eq_ignore_ascii_case("content-length"));
     let length: usize = length.map_or(Some(0), |(_, value)| value.parse().ok())?;
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
@@ -51,7 +60,11 @@
     let mut words = first.split(' ');
     let path = words.nth(1)?.to_owned();
     let body = read_body(reader, &headers)?;
-    Some(Request { path, headers, body })
+    Some(Request {
+        path,
+        headers,
+        body,
+    })
 }
 
 pub fn write_response(stream: &mut TcpStream, status: u16, body: &str) -> std::io::Result<()> {
@@ -91,5 +104,9 @@
     let (first, headers) = read_headers(&mut reader)?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
     let body = read_body(&mut reader, &headers)?;
-    Some(Response { status, headers, body })
+    Some(Response {
+        status,
+        headers,
+        body,
+    })
 }
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -12,7 +12,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.space();
         (reader.at == reader.bytes.len()).then_some(value)
@@ -104,7 +107,11 @@
             }
             _ => {
                 let begin = self.at;
-                while self.bytes.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[begin..self.at]).ok()?;
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -3,15 +3,27 @@
 //! `Spec` tells what the tasks of a job do: `ms=N` work for N ms, `lasts=1` run until stopped,
 //! `fail=N` fail after N ms, `only=I` of these the task with index I, `gang=N` gang of N members.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::io::BufReader;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use crate::advice::Tickets;
-use crate::http::{call, read_request, write_response, Request};
+use crate::http::call;
+use crate::http::read_request;
+use crate::http::write_response;
+use crate::http::Request;
 use crate::json::Json;
 
 pub const MAX_HOLD_MS: u64 = 6_000;
@@ -44,7 +56,11 @@
 
 impl Record {
     pub fn new() -> Arc<Self> {
-        Arc::new(Self { began: Instant::now(), lines: Mutex::default(), runs: Mutex::default() })
+        Arc::new(Self {
+            began: Instant::now(),
+            lines: Mutex::default(),
+            runs: Mutex::default(),
+        })
     }
 
     pub fn now_ms(&self) -> u64 {
@@ -211,7 +227,11 @@
             runs[run.seen].how = "crash";
         }
         drop(runs);
-        self.record.line(format!("worker {} crashes with {} runs", self.index, life.running.len()));
+        self.record.line(format!(
+            "worker {} crashes with {} runs",
+            self.index,
+            life.running.len()
+        ));
     }
 
     /// The worker starts again under its id; it knows nothing of before.
@@ -222,7 +242,10 @@
         for stream in self.connections.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
-        self.record.line(format!("worker {} starts again, life {}", self.index, life.number));
+        self.record.line(format!(
+            "worker {} starts again, life {}",
+            self.index, life.number
+        ));
         drop(life);
         *self.down.lock().unwrap() = false;
         self.beat();
@@ -249,7 +272,14 @@
             )
         };
         let path = format!("/Instances.Heartbeat/{}", self.id);
-        let _ = call(self.agent, "POST", "agent", &path, &body, Duration::from_secs(1));
+        let _ = call(
+            self.agent,
+            "POST",
+            "agent",
+            &path,
+            &body,
+            Duration::from_secs(1),
+        );
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -279,7 +309,10 @@
     }
 
     fn answer(&self, request: &Request) -> (u16, String) {
-        if request.header("X-Guavavane-Expect-Instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("X-Guavavane-Expect-Instance")
+            .is_some_and(|id| id != self.id)
+        {
             return (421, String::new());
         }
         let Some(body) = Json::parse(&request.body) else {
@@ -299,7 +332,8 @@
                 let (Some(task), Some(run)) = (body.text("Task"), body.number("Run")) else {
                     return (400, String::new());
                 };
-                self.record.line(format!("worker {} stop {task} run {run}", self.index));
+                self.record
+                    .line(format!("worker {} stop {task} run {run}", self.index));
                 let ended = life.ended.entry(task.to_owned()).or_insert(0);
                 *ended = (*ended).max(run);
                 if let Some(running) = life.running.get_mut(task).filter(|r| r.run <= run) {
@@ -343,15 +377,25 @@
         };
         let clock = life.clock_ms();
         let refuse = |reason: &str| {
-            self.record.line(format!("worker {} refuses {task} run {run}: {reason}", self.index));
-            (409, format!("{{\"ClockMs\":{clock},\"Reason\":\"{reason}\"}}"))
+            self.record.line(format!(
+                "worker {} refuses {task} run {run}: {reason}",
+                self.index
+            ));
+            (
+                409,
+                format!("{{\"ClockMs\":{clock},\"Reason\":\"{reason}\"}}"),
+            )
         };
         let deadline = body.number("DeadlineMs").unwrap_or(0);
         if deadline <= clock {
             return refuse("late");
         }
         life.extend(Some(deadline));
-        if life.running.get(task).is_some_and(|running| running.run == run) {
+        if life
+            .running
+            .get(task)
+            .is_some_and(|running| running.run == run)
+        {
             return (200, format!("{{\"ClockMs\":{clock}}}"));
         }
         if life.running.contains_key(task) || life.ended.get(task).is_some_and(|e| run <= *e) {
@@ -362,7 +406,11 @@
             return refuse("ticket");
         }
         let only = spec_number(spec, "only");
-        let index: u64 = task.rsplit('.').next().and_then(|i| i.parse().ok()).unwrap_or(0);
+        let index: u64 = task
+            .rsplit('.')
+            .next()
+            .and_then(|i| i.parse().ok())
+            .unwrap_or(0);
         let gang = spec_number(spec, "gang");
         let mut runs = self.record.runs.lock().unwrap();
         let seen = runs.len();
@@ -377,7 +425,10 @@
             noted_ms: None,
         });
         drop(runs);
-        self.record.line(format!("worker {} life {} starts {task} run {run}", self.index, life.number));
+        self.record.line(format!(
+            "worker {} life {} starts {task} run {run}",
+            self.index, life.number
+        ));
         if let Some(size) = gang {
             let mut gangs = self.gangs.0.lock().unwrap();
             let gang = gangs.entry((step_of(task), run)).or_insert(Gang {
@@ -412,7 +463,11 @@
         let lapsed = life.clock_ms() > life.lease_until_ms;
         let mut ends: Vec<(String, &'static str)> = Vec::new();
         for (task, run) in &life.running {
-            let how = if lapsed { Some("lapsed") } else { self.end_of(task, run) };
+            let how = if lapsed {
+                Some("lapsed")
+            } else {
+                self.end_of(task, run)
+            };
             if let Some(how) = how {
                 ends.push((task.clone(), how));
             }
@@ -432,12 +487,21 @@
             *ended = (*ended).max(run.run);
             let number = life.next_number;
             life.next_number += 1;
-            self.record.line(format!("worker {} {task} run {} ends {how}", self.index, run.run));
+            self.record.line(format!(
+                "worker {} {task} run {} ends {how}",
+                self.index, run.run
+            ));
             let mut runs = self.record.runs.lock().unwrap();
             runs[run.seen].ended_ms = Some(now);
             runs[run.seen].how = how;
             drop(runs);
-            life.finished.push(Finished { number, task, run: run.run, how, seen: run.seen });
+            life.finished.push(Finished {
+                number,
+                task,
+                run: run.run,
+                how,
+                seen: run.seen,
+            });
             self.ends.notify_all();
         }
     }
@@ -469,12 +533,17 @@
     /// Tasks that run now.
     pub fn running(&self) -> Vec<(String, u64)> {
         let life = self.life.lock().unwrap();
-        life.running.iter().map(|(task, run)| (task.clone(), run.run)).collect()
+        life.running
+            .iter()
+            .map(|(task, run)| (task.clone(), run.run))
+            .collect()
     }
 }
 
 fn step_of(task: &str) -> String {
-    task.rsplit_once('.').map_or("", |(step, _)| step).to_owned()
+    task.rsplit_once('.')
+        .map_or("", |(step, _)| step)
+        .to_owned()
 }
 
 fn lists(life: &Life) -> String {
@@ -487,7 +556,12 @@
         .finished
         .iter()
         .take(500)
-        .map(|end| format!("[{},\"{}\",{},\"{}\",\"\"]", end.number, end.task, end.run, end.how))
+        .map(|end| {
+            format!(
+                "[{},\"{}\",{},\"{}\",\"\"]",
+                end.number, end.task, end.run, end.how
+            )
+        })
         .collect();
     format!(
         "{{\"ClockMs\":{},\"born\":{},\"Running\":[{}],\"Finished\":[{}]}}",
