--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -72,6 +72,83 @@
     found
 }
 
+/// Accepted job of one step, with the demand of each of its tasks.
+#[derive(Clone, Copy)]
+struct Demand {
+    job: u64,
+    tasks: u64,
+    cpu: u64,
+    mem_mb: u64,
+}
+
+/// Time from the end of the traffic until jobs are asked for (`finish_s`).
+const FINISH_MS: u64 = 14_000;
+/// Time for which a job has nothing running.
+const IDLE_MS: u64 = 3_000;
+const WORKER_CPU: u64 = 16_000;
+const WORKER_MEM_MB: u64 = 64_000;
+
+/// LOST, `FINISH_MS` after the end of the traffic, which is now: jobs that aren't known or get no
+/// answer, and jobs that for `IDLE_MS` have nothing running, though they haven't ended, there is room
+/// for all of their tasks twice over, and under half of the workers is in use.
+fn lost_jobs(cell: &Cell, demands: &[Demand], summary: &mut Vec<String>) -> Vec<String> {
+    sleep_ms(FINISH_MS);
+    let before: Vec<Option<String>> = demands.iter().map(|d| cell.state(d.job)).collect();
+    let mut idle = vec![true; demands.len()];
+    let mut most_in_use = 0.0_f64;
+    let began_ms = cell.record.now_ms();
+    while cell.record.now_ms() < began_ms + IDLE_MS + 100 {
+        let mut runs = vec![0_u64; demands.len()];
+        let mut free = Vec::new();
+        for worker in &cell.workers {
+            let (mut cpu, mut mem_mb) = (WORKER_CPU, WORKER_MEM_MB);
+            for (task, _) in worker.running() {
+                let job = task.split('.').next();
+                let job = job.and_then(|job| u64::from_str_radix(job, 16).ok());
+                if let Some(number) = demands.iter().position(|d| Some(d.job) == job) {
+                    runs[number] += 1;
+                    cpu = cpu.saturating_sub(demands[number].cpu);
+                    mem_mb = mem_mb.saturating_sub(demands[number].mem_mb);
+                }
+            }
+            free.push((cpu, mem_mb));
+        }
+        let share = |free: u64, total: u64| 1.0 - free as f64 / (total * WORKERS as u64) as f64;
+        let cpu_share = share(free.iter().map(|(cpu, _)| cpu).sum(), WORKER_CPU);
+        let mem_share = share(free.iter().map(|(_, mem)| mem).sum(), WORKER_MEM_MB);
+        let in_use = cpu_share.max(mem_share);
+        most_in_use = most_in_use.max(in_use);
+        for (number, demand) in demands.iter().enumerate() {
+            let room = free
+                .iter()
+                .map(|(cpu, mem_mb)| (cpu / demand.cpu).min(mem_mb / demand.mem_mb));
+            let has_room = room.sum::<u64>() >= 2 * demand.tasks;
+            idle[number] &= runs[number] == 0 && has_room && in_use < 0.5;
+        }
+        sleep_ms(20);
+    }
+    summary.push(format!(
+        "most of the capacity in use in these {IDLE_MS} ms: {:.3}",
+        most_in_use
+    ));
+    let has_ended = |state: &Option<String>| {
+        matches!(state.as_deref(), Some("completed" | "failed" | "cancelled"))
+    };
+    let mut breaks = Vec::new();
+    for (number, demand) in demands.iter().enumerate() {
+        let after = cell.state(demand.job);
+        let job = format!("{:016x}", demand.job);
+        if after.is_none() {
+            breaks.push(format!("LOST: job {job} isn't known or gets no answer"));
+        } else if idle[number] && !has_ended(&before[number]) && !has_ended(&after) {
+            breaks.push(format!(
+                "LOST: job {job} is shown as {after:?} and has nothing running for {IDLE_MS} ms"
+            ));
+        }
+    }
+    breaks
+}
+
 /// A worker falls silent, crashes and starts again under its id, while jobs come.
 fn reborn(trouble: bool, record: &str) -> Result<bool, String> {
     let cell = Cell::start(3)?;
@@ -186,12 +263,23 @@
         return Err("the lasting job was not accepted".to_owned());
     }
     sleep_ms(1_500);
-    let mut accepted = Vec::new();
+    let mut demands = vec![Demand {
+        job: lasting,
+        tasks: WORKERS as u64,
+        cpu: 1_000,
+        mem_mb: 1_000,
+    }];
+    let small = |job, tasks| Demand {
+        job,
+        tasks,
+        cpu: 240,
+        mem_mb: 480,
+    };
     let good = "{\"Spec\":\"ms=500\",\"Phases\":[{\"Count\":6,\"Cpu\":240,\"MemMb\":480,\"EstimateMs\":500}]}";
     for number in 0..20_u64 {
         let job = 0x3000_0000_0000_0100 + number;
         if cell.submit(job, good) {
-            accepted.push(job);
+            demands.push(small(job, 6));
         }
         sleep_ms(100);
     }
@@ -204,42 +292,17 @@
     if !cell.submit(poison, &body) {
         return Err("the job that can't be done was not accepted".to_owned());
     }
+    demands.push(small(poison, 36));
     sleep_ms(2_500);
-    let mut later = Vec::new();
     for number in 0..10_u64 {
         let job = 0x3000_0000_0000_0300 + number;
         if cell.submit(job, good) {
-            later.push(job);
+            demands.push(small(job, 6));
         }
         sleep_ms(100);
     }
-    let handed_in = cell.record.now_ms();
-    sleep_ms(30_000);
-    let state = cell.state(poison);
-    let waited = cell.record.now_ms() - handed_in;
-    let running: usize = cell
-        .workers
-        .iter()
-        .map(|worker| worker.running().len())
-        .sum();
-    let runs = cell.record.runs.lock().unwrap().clone();
-    let mut breaks = Vec::new();
-    for job in &later {
-        let prefix = format!("{job:016x}");
-        if !runs.iter().any(|run| run.task.starts_with(&prefix)) {
-            let state = cell.state(*job);
-            breaks.push(format!("LOST: job {prefix} was accepted, is {state:?} {waited} ms later and has never started"));
-        }
-    }
-    let summary = vec![
-        format!(
-            "{} jobs before and {} jobs after the job that can't be done were accepted",
-            accepted.len(),
-            later.len()
-        ),
-        format!("the job that can't be done is shown as {state:?}"),
-        format!("{running} tasks run on {WORKERS} workers of 16000 Cpu each, of 1000 Cpu each"),
-    ];
+    let mut summary = vec![format!("{} jobs were accepted", demands.len())];
+    let breaks = lost_jobs(&cell, &demands, &mut summary);
     finish(&cell, record, summary, &breaks)
 }
 
@@ -268,25 +331,16 @@
         .into_iter()
         .filter_map(|client| client.join().ok()?)
         .collect();
-    // `finish_s` is 14.
-    sleep_ms(20_000);
-    let runs = cell.record.runs.lock().unwrap().clone();
-    let mut breaks = Vec::new();
-    for job in &accepted {
-        let prefix = format!("{job:016x}");
-        if !runs.iter().any(|run| run.task.starts_with(&prefix)) {
-            let state = cell.state(*job);
-            breaks.push(format!("LOST: job {prefix} was accepted, is {state:?} 20 s after the end of the traffic and has never started"));
-        }
-    }
-    let running: usize = cell
-        .workers
+    let demands: Vec<Demand> = accepted
         .iter()
-        .map(|worker| worker.running().len())
-        .sum();
-    let summary = vec![format!(
-        "{} jobs accepted; {running} tasks run on {WORKERS} workers at the end",
-        accepted.len()
-    )];
+        .map(|job| Demand {
+            job: *job,
+            tasks: 4,
+            cpu: 500,
+            mem_mb: 480,
+        })
+        .collect();
+    let mut summary = vec![format!("{} jobs were accepted", accepted.len())];
+    let breaks = lost_jobs(&cell, &demands, &mut summary);
     finish(&cell, record, summary, &breaks)
 }
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -43,7 +43,7 @@
     pub began_ms: u64,
     pub ended_ms: Option<u64>,
     pub how: &'static str,
-    /// Time at which `LastSeen` reached its end.
+    /// Time at which `LastSeen` reached its end; none also if the lease of the worker lapsed between.
     pub noted_ms: Option<u64>,
 }
 
@@ -99,6 +99,8 @@
     run: u64,
     how: &'static str,
     seen: usize,
+    /// Whether the lease lapsed since the end.
+    lapsed: bool,
 }
 
 /// One life of a worker.
@@ -348,7 +350,9 @@
                 let now = self.record.now_ms();
                 let mut runs = self.record.runs.lock().unwrap();
                 for end in life.finished.iter().filter(|end| end.number <= last_seen) {
-                    runs[end.seen].noted_ms.get_or_insert(now);
+                    if !end.lapsed {
+                        runs[end.seen].noted_ms.get_or_insert(now);
+                    }
                 }
                 drop(runs);
                 life.finished.retain(|end| end.number > last_seen);
@@ -461,6 +465,9 @@
         }
         let mut life = self.life.lock().unwrap();
         let lapsed = life.clock_ms() > life.lease_until_ms;
+        if lapsed {
+            life.finished.iter_mut().for_each(|end| end.lapsed = true);
+        }
         let mut ends: Vec<(String, &'static str)> = Vec::new();
         for (task, run) in &life.running {
             let how = if lapsed {
@@ -501,6 +508,7 @@
                 run: run.run,
                 how,
                 seen: run.seen,
+                lapsed: false,
             });
             self.ends.notify_all();
         }
