Jobs: a worker on probation gets a trial each second, whatever it holds

Cause: after three failures in a row a worker got a task only if it held no run at all (`is_feasible`), and only a success there ended that. A job that fails everywhere puts all workers into this state, and a long-running task never ends, so nothing that could succeed was ever started.

Change: the probation is a state of its own (`plan::probation`). A start on such a worker is a trial. The next one is due when the worker holds no finite run any more, as before, or one second after the trial or the latest failure, whatever still runs. Members of one gang are one trial: a gang wider than the cell could never start. New event worker_probation and gauge workers_on_probation.

--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -197,10 +197,8 @@
     /// Orders committed starts. A ticket may have expired before the commit: the worker would refuse
     /// the start, so its agent is told to stop the run instead, which withdraws it.
     fn order_committed_starts(&mut self, committed: &[&StartChoice]) {
-        let now = BootClock.now();
         if let Some(state) = &mut self.leader_state {
-            let ordered = committed.iter().map(|choice| (choice.task, choice.run));
-            state.ordered_at.extend(ordered.map(|run| (run, now)));
+            state.record_starts(BootClock.now(), committed);
         }
         // An agent throttles a task of an image that it knows nothing of as one that interferes
         // strongly, so the estimates go first.
--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -27,6 +27,7 @@
 use guavavane_jobs::plan::interference::UtilisationSample;
 use guavavane_jobs::plan::order::step_rank;
 use guavavane_jobs::plan::pass::PassInput;
+use guavavane_jobs::plan::probation::WorkerProbation;
 use guavavane_jobs::plan::slack::RunTimes;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
@@ -34,6 +35,7 @@
 use guavavane_jobs::prelude::RunCompletion;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::RunOutcome;
+use guavavane_jobs::prelude::StartChoice;
 use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerKey;
@@ -54,8 +56,8 @@
     /// Time at which the agent's lease has certainly expired, and all runs on the worker have
     /// stopped, unless the agent reconnects.
     pub(super) lease_expires_at: BootTime,
-    /// Number of failed runs since the last successful one.
-    pub(super) consecutive_failures: u32,
+    /// Failures and trials of the worker.
+    pub(super) probation: WorkerProbation,
     /// Highest utilisation of each latency-critical image, from 0 to 1.
     pub(super) utilisations: IndexMap<Arc<str>, f64>,
     /// Best-effort load beside which `utilisations` was measured.
@@ -70,7 +72,7 @@
             silent: false,
             epoch: 0,
             lease_expires_at,
-            consecutive_failures: 0,
+            probation: WorkerProbation::default(),
             utilisations: IndexMap::new(),
             observed_load: BestEffortLoad::new(),
         }
@@ -209,7 +211,7 @@
         };
         WorkerCondition {
             schedulable: self.worker_answers(index) && !worker.draining,
-            consecutive_failures: worker.consecutive_failures,
+            probation: worker.probation,
             utilisations: worker.utilisations.clone(),
             observed_load: worker.observed_load.clone(),
         }
@@ -281,13 +283,53 @@
             {
                 self.run_times.learn(&queue, now.saturating_since(at));
             }
-            let Some(worker) = self.worker_mut(index) else {
-                continue;
-            };
-            match completion.outcome {
-                RunOutcome::Failed => worker.consecutive_failures += 1,
-                RunOutcome::Done => worker.consecutive_failures = 0,
-                _ => {}
+            self.record_outcome(now, index, completion.outcome);
+        }
+        self.end_idle_trial(index, ledger);
+    }
+
+    /// Counts the outcome of a run on a worker.
+    fn record_outcome(&mut self, now: BootTime, index: WorkerIndex, outcome: RunOutcome) {
+        let Some(worker) = self.worker_mut(index) else {
+            return;
+        };
+        let was_active = worker.probation.is_active();
+        match outcome {
+            RunOutcome::Failed => worker.probation.record_failure(now),
+            RunOutcome::Done => worker.probation.record_success(),
+            _ => {}
+        }
+        let probation = worker.probation;
+        if probation.is_active() != was_active {
+            let (active, failures) = (probation.is_active(), probation.consecutive_failures());
+            tracing::info!(
+                event = "worker_probation",
+                worker = index.0,
+                active,
+                failures
+            );
+        }
+    }
+
+    /// Ends the trial of a worker that holds no finite run any more.
+    fn end_idle_trial(&mut self, index: WorkerIndex, ledger: &JobLedger) {
+        let Some(worker) = self.workers.get_mut(&index) else {
+            return;
+        };
+        let runs = ledger.worker(index).map(|record| &record.runs);
+        let mut runs = runs.into_iter().flat_map(|runs| runs.values());
+        if worker.probation.is_active() && runs.all(|run| run.long_running) {
+            worker.probation.end_trial();
+            self.capacities.mark_changed(index);
+        }
+    }
+
+    /// Records committed starts: their times, and the trials of workers on probation.
+    pub(super) fn record_starts(&mut self, now: BootTime, committed: &[&StartChoice]) {
+        for choice in committed {
+            self.ordered_at.insert((choice.task, choice.run), now);
+            if let Some(worker) = self.workers.get_mut(&choice.worker) {
+                worker.probation.record_start(now);
             }
         }
     }
@@ -316,6 +358,10 @@
         &self.interference
     }
 
+    fn now(&self) -> BootTime {
+        BootClock.now()
+    }
+
     fn time_of_day_ms(&self) -> u64 {
         time_of_day_ms()
     }
--- a/crates/guavavane_cell/src/control/maintenance.rs
+++ b/crates/guavavane_cell/src/control/maintenance.rs
@@ -49,6 +49,12 @@
         metric::set_gauge("jobs", jobs);
         metric::set_gauge("waiting_tasks", waiting);
         metric::set_gauge("workers", workers);
+        let states = self
+            .leader_state
+            .iter()
+            .flat_map(|state| state.workers.values());
+        let on_probation = states.filter(|worker| worker.probation.is_active());
+        metric::set_gauge("workers_on_probation", on_probation.count());
     }
 
     /// Releases the occurrences of scheduled jobs whose time has come.
--- a/crates/guavavane_jobs/examples/pass_rate.rs
+++ b/crates/guavavane_jobs/examples/pass_rate.rs
@@ -27,6 +27,7 @@
 use guavavane_jobs::plan::pass::PassInput;
 use guavavane_jobs::plan::slack::RunTimes;
 use guavavane_jobs::prelude::*;
+use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::ResourceVector;
 use guavavane_quorum::prelude::LogIndex;
 use guavavane_quorum::prelude::StateMachine;
@@ -64,6 +65,10 @@
         &self.interference
     }
 
+    fn now(&self) -> BootTime {
+        BootTime::default()
+    }
+
     fn time_of_day_ms(&self) -> u64 {
         0
     }
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -3,8 +3,8 @@
 //! The leader runs a scheduling pass ([`pass`]): it orders the waiting steps ([`order`]) by
 //! deadlines from estimated run times ([`slack`]) and chooses a worker for each task
 //! (`placement`) by the capacity of each worker ([`capacity`]), which [`capacity_table`] keeps up to
-//! date. [`advice`] holds the tickets of
-//! the external advice service that some queues need.
+//! date. A worker on which runs keep failing is on probation ([`probation`]). [`advice`] holds the
+//! tickets of the external advice service that some queues need.
 //!
 //! The agent of each worker throttles best-effort tasks that slow down latency-critical ones
 //! ([`throttle`]): a CPU share is the part of its CPU demand that a best-effort run may use.
@@ -20,6 +20,7 @@
 pub mod order;
 pub mod pass;
 mod placement;
+pub mod probation;
 mod refused_demand;
 pub mod share_tracker;
 pub mod slack;
--- a/crates/guavavane_jobs/src/plan/capacity.rs
+++ b/crates/guavavane_jobs/src/plan/capacity.rs
@@ -18,6 +18,7 @@
 use super::interference::utilisation_limit;
 use super::interference::BestEffortLoad;
 use super::interference::InterferenceModel;
+use super::probation::WorkerProbation;
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
 use crate::ledger::RunRecord;
@@ -43,8 +44,8 @@
 pub struct WorkerCondition {
     /// Whether the worker is reachable and accepts new tasks.
     pub schedulable: bool,
-    /// Number of failed runs since the last one that succeeded.
-    pub consecutive_failures: u32,
+    /// Failures and trials of the worker.
+    pub probation: WorkerProbation,
     /// Highest utilisation of each latency-critical image in the agent's latest sample.
     pub utilisations: IndexMap<Arc<str>, f64>,
     /// Best-effort load at the time of these utilisations.
@@ -84,6 +85,8 @@
     pub demanded_load: BestEffortLoad,
     /// Number of runs of each step.
     pub runs_by_step: IndexMap<StepKey, u32>,
+    /// Step of the trial that the present pass has placed here, if the worker is on probation.
+    pub trial_step: Option<StepKey>,
     /// What the leader knows of the worker besides the ledger.
     pub condition: WorkerCondition,
 }
--- a/crates/guavavane_jobs/src/plan/capacity_table.rs
+++ b/crates/guavavane_jobs/src/plan/capacity_table.rs
@@ -180,6 +180,9 @@
         self.stale.insert(worker);
         if let Some(slot) = self.slots.get_mut(&worker) {
             slot.capacity.reserve(task, run);
+            if slot.capacity.condition.probation.is_active() {
+                slot.capacity.trial_step = Some(task.step);
+            }
             update_budgets(slot, &mut self.critical_images, interference);
         }
     }
--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -34,6 +34,7 @@
 use crate::ledger::TaskRecord;
 use crate::ledger::WorkerIndex;
 use crate::queue::AdviceTiming;
+use guavavane_model::prelude::BootTime;
 
 /// Most starts of one pass; bounds the size of one command in the log.
 const PASS_STARTS_MAX: usize = 256;
@@ -53,6 +54,9 @@
     /// Interference model.
     fn interference(&self) -> &InterferenceModel;
 
+    /// Time of the pass on the leader's clock.
+    fn now(&self) -> BootTime;
+
     /// The leader's time of day in milliseconds since 1970.
     fn time_of_day_ms(&self) -> u64;
 
@@ -122,6 +126,7 @@
         best_effort_images,
         allowed_workers: advice.map(|_| input.allowed_workers(key)),
         cpu_share_min,
+        now: input.now(),
     })
 }
 
--- a/crates/guavavane_jobs/src/plan/placement.rs
+++ b/crates/guavavane_jobs/src/plan/placement.rs
@@ -21,11 +21,10 @@
 use crate::job::StepKind;
 use crate::job::StepSpec;
 use crate::ledger::WorkerIndex;
+use guavavane_model::prelude::BootTime;
 
 /// Part of a best-effort task's processor demand that must be idle, in percent.
 const BEST_EFFORT_IDLE_CPU_MIN_PERCENT: i64 = 40;
-/// Consecutive failures from which a worker gets only one task at a time.
-const PROBATION_FAILURES_MIN: u32 = 3;
 /// Penalty of another rack than the preferred one.
 const RACK_WEIGHT: i64 = 100_000;
 /// Score of each long-running task on a worker, which packs long-running tasks.
@@ -71,6 +70,8 @@
     pub(super) allowed_workers: Option<IndexSet<WorkerIndex>>,
     /// CPU share, from 0 to 1, that latency-critical tasks have to leave to a best-effort task.
     pub(super) cpu_share_min: f64,
+    /// Time of the pass, for workers on probation.
+    pub(super) now: BootTime,
 }
 
 /// Rack of a worker, which is its last label.
@@ -86,7 +87,6 @@
     slot: &WorkerSlot,
 ) -> bool {
     let (spec, capacity) = (context.spec, &slot.capacity);
-    let on_probation = capacity.condition.consecutive_failures >= PROBATION_FAILURES_MIN;
     capacity.condition.schedulable
         && capacity.fits(&spec.reserved())
         && context
@@ -101,11 +101,19 @@
         && spec
             .per_worker_max
             .is_none_or(|maximum| capacity.run_count(context.key) < maximum)
-        && (!on_probation || capacity.runs_by_step.is_empty())
+        && allows_start(context, capacity)
         && has_idle_cpu(spec, capacity)
         && leaves_cpu_share(context, coefficients, slot)
 }
 
+/// Whether the worker is not on probation, or this task may be its next trial.
+fn allows_start(context: &PlacementContext<'_>, capacity: &WorkerCapacity) -> bool {
+    match capacity.trial_step {
+        Some(step) => context.spec.gang && step == context.key,
+        None => capacity.condition.probation.allows_start(context.now),
+    }
+}
+
 /// Whether a worker has idle processor for a best-effort task. A worker without best-effort and
 /// long-running tasks always has.
 fn has_idle_cpu(spec: &StepSpec, capacity: &WorkerCapacity) -> bool {
@@ -167,7 +175,7 @@
     if preferred_rack.is_some() && preferred_rack != rack {
         score = score.saturating_sub(RACK_WEIGHT);
     }
-    let failures = i64::from(capacity.condition.consecutive_failures);
+    let failures = i64::from(capacity.condition.probation.consecutive_failures());
     score.saturating_sub(failures * FAILURE_WEIGHT)
 }
 
--- a/crates/guavavane_jobs/tests/capacity_table.rs
+++ b/crates/guavavane_jobs/tests/capacity_table.rs
@@ -31,6 +31,7 @@
 use guavavane_jobs::plan::interference::PairEstimate;
 use guavavane_jobs::plan::order::waiting_steps;
 use guavavane_jobs::plan::pass::choose_starts;
+use guavavane_jobs::plan::probation::WorkerProbation;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunNumber;
@@ -73,7 +74,7 @@
     let utilisations: IndexMap<Arc<str>, f64> = utilisations.collect();
     WorkerCondition {
         schedulable: random.random_bool(0.9),
-        consecutive_failures: random.random_range(0..5),
+        probation: WorkerProbation::after_failures(random.random_range(0..5)),
         utilisations,
         ..WorkerCondition::default()
     }
--- a/crates/guavavane_jobs/tests/extreme_numbers.rs
+++ b/crates/guavavane_jobs/tests/extreme_numbers.rs
@@ -28,6 +28,7 @@
 use guavavane_jobs::plan::order::step_rank;
 use guavavane_jobs::plan::order::waiting_steps;
 use guavavane_jobs::plan::pass::steps_needing_advice;
+use guavavane_jobs::plan::probation::WorkerProbation;
 use guavavane_jobs::plan::slack::RunTimes;
 use guavavane_jobs::prelude::AdviceTiming;
 use guavavane_jobs::prelude::JobKey;
@@ -126,7 +127,7 @@
     let mut cell = Replay::new(ledger);
     cell.view.now_ms = START_MS;
     for condition in cell.view.conditions.values_mut() {
-        condition.consecutive_failures = random_number(random) as u32;
+        condition.probation = WorkerProbation::after_failures(random_number(random) as u32);
         condition
             .utilisations
             .insert(Arc::from("image-0"), random.random());
--- /dev/null
+++ b/crates/guavavane_jobs/tests/probation.rs
@@ -0,0 +1,74 @@
+//! Probation of workers on which runs keep failing, and the trials that end it.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+mod support;
+
+use std::time::Duration;
+
+use crate::support::add_worker;
+use crate::support::job_with_steps;
+use crate::support::ledger_with_queue;
+use crate::support::raw_step;
+use crate::support::replay::Replay;
+use crate::support::submit;
+use guavavane_jobs::plan::order::waiting_steps;
+use guavavane_jobs::plan::probation::WorkerProbation;
+use guavavane_jobs::plan::probation::PROBATION_FAILURES_MIN;
+use guavavane_jobs::plan::probation::TRIAL_INTERVAL;
+use guavavane_model::prelude::BootTime;
+
+/// Time of the first failure.
+const FAILED_AT: BootTime = BootTime::from_millis(10_000);
+
+fn failed_worker() -> WorkerProbation {
+    let mut probation = WorkerProbation::default();
+    for _ in 0..PROBATION_FAILURES_MIN {
+        assert!(probation.allows_start(FAILED_AT));
+        probation.record_failure(FAILED_AT);
+    }
+    probation
+}
+
+// Guards against a worker that is kept out of use for longer than one trial.
+#[test]
+fn the_next_trial_follows_after_the_interval_or_the_end_of_the_one_before() {
+    let mut probation = failed_worker();
+    let next = FAILED_AT + TRIAL_INTERVAL;
+    assert!(!probation.allows_start(FAILED_AT + Duration::from_millis(1)));
+    assert!(probation.allows_start(next));
+    probation.record_start(next);
+    assert!(!probation.allows_start(next));
+    probation.end_trial();
+    assert!(probation.allows_start(next));
+}
+
+// Guards against a worker that stays on probation after a run has succeeded on it.
+#[test]
+fn a_success_ends_the_probation() {
+    let mut probation = failed_worker();
+    probation.record_success();
+    assert!(!probation.is_active());
+    probation.record_start(FAILED_AT);
+    assert!(probation.allows_start(FAILED_AT));
+}
+
+// Guards against a worker on probation that gets several tasks in one pass.
+#[test]
+fn a_pass_gives_a_worker_on_probation_one_task_and_any_other_worker_as_many_as_fit() {
+    for (failures, expected) in [(0, 6), (PROBATION_FAILURES_MIN, 1)] {
+        let mut ledger = ledger_with_queue();
+        add_worker(&mut ledger, 1);
+        submit(&mut ledger, 1, job_with_steps(vec![raw_step(3)]));
+        submit(&mut ledger, 2, job_with_steps(vec![raw_step(3)]));
+        let mut cell = Replay::new(ledger);
+        for condition in cell.view.conditions.values_mut() {
+            condition.probation = WorkerProbation::after_failures(failures);
+        }
+        cell.run_pass(
+            |ledger, view| waiting_steps(ledger, &view.run_times, view.now_ms),
+            |_| 0.0,
+        );
+        assert_eq!(cell.runs.len(), expected);
+    }
+}
--- a/crates/guavavane_jobs/tests/support/replay.rs
+++ b/crates/guavavane_jobs/tests/support/replay.rs
@@ -25,6 +25,7 @@
 use guavavane_jobs::prelude::RunOutcome;
 use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
+use guavavane_model::prelude::BootTime;
 
 /// State of the replay that the scheduling decisions read.
 #[derive(Default)]
@@ -49,6 +50,10 @@
         &self.interference
     }
 
+    fn now(&self) -> BootTime {
+        BootTime::from_millis(self.now_ms)
+    }
+
     fn time_of_day_ms(&self) -> u64 {
         self.now_ms
     }
--- a/crates/guavavane_standin/src/simulated_worker.rs
+++ b/crates/guavavane_standin/src/simulated_worker.rs
@@ -28,6 +28,8 @@
 
 /// Payload of tasks that run until they are stopped or their lease expires.
 pub const LONG_RUNNING_PAYLOAD: &str = "long-running";
+/// Payload of tasks that fail after their service time.
+pub const FAILING_PAYLOAD: &str = "failing";
 
 /// Run of a task, as recorded in the history that all workers share.
 #[derive(Clone, Debug, PartialEq)]
@@ -101,8 +103,10 @@
     run: RunNumber,
     /// CPU share of the run, in percent.
     cpu_share: u32,
-    /// Time at which the run succeeds; none for a long-running task.
+    /// Time at which the run ends by itself; none for a long-running task.
     ends_at: Option<Instant>,
+    /// Outcome of the run if it ends by itself.
+    outcome: RunOutcome,
 }
 
 /// State of the worker, shared by its clones.
@@ -233,7 +237,7 @@
             let outcome = if lease_expired {
                 RunOutcome::Lapsed
             } else {
-                RunOutcome::Done
+                state.runs[index].outcome
             };
             self.end_run(&mut state, index, outcome);
         }
@@ -316,11 +320,17 @@
             .any(|completion| completion.task == order.task && completion.run == order.run);
         if !is_running && !has_completed {
             let is_long_running = &*order.payload == LONG_RUNNING_PAYLOAD;
+            let outcome = if &*order.payload == FAILING_PAYLOAD {
+                RunOutcome::Failed
+            } else {
+                RunOutcome::Done
+            };
             state.runs.push(ActiveRun {
                 task: order.task,
                 run: order.run,
                 cpu_share: STARTING_SHARE_PERCENT,
                 ends_at: (!is_long_running).then(|| Instant::now() + self.service_time),
+                outcome,
             });
             self.history
                 .0
