Agent, leader: a later incarnation refuses the runs of an earlier one first

Cause: an order outlived the incarnation that it was meant for. The call names the worker by its id, which the incarnations share, and the deadline that it carries is a time on the clock of the earlier one. A retry, or a call that is carried out late, was therefore accepted by the new incarnation, while the agent reported the earlier one as ended, so that the leader freed its runs. After its report the agent told the leader of no further run in a list.

Change: - The leader frees the runs of an incarnation only when a later one with the same name is reported to refuse them (WorkerReport::refused_runs). It asks for the missing ones (FromControl::RefuseRuns); the agent stops each run there, which also keeps it from starting later, and reports again when a list confirms it.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -9,9 +9,11 @@
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
+use super::late_starts::LateStarts;
 use super::lease::LeaseState;
 use super::order::FinishedOrder;
 use super::order::FinishedShareOrder;
+use super::order::OrderScope;
 use super::order::WorkerOrder;
 use super::worker::LocalWorker;
 use super::WorkerHeartbeat;
@@ -109,6 +111,10 @@
     pub(super) renewal_sent_at: BootTime,
     /// Orders that have not finished, each with whether it is a start.
     pub(super) orders_in_flight: IndexMap<(TaskKey, RunNumber), bool>,
+    /// Scope of the orders to the present worker under its present lease.
+    pub(super) order_scope: OrderScope,
+    /// Starts without an answer, which a later incarnation of the worker has to refuse.
+    pub(super) late_starts: LateStarts,
     pub(super) renewal_results: (Sender<RenewalResult>, Receiver<RenewalResult>),
     pub(super) finished_orders: (Sender<FinishedOrder>, Receiver<FinishedOrder>),
     pub(super) finished_shares: (Sender<FinishedShareOrder>, Receiver<FinishedShareOrder>),
@@ -138,6 +144,8 @@
             recent_starts: IndexMap::new(),
             renewal_sent_at: BootTime::default(),
             orders_in_flight: IndexMap::new(),
+            order_scope: OrderScope::default(),
+            late_starts: LateStarts::default(),
             renewal_results: flume::unbounded(),
             finished_orders: flume::unbounded(),
             finished_shares: flume::unbounded(),
@@ -269,6 +277,7 @@
         ));
         self.renewal = RenewalPlan::DueAt(now);
         self.update_worker(&heartbeat);
+        self.refuse_late_starts(now);
     }
 
     /// Adopts the successor of a worker that has ended.
@@ -344,6 +353,7 @@
                     worker.throttle.set_estimates(estimates);
                 }
             }
+            FromControl::RefuseRuns { key, runs } => self.refuse_runs(&key, runs),
             FromControl::CompletionsCommitted {
                 key,
                 last_completion,
--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -3,6 +3,7 @@
 //! Each renewal report also leads to new CPU shares of best-effort runs and, at intervals, to the
 //! utilisation report and the stalled runs that the leader gets.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -135,7 +136,7 @@
                     .started_ms
                     .is_some_and(|started_ms| started_ms != result.key.started_ms);
                 if is_other_incarnation {
-                    return self.replace_worker("born_again");
+                    return self.await_next_incarnation();
                 }
                 self.handle_renewal_report(now, report);
             }
@@ -152,7 +153,14 @@
         }
     }
 
-    /// Forgets the worker, since another incarnation runs at its address.
+    /// Forgets the worker, since a later incarnation has its name and may still carry out its starts.
+    /// The leader frees its runs once the later one has been reported and refuses them.
+    fn await_next_incarnation(&mut self) {
+        self.forget_worker("born_again");
+        self.adopt_successor();
+    }
+
+    /// Forgets the worker, since it has ended and no later incarnation answers to its name.
     fn replace_worker(&mut self, reason: &'static str) {
         self.remove_worker(reason);
         self.adopt_successor();
@@ -188,6 +196,10 @@
         if !worker.completions.is_empty() || omits_completions {
             self.renewal = RenewalPlan::DueAt(now + ACKNOWLEDGEMENT_WAIT);
         }
+        if let Some((task, run)) = worker.unknown_run().filter(|_| self.reported) {
+            tracing::warn!(event = "run_unknown", worker = %key, %task, %run);
+            self.reported = false;
+        }
         if self.reported {
             if !new_completions.is_empty() {
                 self.send_to_leader(ToControl::Completions {
@@ -220,6 +232,7 @@
             self.spawn_share_order(key.clone(), share_order);
         }
         self.confirm_stops(&key);
+        self.continue_refusals();
         self.report_worker();
     }
 
@@ -243,19 +256,25 @@
     /// Reports runs to the leader that were stopped and are in no list of the worker. A list with
     /// unreadable rows confirms none.
     pub(super) fn confirm_stops(&mut self, key: &WorkerKey) {
-        let Some(worker) = &self.worker else {
+        let Some(worker) = &mut self.worker else {
             return;
         };
         let mut withdrawn = Vec::new();
+        let mut refused = false;
         let mut still_unconfirmed = IndexMap::new();
         for ((task, run), listed_next) in std::mem::take(&mut self.unconfirmed_stops) {
             if !listed_next || worker.omits_rows || worker.is_running(task, run) {
                 still_unconfirmed.insert((task, run), listed_next);
+            } else if worker.refusals.confirm((task, run)) {
+                refused = true;
             } else if !worker.has_ended(task, run) {
                 withdrawn.push((task, run));
             }
         }
         self.unconfirmed_stops = still_unconfirmed;
+        if refused {
+            self.finish_refusals();
+        }
         for (task, run) in withdrawn {
             self.send_to_leader(ToControl::Withdrawn {
                 key: key.clone(),
@@ -274,9 +293,6 @@
         if self.leaving {
             return self.replace_worker("left");
         }
-        self.unconfirmed_stops.clear();
-        self.orders_in_flight.clear();
-        self.recent_starts.clear();
         self.reported = false;
         self.lease.clear_expiry();
         self.epoch += 1;
@@ -285,6 +301,8 @@
             worker.running.clear();
             worker.has_list = false;
             tracing::warn!(event = "worker_lapsed", worker = %worker.key, epoch);
+            let name = Arc::clone(&worker.key.name);
+            self.end_orders(&name);
         } else {
             tracing::info!(event = "lease_expired", epoch);
         }
--- a/crates/guavavane_cell/src/agent/mod.rs
+++ b/crates/guavavane_cell/src/agent/mod.rs
@@ -7,11 +7,13 @@
 //! for the leader.
 
 mod agent_loop;
+mod late_starts;
 mod lease;
 mod lease_renewal;
 mod order;
 mod order_dispatch;
 mod order_executor;
+mod refusal;
 mod report;
 mod target_watch;
 mod worker;
--- a/crates/guavavane_cell/src/agent/order.rs
+++ b/crates/guavavane_cell/src/agent/order.rs
@@ -1,5 +1,9 @@
 //! Orders that an agent sends to its worker, and their results.
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
 use crate::worker_api::StartOrder;
 use guavavane_jobs::plan::share_tracker::ShareAnswer;
 use guavavane_jobs::plan::throttle::ShareOrder;
@@ -40,6 +44,24 @@
     pub(super) task: TaskKey,
     pub(super) run: RunNumber,
     pub(super) result: OrderResult,
+    /// Whether a try of a start got no answer, so that it may still be carried out.
+    pub(super) may_be_late: bool,
+}
+
+/// Time for which orders hold: that of one incarnation of the worker, up to the end of its lease.
+/// Clones share it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OrderScope(Arc<AtomicBool>);
+
+impl OrderScope {
+    /// Ends the scope; its orders are not tried again.
+    pub(super) fn end(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 /// CPU share order that has been answered or has timed out.
--- a/crates/guavavane_cell/src/agent/order_dispatch.rs
+++ b/crates/guavavane_cell/src/agent/order_dispatch.rs
@@ -1,5 +1,7 @@
 //! Receives the leader's orders, passes them to the worker and handles their results.
 
+use std::sync::Arc;
+
 use super::agent_loop::AgentLoop;
 use super::agent_loop::RenewalPlan;
 use super::order::FinishedOrder;
@@ -100,6 +102,7 @@
             worker_api: self.worker_api.clone(),
             key,
             fencing_token: self.fencing_token,
+            scope: self.order_scope.clone(),
         }
     }
 
@@ -115,13 +118,36 @@
         }
     }
 
+    /// Ends the orders that are under way: the worker they were meant for is gone, or its lease is over.
+    /// A start among them may still be carried out.
+    pub(super) fn end_orders(&mut self, worker: &Arc<str>) {
+        std::mem::take(&mut self.order_scope).end();
+        let now = BootClock.now();
+        for (id, is_start) in std::mem::take(&mut self.orders_in_flight) {
+            if is_start {
+                self.late_starts.record(now, worker, id);
+            }
+        }
+        self.unconfirmed_stops.clear();
+        self.recent_starts.clear();
+    }
+
+    /// Handles the result of an order. That of an order for an earlier incarnation says nothing of the
+    /// present one.
     pub(super) fn handle_finished_order(&mut self, order: &FinishedOrder) {
         let id = (order.task, order.run);
-        self.orders_in_flight.swap_remove(&id);
         metric::count_event("order", order.result.name());
-        tracing::info!(event = "order_finished", task = %order.task, run = %order.run, result = ?order.result);
+        tracing::info!(event = "order_finished", task = %order.task, run = %order.run, result = ?order.result, may_be_late = order.may_be_late);
+        if order.may_be_late {
+            let now = BootClock.now();
+            self.late_starts.record(now, &order.key.name, id);
+        }
+        if !self.is_current(&order.key) {
+            return;
+        }
+        self.orders_in_flight.swap_remove(&id);
         match order.result {
-            OrderResult::Stopped | OrderResult::NotStarted if self.is_current(&order.key) => {
+            OrderResult::Stopped | OrderResult::NotStarted => {
                 // Only a renewal that is sent after this result returns a list that confirms it.
                 let listed_next = !matches!(self.renewal, RenewalPlan::InFlight);
                 self.unconfirmed_stops.insert(id, listed_next);
@@ -133,7 +159,6 @@
             }
             // Reporting the worker again shows the leader which runs the worker holds.
             OrderResult::Unanswered => self.reported = false,
-            _ => {}
         }
     }
 
--- a/crates/guavavane_cell/src/agent/order_executor.rs
+++ b/crates/guavavane_cell/src/agent/order_executor.rs
@@ -1,6 +1,7 @@
 //! Executes one order; orders are idempotent.
 //!
-//! A start or stop is retried until it is answered. A CPU share is sent once:
+//! A start or stop is retried until it is answered, or until its scope is over: a later incarnation of
+//! the worker would carry out what was meant for an earlier one. A CPU share is sent once:
 //! [`guavavane_jobs::plan::share_tracker`] decides when it is ordered again.
 
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use super::order::FinishedOrder;
 use super::order::FinishedShareOrder;
 use super::order::OrderResult;
+use super::order::OrderScope;
 use super::order::WorkerOrder;
 use crate::worker_api::OrderAnswer;
 use crate::worker_api::OrderRefusal;
@@ -36,41 +38,51 @@
     pub(super) worker_api: A,
     pub(super) key: WorkerKey,
     pub(super) fencing_token: u64,
+    pub(super) scope: OrderScope,
 }
 
 impl<A: WorkerApi> OrderExecutor<A> {
-    /// Sends an order, a start or stop until it is answered or its timeout has passed.
+    /// Sends a start or stop until it is answered, its timeout has passed or its scope is over.
     pub(super) async fn execute(
         self,
         task: TaskKey,
         run: RunNumber,
         order: WorkerOrder,
     ) -> FinishedOrder {
-        let result = match order {
+        let (result, may_be_late) = match order {
             WorkerOrder::Start(order) => self.start(order).await,
-            WorkerOrder::Stop => self.stop(task, run, STOP_TIMEOUT).await,
+            WorkerOrder::Stop => (self.stop(task, run, STOP_TIMEOUT).await, false),
         };
         FinishedOrder {
             key: self.key,
             task,
             run,
             result,
+            may_be_late,
         }
     }
 
-    async fn start(&self, order: StartOrder) -> OrderResult {
+    /// Whether an order may be tried again.
+    fn may_try(&self, until: BootTime) -> bool {
+        !self.scope.is_over() && BootClock.now() < until
+    }
+
+    /// Returns the result of a start, and whether a try of it got no answer.
+    async fn start(&self, order: StartOrder) -> (OrderResult, bool) {
         let until = BootClock.now() + START_TIMEOUT;
         let (task, run) = (order.task, order.run);
         let mut unanswered = false;
-        while BootClock.now() < until {
+        while self.may_try(until) {
             let answer = self
                 .worker_api
                 .start(self.key.clone(), self.fencing_token, order.clone())
                 .await;
             match answer {
-                OrderAnswer::Done => return OrderResult::Started,
-                OrderAnswer::OtherIncarnation => return OrderResult::Unanswered,
-                OrderAnswer::Refused(OrderRefusal::Old) => return OrderResult::NotStarted,
+                OrderAnswer::Done => return (OrderResult::Started, unanswered),
+                OrderAnswer::OtherIncarnation => return (OrderResult::Unanswered, unanswered),
+                OrderAnswer::Refused(OrderRefusal::Old) => {
+                    return (OrderResult::NotStarted, unanswered);
+                }
                 OrderAnswer::Refused(reason) => {
                     tracing::info!(event = "start_refused", %task, %run, ?reason, unanswered);
                     break;
@@ -82,14 +94,14 @@
         // An unanswered try may have started the run or may still start it. The stop ends the run
         // and keeps any earlier try from starting it later.
         match self.stop(task, run, STOP_TIMEOUT).await {
-            OrderResult::Stopped => OrderResult::NotStarted,
-            other => other,
+            OrderResult::Stopped => (OrderResult::NotStarted, unanswered),
+            other => (other, unanswered),
         }
     }
 
     async fn stop(&self, task: TaskKey, run: RunNumber, timeout: Duration) -> OrderResult {
         let until: BootTime = BootClock.now() + timeout;
-        while BootClock.now() < until {
+        while self.may_try(until) {
             let answer = self
                 .worker_api
                 .stop(self.key.clone(), self.fencing_token, task, run)
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -40,7 +40,9 @@
                 .collect(),
             completions: worker.completions.clone(),
             estimates: worker.throttle.estimates(),
+            refused_runs: worker.refusals.confirmed().collect(),
         };
+        worker.reported_runs = report.running.iter().copied().collect();
         worker.reported_completion = worker
             .completions
             .last()
@@ -96,7 +98,8 @@
         self.has_unreported_loss = self.session.is_none();
     }
 
-    /// Forgets the worker and reports that it has ended.
+    /// Forgets the worker and reports that it has ended. The leader then frees its runs at once, so no
+    /// later incarnation may have its name.
     pub(super) fn remove_worker(&mut self, reason: &'static str) {
         let Some(key) = self.forget_worker(reason) else {
             return;
@@ -111,9 +114,7 @@
     pub(super) fn forget_worker(&mut self, reason: &'static str) -> Option<WorkerKey> {
         let worker = self.worker.take()?;
         tracing::warn!(event = "worker_gone", worker = %worker.key, reason);
-        self.unconfirmed_stops.clear();
-        self.orders_in_flight.clear();
-        self.recent_starts.clear();
+        self.end_orders(&worker.key.name);
         self.leaving = false;
         self.acknowledge_max = None;
         self.reported = false;
--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
+use super::refusal::RunRefusals;
 use super::target_watch::ShareSummary;
 use super::target_watch::TargetWatch;
 use crate::worker_api::RenewalReport;
@@ -65,6 +67,10 @@
     pub(super) attributes: IndexMap<(TaskKey, RunNumber), RunAttributes>,
     /// Checkpoints in the latest list.
     pub(super) checkpoints: IndexMap<TaskKey, Arc<str>>,
+    /// Runs of earlier incarnations that this one has to refuse.
+    pub(super) refusals: RunRefusals,
+    /// Runs of the latest report to the leader.
+    pub(super) reported_runs: IndexSet<(TaskKey, RunNumber)>,
     pub(super) throttle: ThrottleController,
     target_watch: TargetWatch,
 }
@@ -85,6 +91,8 @@
             has_list: false,
             attributes: IndexMap::new(),
             checkpoints: IndexMap::new(),
+            refusals: RunRefusals::default(),
+            reported_runs: IndexSet::new(),
             throttle: ThrottleController::new(violation_timeout),
             target_watch: TargetWatch::default(),
         }
@@ -96,6 +104,16 @@
             .any(|status| status.task == task && status.run == run)
     }
 
+    /// A listed run that the leader has neither ordered on this incarnation nor been told of.
+    pub(super) fn unknown_run(&self) -> Option<(TaskKey, RunNumber)> {
+        let mut runs = self.running.iter().map(|status| (status.task, status.run));
+        runs.find(|run| {
+            !self.attributes.contains_key(run)
+                && !self.reported_runs.contains(run)
+                && !self.refusals.is_pending(run)
+        })
+    }
+
     pub(super) fn has_ended(&self, task: TaskKey, run: RunNumber) -> bool {
         self.completions
             .iter()
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -123,6 +123,8 @@
     pub completions: Vec<RunCompletion>,
     /// Interference estimates that the agent has received from this and earlier leaders.
     pub estimates: Vec<PairEstimate>,
+    /// Runs of earlier incarnations that this one holds no more and refuses from now on.
+    pub refused_runs: Vec<(TaskKey, RunNumber)>,
 }
 
 /// Order of the leader to start a run.
@@ -300,4 +302,12 @@
         /// Highest committed completion.
         last_completion: u64,
     },
+    /// Asks that the session's worker refuse runs of its earlier incarnations, and that its agent then
+    /// report it again.
+    RefuseRuns {
+        /// Incarnation of the worker.
+        key: WorkerKey,
+        /// Runs to refuse.
+        runs: Vec<(TaskKey, RunNumber)>,
+    },
 }
--- /dev/null
+++ b/crates/guavavane_cell/tests/next_incarnation.rs
@@ -0,0 +1,250 @@
+//! Orders that outlive the incarnation of the worker that they were meant for.
+//!
+//! Guards against a task that runs twice: a start without an answer is tried again, or carried out
+//! late, and reaches the next incarnation of the worker, which has the same name and a clock that
+//! starts anew, while the leader has started the task elsewhere.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support::agent_settings;
+use crate::support::step;
+use crate::support::worker_heartbeat;
+use crate::support::TestCell;
+use guavavane_cell::prelude::start_agent;
+use guavavane_cell::prelude::CallerAction;
+use guavavane_cell::prelude::CallerReply;
+use guavavane_cell::prelude::JobState;
+use guavavane_cell::prelude::OrderAnswer;
+use guavavane_cell::prelude::StartOrder;
+use guavavane_cell::prelude::WorkerApi;
+use guavavane_jobs::prelude::JobKey;
+use guavavane_jobs::prelude::RawJob;
+use guavavane_jobs::prelude::RawStep;
+use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::StepKey;
+use guavavane_jobs::prelude::TaskKey;
+use guavavane_standin::simulated_worker::RecordedRun;
+use guavavane_standin::simulated_worker::LONG_RUNNING_PAYLOAD;
+
+/// Run time of a task, longer than the test.
+const TASK_RUN_TIME: Duration = Duration::from_secs(60);
+/// Longest wait for starts that nothing delays.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which a run that has to stop is stopped.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time in which a restarted worker is adopted, shorter than what is left until the deadline of a held
+/// start.
+const ADOPTION_TIME: Duration = Duration::from_millis(300);
+/// Time between two checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Number of workers.
+const WORKERS: u64 = 2;
+/// Job that occupies the workers from the start.
+const BUSY_JOB: u64 = 9;
+/// Number of tasks of the other job.
+const TASKS: u64 = 6;
+/// Number of all tasks.
+const ALL_TASKS: usize = (TASKS + WORKERS) as usize;
+/// Start of the second incarnation, as it reports it.
+const RESTARTED_MS: u64 = 2;
+
+/// Starts a cell whose two workers run a task each.
+async fn start_busy_cell() -> TestCell {
+    let cell = TestCell::start(WORKERS as usize, TASK_RUN_TIME).await;
+    let busy_step = RawStep {
+        per_worker_max: 1,
+        ..step(WORKERS, Vec::new())
+    };
+    let accepted = cell.submit(BUSY_JOB, vec![busy_step]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    cell.wait_for_starts(WORKERS as usize, START_TIMEOUT).await;
+    cell
+}
+
+/// Waits until the worker with index 0 holds starts of a job that was just submitted.
+async fn hold_starts(cell: &TestCell, step: RawStep) {
+    let job = RawJob {
+        payload: LONG_RUNNING_PAYLOAD.to_owned(),
+        steps: vec![step],
+        ..RawJob::default()
+    };
+    cell.workers[0].holds_starts.store(true, Ordering::Relaxed);
+    let reply = cell.call(1, CallerAction::Submit(Box::new(job))).await;
+    assert_eq!(reply, CallerReply::Accepted);
+    let until = Instant::now() + START_TIMEOUT;
+    while cell.workers[0].held_starts() == 0 || cell.history.all().len() == WORKERS as usize {
+        assert!(Instant::now() < until, "no start is held");
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Restarts the worker with index 0 under its name.
+async fn restart_worker(cell: &TestCell) {
+    cell.workers[0].holds_starts.store(false, Ordering::Relaxed);
+    cell.workers[0].restart(RESTARTED_MS);
+    announce_restarted_worker(cell).await;
+}
+
+async fn announce_restarted_worker(cell: &TestCell) {
+    let mut heartbeat = worker_heartbeat(0);
+    heartbeat.key.started_ms = RESTARTED_MS;
+    assert!(cell.agents[0].record_heartbeat(heartbeat).await);
+}
+
+fn active_runs(cell: &TestCell) -> Vec<RecordedRun> {
+    let mut runs = cell.history.all();
+    runs.retain(|run| run.ended.is_none());
+    runs
+}
+
+/// Waits until this many runs are active.
+async fn wait_for_active_runs(cell: &TestCell, count: usize) {
+    let until = Instant::now() + START_TIMEOUT;
+    while active_runs(cell).len() != count {
+        assert!(Instant::now() < until, "{:?}", active_runs(cell));
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Tasks that are spread and don't end.
+fn spread_step() -> RawStep {
+    step(TASKS, Vec::new())
+}
+
+/// Tasks that last, the same number on each of two workers.
+fn long_running_step() -> RawStep {
+    RawStep {
+        long_running: true,
+        per_worker_max: TASKS / 2,
+        ..spread_step()
+    }
+}
+
+// Guards against a start that is tried again until the next incarnation accepts it.
+#[tokio::test]
+async fn a_start_is_not_tried_again_at_the_next_incarnation() {
+    let cell = start_busy_cell().await;
+    cell.workers[0].silent.store(true, Ordering::Relaxed);
+    let accepted = cell.submit(1, vec![step(TASKS, vec![])]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    cell.wait_for_starts(WORKERS as usize + 1, START_TIMEOUT)
+        .await;
+    cell.workers[0].restart(RESTARTED_MS);
+    cell.workers[0].silent.store(false, Ordering::Relaxed);
+    announce_restarted_worker(&cell).await;
+    wait_for_active_runs(&cell, ALL_TASKS).await;
+    tokio::time::sleep(STOP_TIMEOUT).await;
+    cell.history.assert_no_duplicate_runs();
+}
+
+// Guards against a start that is carried out after the first list of the next incarnation.
+#[tokio::test]
+async fn a_late_start_is_refused_by_the_next_incarnation() {
+    for step in [spread_step(), long_running_step()] {
+        let cell = start_busy_cell().await;
+        hold_starts(&cell, step).await;
+        restart_worker(&cell).await;
+        wait_for_active_runs(&cell, ALL_TASKS).await;
+        cell.workers[0].carry_out_held_starts();
+        cell.history.assert_no_duplicate_runs();
+        assert_eq!(active_runs(&cell).len(), ALL_TASKS);
+    }
+}
+
+// Guards against a start that is carried out before the first list of the next incarnation.
+#[tokio::test]
+async fn a_late_start_is_stopped_before_its_task_starts_elsewhere() {
+    let cell = start_busy_cell().await;
+    hold_starts(&cell, spread_step()).await;
+    cell.workers[0].holds_starts.store(false, Ordering::Relaxed);
+    cell.workers[0].restart(RESTARTED_MS);
+    cell.workers[0].carry_out_held_starts();
+    announce_restarted_worker(&cell).await;
+    tokio::time::sleep(STOP_TIMEOUT).await;
+    wait_for_active_runs(&cell, ALL_TASKS).await;
+    cell.history.assert_no_duplicate_runs();
+}
+
+// Guards against late starts that a new process of the agent knows nothing of.
+#[tokio::test]
+async fn a_late_start_of_an_earlier_agent_process_is_refused_by_the_next_incarnation() {
+    let mut cell = start_busy_cell().await;
+    hold_starts(&cell, spread_step()).await;
+    cell.agents[0] = start_agent(agent_settings(0, cell.address), cell.workers[0].clone());
+    restart_worker(&cell).await;
+    wait_for_active_runs(&cell, ALL_TASKS).await;
+    cell.workers[0].carry_out_held_starts();
+    cell.history.assert_no_duplicate_runs();
+}
+
+// Guards against the late start of a cancelled job, which would run with nobody knowing of it.
+#[tokio::test]
+async fn a_late_start_of_a_cancelled_job_is_refused_by_the_next_incarnation() {
+    let cell = start_busy_cell().await;
+    hold_starts(&cell, spread_step()).await;
+    let cancelled = cell.call(1, CallerAction::Cancel).await;
+    assert_eq!(cancelled, CallerReply::Cancelled);
+    restart_worker(&cell).await;
+    wait_for_active_runs(&cell, WORKERS as usize).await;
+    tokio::time::sleep(ADOPTION_TIME).await;
+    cell.workers[0].carry_out_held_starts();
+    assert_eq!(active_runs(&cell).len(), WORKERS as usize);
+}
+
+// Guards against a task that runs again although a late start of it has completed.
+#[tokio::test]
+async fn the_completion_of_a_late_start_counts() {
+    let cell = TestCell::start(1, Duration::from_millis(1)).await;
+    cell.workers[0].holds_starts.store(true, Ordering::Relaxed);
+    let accepted = cell.submit(1, vec![step(1, vec![])]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    let until = Instant::now() + START_TIMEOUT;
+    while cell.workers[0].held_starts() == 0 {
+        assert!(Instant::now() < until, "no start is held");
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+    cell.workers[0].holds_starts.store(false, Ordering::Relaxed);
+    cell.workers[0].restart(RESTARTED_MS);
+    cell.workers[0].carry_out_held_starts();
+    tokio::time::sleep(CHECK_INTERVAL).await;
+    cell.workers[0].advance();
+    announce_restarted_worker(&cell).await;
+    cell.wait_for_state(1, JobState::Completed, START_TIMEOUT)
+        .await;
+    assert_eq!(cell.history.all().len(), 1, "{:?}", cell.history.all());
+}
+
+// Guards against a run on a worker that neither its agent nor the leader has ordered and nobody stops.
+#[tokio::test]
+async fn a_run_that_nobody_knows_of_is_stopped() {
+    let cell = TestCell::start(1, TASK_RUN_TIME).await;
+    let accepted = cell.submit(1, vec![step(1, vec![])]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    cell.wait_for_starts(1, START_TIMEOUT).await;
+    let step = StepKey {
+        job: JobKey(7),
+        occurrence: 0,
+        step: 0,
+    };
+    let order = StartOrder {
+        task: step.task(0),
+        run: RunNumber(1),
+        payload: Arc::from("payload"),
+        checkpoint: Arc::from(""),
+        deadline_ms: u64::MAX,
+        ticket: Arc::from(""),
+    };
+    let key = worker_heartbeat(0).key;
+    let answer = cell.workers[0].start(key, 0, order).await;
+    assert_eq!(answer, OrderAnswer::Done);
+    wait_for_active_runs(&cell, 1).await;
+    let left: Vec<TaskKey> = active_runs(&cell).iter().map(|run| run.task).collect();
+    assert_eq!(left[0].step.job, JobKey(1));
+}
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -306,6 +306,7 @@
         running: Vec::new(),
         completions: Vec::new(),
         estimates: Vec::new(),
+        refused_runs: Vec::new(),
     }
 }
 
--- a/crates/guavavane_standin/src/simulated_worker.rs
+++ b/crates/guavavane_standin/src/simulated_worker.rs
@@ -112,6 +112,12 @@
 /// State of the worker, shared by its clones.
 struct WorkerState {
     started_at: Instant,
+    /// Start of the incarnation as the worker reports it, if it does.
+    started_ms: Option<u64>,
+    /// Number of restarts.
+    restarts: u64,
+    /// Starts that wait until [`SimulatedWorker::carry_out_held_starts`].
+    held_starts: Vec<StartOrder>,
     /// End of the lease, in milliseconds on the worker's clock.
     deadline_ms: u64,
     runs: Vec<ActiveRun>,
@@ -124,6 +130,24 @@
     measurements: IndexMap<TaskKey, u64>,
 }
 
+impl WorkerState {
+    /// State of an incarnation that starts now.
+    fn new(started_ms: Option<u64>, restarts: u64) -> Self {
+        Self {
+            started_at: Instant::now(),
+            started_ms,
+            restarts,
+            held_starts: Vec::new(),
+            deadline_ms: 0,
+            runs: Vec::new(),
+            completions: Vec::new(),
+            next_completion: 1,
+            ended_runs: Vec::new(),
+            measurements: IndexMap::new(),
+        }
+    }
+}
+
 /// Simulated worker that obeys its lease; clones share the worker.
 ///
 /// Its clock starts at 1000 ms. The methods don't use fencing tokens or incarnations.
@@ -139,31 +163,112 @@
     pub out_of_capacity: Arc<AtomicBool>,
     /// Whether the worker executes starts but leaves them unanswered.
     pub drops_answers: Arc<AtomicBool>,
+    /// Whether the worker leaves starts unanswered and holds them until it is told to carry them out.
+    pub holds_starts: Arc<AtomicBool>,
 }
 
 impl SimulatedWorker {
     /// Creates a worker whose tasks take `service_time`; its runs are recorded in `history`.
     pub fn new(index: usize, service_time: Duration, history: RunHistory) -> Self {
-        let state = WorkerState {
-            started_at: Instant::now(),
-            deadline_ms: 0,
-            runs: Vec::new(),
-            completions: Vec::new(),
-            next_completion: 1,
-            ended_runs: Vec::new(),
-            measurements: IndexMap::new(),
-        };
         Self {
             index,
-            state: Arc::new(Mutex::new(state)),
+            state: Arc::new(Mutex::new(WorkerState::new(None, 0))),
             history,
             service_time,
             silent: Arc::default(),
             out_of_capacity: Arc::default(),
             drops_answers: Arc::default(),
+            holds_starts: Arc::default(),
+        }
+    }
+
+    /// Ends the incarnation with all its runs and starts the next one, which reports that it started at
+    /// `started_ms` and knows nothing of before. Held starts stay held.
+    pub fn restart(&self, started_ms: u64) {
+        self.advance();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        self.void_completions(&state);
+        while !state.runs.is_empty() {
+            self.end_run(&mut state, 0, RunOutcome::Lapsed);
+        }
+        let held_starts = std::mem::take(&mut state.held_starts);
+        *state = WorkerState::new(Some(started_ms), state.restarts + 1);
+        state.held_starts = held_starts;
+    }
+
+    fn restarts(&self) -> u64 {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.restarts
+    }
+
+    /// Number of starts that the worker holds.
+    pub fn held_starts(&self) -> usize {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.held_starts.len()
+    }
+
+    /// Carries out the held starts, in the incarnation of now, with no answer.
+    pub fn carry_out_held_starts(&self) {
+        self.advance();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        for order in std::mem::take(&mut state.held_starts) {
+            self.carry_out_start(&mut state, order);
         }
     }
 
+    /// Starts a run unless it has to be refused.
+    fn carry_out_start(&self, state: &mut WorkerState, order: StartOrder) -> OrderAnswer {
+        if order.deadline_ms < clock_ms(state) {
+            return OrderAnswer::Refused(OrderRefusal::Late);
+        }
+        let is_superseded =
+            |(task, run): &(TaskKey, RunNumber)| *task == order.task && *run >= order.run;
+        if state.ended_runs.iter().any(is_superseded) {
+            return OrderAnswer::Refused(OrderRefusal::Old);
+        }
+        state.deadline_ms = state.deadline_ms.max(order.deadline_ms);
+        let is_running = state
+            .runs
+            .iter()
+            .any(|run| run.task == order.task && run.run == order.run);
+        if !is_running {
+            self.begin_run(state, &order);
+        }
+        OrderAnswer::Done
+    }
+
+    /// Begins a run and records it in the history.
+    fn begin_run(&self, state: &mut WorkerState, order: &StartOrder) {
+        let is_long_running = &*order.payload == LONG_RUNNING_PAYLOAD;
+        let outcome = if &*order.payload == FAILING_PAYLOAD {
+            RunOutcome::Failed
+        } else {
+            RunOutcome::Done
+        };
+        state.runs.push(ActiveRun {
+            task: order.task,
+            run: order.run,
+            cpu_share: STARTING_SHARE_PERCENT,
+            ends_at: (!is_long_running).then(|| Instant::now() + self.service_time),
+            outcome,
+        });
+        let recorded = RecordedRun {
+            task: order.task,
+            run: order.run,
+            worker: self.index,
+            started_at: Instant::now(),
+            ended: None,
+            outcome: None,
+            void: false,
+        };
+        let mut history = self
+            .history
+            .0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        history.push(recorded);
+    }
+
     /// Sets the measurement that the following reports contain for a task.
     pub fn set_measurement(&self, task: TaskKey, measurement: u64) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -194,9 +299,11 @@
             .0
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let recorded = history
-            .iter_mut()
-            .find(|recorded| recorded.task == run.task && recorded.run == run.run);
+        let is_active = |recorded: &&mut RecordedRun| {
+            let is_same = recorded.task == run.task && recorded.run == run.run;
+            is_same && recorded.worker == self.index && recorded.ended.is_none()
+        };
+        let recorded = history.iter_mut().find(is_active);
         if let Some(recorded) = recorded {
             recorded.ended = Some(Instant::now());
             recorded.outcome = Some(outcome);
@@ -262,7 +369,7 @@
         });
         Some(RenewalReport {
             clock_ms: clock_ms(&state),
-            started_ms: None,
+            started_ms: state.started_ms,
             running: running.collect(),
             completions: state.completions.clone(),
             acknowledge_max: None,
@@ -301,55 +408,15 @@
         }
         self.advance();
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if order.deadline_ms < clock_ms(&state) {
-            return OrderAnswer::Refused(OrderRefusal::Late);
-        }
-        let is_superseded =
-            |(task, run): &(TaskKey, RunNumber)| *task == order.task && *run >= order.run;
-        if state.ended_runs.iter().any(is_superseded) {
-            return OrderAnswer::Refused(OrderRefusal::Old);
-        }
-        state.deadline_ms = state.deadline_ms.max(order.deadline_ms);
-        let is_running = state
-            .runs
-            .iter()
-            .any(|run| run.task == order.task && run.run == order.run);
-        let has_completed = state
-            .completions
-            .iter()
-            .any(|completion| completion.task == order.task && completion.run == order.run);
-        if !is_running && !has_completed {
-            let is_long_running = &*order.payload == LONG_RUNNING_PAYLOAD;
-            let outcome = if &*order.payload == FAILING_PAYLOAD {
-                RunOutcome::Failed
-            } else {
-                RunOutcome::Done
-            };
-            state.runs.push(ActiveRun {
-                task: order.task,
-                run: order.run,
-                cpu_share: STARTING_SHARE_PERCENT,
-                ends_at: (!is_long_running).then(|| Instant::now() + self.service_time),
-                outcome,
-            });
-            self.history
-                .0
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .push(RecordedRun {
-                    task: order.task,
-                    run: order.run,
-                    worker: self.index,
-                    started_at: Instant::now(),
-                    ended: None,
-                    outcome: None,
-                    void: false,
-                });
+        if self.holds_starts.load(Ordering::Relaxed) {
+            state.held_starts.push(order);
+            return OrderAnswer::Unanswered;
         }
-        if self.drops_answers.load(Ordering::Relaxed) {
+        let answer = self.carry_out_start(&mut state, order);
+        if answer == OrderAnswer::Done && self.drops_answers.load(Ordering::Relaxed) {
             return OrderAnswer::Unanswered;
         }
-        OrderAnswer::Done
+        answer
     }
 
     async fn stop(
@@ -409,13 +476,14 @@
             return RenewalAnswer::Unanswered;
         }
         self.advance();
-        if let Some(deadline_ms) = deadline_ms {
+        let restarts = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            state.deadline_ms = state.deadline_ms.max(deadline_ms);
-        }
+            state.deadline_ms = state.deadline_ms.max(deadline_ms.unwrap_or(0));
+            state.restarts
+        };
         let wait_ends_at = Instant::now() + wait;
         loop {
-            if self.silent.load(Ordering::Relaxed) {
+            if self.silent.load(Ordering::Relaxed) || self.restarts() != restarts {
                 return RenewalAnswer::Unanswered;
             }
             self.advance();
