Advice: a request is sent only if its tickets can still be used

Cause: up to eight requests were open at a time. The service answers them in turn, and a ticket's validity counts from the request, 0.7 of it. With 350 ms a request the eighth reply came after 2.8 s, its tickets were used up to 2.1 s: as soon as eight steps waited, each ticket had expired on arrival, and its step asked again at the end of the line.

Change: a request is sent only if its reply, behind all open requests, is expected within 0.35 of the shortest validity of the waiting steps, or if none is open. It names only as many workers as are answered in that time. Requests of steps that have ended count until they are answered. The service is taken to be as slow as its last replies show. Steps take turns by the time of their latest request, so that one which can't use its tickets doesn't hold up the rest. New event advice_late, new metric event advice/late, reply_ms in advice_asked.

--- a/crates/guavavane_cell/src/control/advice.rs
+++ b/crates/guavavane_cell/src/control/advice.rs
@@ -10,13 +10,15 @@
 
 use super::engine::ControlEngine;
 use super::engine::EngineInput;
+use crate::metric;
 use crate::worker_api::AdviceRequest;
 use crate::worker_api::AdvisedWorker;
 use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::plan::advice::reply_time_max;
+use guavavane_jobs::plan::advice::TicketRequest;
 use guavavane_jobs::plan::pass::AdviceStep;
 use guavavane_jobs::prelude::StepKey;
 use guavavane_model::prelude::BootClock;
-use guavavane_model::prelude::BootTime;
 
 /// Reply of the advice service to one request, or its absence.
 #[derive(Debug)]
@@ -24,29 +26,44 @@
     step: StepKey,
     /// Workers named in the request.
     asked_workers: Vec<(WorkerIndex, Arc<str>)>,
-    asked_at: BootTime,
     validity: Duration,
     /// Workers that may run the step; none if no reply arrived.
     allowed: Option<Vec<AdvisedWorker>>,
 }
 
 impl ControlEngine {
-    /// Requests advice for each of the steps.
-    pub(super) fn request_advice(&mut self, steps: Vec<AdviceStep>) {
+    /// Requests advice for the steps, first for those that have waited longest for their turn. A reply
+    /// is awaited no longer than the tickets of all of them allow.
+    pub(super) fn request_advice(&mut self, mut steps: Vec<AdviceStep>) {
+        let Some(state) = &self.leader_state else {
+            return;
+        };
+        steps.sort_by_key(|step| state.advice.asked_at(step.key));
+        let bounds = steps.iter().map(|step| reply_time_max(&step.timing));
+        let Some(reply_time_max) = bounds.min() else {
+            return;
+        };
         for step in steps {
-            self.request_step_advice(&step);
+            self.request_step_advice(&step, reply_time_max);
         }
     }
 
-    fn request_step_advice(&mut self, step: &AdviceStep) {
+    fn request_step_advice(&mut self, step: &AdviceStep, reply_time_max: Duration) {
         let (Some(state), Some(service)) = (&mut self.leader_state, &self.settings.advice) else {
             return;
         };
-        let asked_at = BootClock.now();
-        let candidates = state
-            .advice
-            .next_request(asked_at, step.key, &step.candidates);
-        let Some(workers) = candidates else {
+        let request = state.advice.next_request(
+            BootClock.now(),
+            step.key,
+            &step.timing,
+            reply_time_max,
+            &step.candidates,
+        );
+        let Some(TicketRequest {
+            workers,
+            reply_time,
+        }) = request
+        else {
             return;
         };
         let asked_workers: Vec<(WorkerIndex, Arc<str>)> = self.quorum.read_local(|ledger| {
@@ -63,10 +80,11 @@
                 .iter()
                 .map(|(_, name)| Arc::clone(name))
                 .collect(),
-            timing: step.timing,
+            reply_time,
             reply,
         };
-        tracing::info!(event = "advice_asked", step = %step.key, workers = asked_workers.len());
+        let reply_ms = reply_time.as_millis();
+        tracing::info!(event = "advice_asked", step = %step.key, workers = asked_workers.len(), reply_ms);
         if service.try_send(call).is_err() {
             tracing::warn!(event = "advice_unasked", step = %step.key, reason = "too many questions");
         }
@@ -76,7 +94,6 @@
             let reply = AdviceReply {
                 step,
                 asked_workers,
-                asked_at,
                 validity,
                 allowed: receiver.await.ok(),
             };
@@ -112,10 +129,14 @@
             .iter()
             .map(|(index, _)| *index)
             .collect();
-        let (asked_at, validity) = (reply.asked_at, reply.validity);
-        state
+        let (now, validity) = (BootClock.now(), reply.validity);
+        let is_late = state
             .advice
-            .record_reply(asked_at, reply.step, asked_workers, allowed, validity);
+            .record_reply(now, reply.step, asked_workers, allowed, validity);
+        if is_late {
+            metric::count_event("advice", "late");
+            tracing::warn!(event = "advice_late", step = %reply.step);
+        }
         self.request_pass();
     }
 }
--- a/crates/guavavane_cell/src/worker_api.rs
+++ b/crates/guavavane_cell/src/worker_api.rs
@@ -6,7 +6,6 @@
 
 use tokio::sync::oneshot;
 
-use guavavane_jobs::prelude::AdviceTiming;
 use guavavane_jobs::prelude::RunCompletion;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::StepKey;
@@ -131,8 +130,8 @@
     pub step: StepKey,
     /// Names of the candidate workers.
     pub workers: Vec<Arc<str>>,
-    /// Time that the service takes, and validity of its tickets.
-    pub timing: AdviceTiming,
+    /// Expected time until the reply: the service answers earlier requests first.
+    pub reply_time: Duration,
     /// Receives the allowed workers; dropped if the service does not reply.
     pub reply: oneshot::Sender<Vec<AdvisedWorker>>,
 }
--- a/crates/guavavane_cell/tests/advice.rs
+++ b/crates/guavavane_cell/tests/advice.rs
@@ -26,6 +26,8 @@
 use guavavane_cell::prelude::AdviceRequest;
 use guavavane_cell::prelude::AdvisedWorker;
 use guavavane_cell::prelude::CallerReply;
+use guavavane_cell::prelude::JobState;
+use guavavane_jobs::prelude::AdviceTiming;
 use guavavane_transport::prelude::StreamReceiver;
 use guavavane_transport::prelude::StreamSender;
 
@@ -174,3 +176,44 @@
     let reply = cell.submit(1, vec![step(TASKS, vec![])]).await;
     assert!(matches!(reply, CallerReply::Refused { .. }), "{reply:?}");
 }
+
+/// Timing of a service that takes 200 ms for a request about both workers.
+const SLOW_TIMING: AdviceTiming = AdviceTiming {
+    decision_ms: 150,
+    interval_ms: 25,
+    validity_ms: 1_500,
+};
+/// Number of jobs that come at once.
+const BURST_JOBS: u64 = 12;
+
+/// Allows all workers and answers one request after the other, in the time of [`SLOW_TIMING`].
+async fn serve_in_turn(calls: Receiver<AdviceRequest>) {
+    while let Ok(call) = calls.recv_async().await {
+        let reply_ms = SLOW_TIMING.reply_ms(call.workers.len());
+        tokio::time::sleep(Duration::from_millis(reply_ms)).await;
+        let allowed = call.workers.into_iter().map(|name| AdvisedWorker {
+            name,
+            ticket: Arc::from("ticket"),
+        });
+        // Sending fails if the leader has changed.
+        let _ = call.reply.send(allowed.collect());
+    }
+}
+
+// Guards against a burst after which the tickets of each job expire while others are asked for, so that
+// none of them ever starts.
+#[tokio::test]
+async fn jobs_of_a_burst_complete_although_the_service_answers_one_request_after_the_other() {
+    let (advice, calls) = flume::bounded(32);
+    tokio::spawn(serve_in_turn(calls));
+    let cell = TestCell::start_advised(2, Duration::from_millis(10), Some(advice)).await;
+    cell.put_catalog_with(2, Some(SLOW_TIMING)).await;
+    for job in 1..=BURST_JOBS {
+        let accepted = cell.submit(job, vec![step(1, vec![])]).await;
+        assert_eq!(accepted, CallerReply::Accepted);
+    }
+    for job in 1..=BURST_JOBS {
+        cell.wait_for_state(job, JobState::Completed, START_TIMEOUT)
+            .await;
+    }
+}
--- a/crates/guavavane_jobs/src/plan/advice.rs
+++ b/crates/guavavane_jobs/src/plan/advice.rs
@@ -1,10 +1,14 @@
 //! Caches the tickets of the advice service and decides when to request more.
 //!
 //! Steps of some queues need a ticket from an external advice service for each worker that they
-//! start on. The service takes some time per worker. A request therefore names only the
-//! highest-scoring workers, and the next request follows only when no worker with a valid ticket
-//! has free capacity. Tickets are dropped before their validity ends, because a start with an
-//! expired ticket is refused.
+//! start on. The service takes some time per worker and answers one request after the other. A request
+//! therefore names only the highest-scoring workers, and the next request follows only when no worker
+//! with a valid ticket has free capacity. Tickets are dropped before their validity ends, because a
+//! start with an expired ticket is refused.
+//!
+//! The validity counts from the time of the request, so a ticket that waits behind many other requests
+//! has expired before it arrives. A request is therefore sent only if its reply is expected early
+//! enough to be used, or if no other request is open.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,14 +19,20 @@
 use crate::identity::StepKey;
 use crate::ledger::JobLedger;
 use crate::ledger::WorkerIndex;
+use crate::queue::AdviceTiming;
 use guavavane_model::prelude::BootTime;
 
 /// Most workers of one request: the reply comes only after the service has decided on all.
 const REQUEST_WORKERS_MAX: usize = 30;
-/// Most requests without a reply: the service accepts 32 and serves them in turn.
+/// Most steps with a request without a reply: the service accepts 32 requests and serves them in turn.
 const PENDING_REQUESTS_MAX: usize = 8;
 /// Fraction of its validity for which a ticket is used: the start that needs it may take a while.
 const VALIDITY_FRACTION: f64 = 0.7;
+/// Fraction of the validity within which a reply is to arrive, so that its tickets can be used for as
+/// long again.
+const REPLY_FRACTION: f64 = VALIDITY_FRACTION / 2.0;
+/// Largest factor by which the service is taken to be slower than configured.
+const SLOWDOWN_MAX: f64 = 8.0;
 
 /// Ticket that allows the tasks of a step to start on one worker.
 #[derive(Clone, Debug)]
@@ -36,15 +46,61 @@
 struct StepAdvice {
     /// Whether a request has no reply yet.
     pending: bool,
+    /// Time of the latest request.
+    asked_at: BootTime,
     /// Workers that the service has decided on.
     asked_workers: IndexSet<WorkerIndex>,
     tickets: IndexMap<WorkerIndex, WorkerTicket>,
 }
 
+/// Request that the service has not answered.
+#[derive(Clone, Copy, Debug)]
+struct OpenRequest {
+    asked_at: BootTime,
+    /// Time that the service takes for it by its configuration.
+    service_time: Duration,
+}
+
+/// Request to send to the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TicketRequest {
+    /// Workers to request tickets for, the best first.
+    pub workers: Vec<WorkerIndex>,
+    /// Expected time until the reply, with the requests that are answered before it.
+    pub reply_time: Duration,
+}
+
 /// Tickets of all steps that need them; lost when the leader changes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct AdviceCache {
     steps: IndexMap<StepKey, StepAdvice>,
+    /// Open requests, also those of steps that have ended meanwhile.
+    open_requests: IndexMap<StepKey, OpenRequest>,
+    /// Time of the latest reply.
+    replied_at: BootTime,
+    /// Factor by which the service has been slower than configured; at least 1.
+    slowdown: f64,
+}
+
+impl Default for AdviceCache {
+    fn default() -> Self {
+        Self {
+            steps: IndexMap::new(),
+            open_requests: IndexMap::new(),
+            replied_at: BootTime::default(),
+            slowdown: 1.0,
+        }
+    }
+}
+
+/// Longest time from a request to its reply with which tickets of this timing are still useful.
+pub fn reply_time_max(timing: &AdviceTiming) -> Duration {
+    Duration::from_millis(timing.validity_ms).mul_f64(REPLY_FRACTION)
+}
+
+/// A duration times a factor; the longest one if the product is too large.
+fn scaled(duration: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(duration.as_secs_f64() * factor).unwrap_or(Duration::MAX)
 }
 
 impl AdviceCache {
@@ -61,62 +117,92 @@
         valid.map(|(worker, _)| *worker).collect()
     }
 
-    /// Returns the workers to request tickets for, out of `candidates` in the order of their
-    /// scores, and marks the request as pending; none if no request is due.
+    /// Time of the latest request of a step; the earliest time if there was none. Steps take their
+    /// turns in this order, so that one that can't use its tickets holds up no other for ever.
+    pub fn asked_at(&self, step: StepKey) -> BootTime {
+        self.steps
+            .get(&step)
+            .map_or(BootTime::default(), |advice| advice.asked_at)
+    }
+
+    /// Returns the request to send for a step, out of `candidates` in the order of their scores, and
+    /// marks it as pending; none if no request is due, or if the reply is not expected within
+    /// `reply_time_max` and other requests are open.
     pub fn next_request(
         &mut self,
         now: BootTime,
         step: StepKey,
+        timing: &AdviceTiming,
+        reply_time_max: Duration,
         candidates: &[WorkerIndex],
-    ) -> Option<Vec<WorkerIndex>> {
+    ) -> Option<TicketRequest> {
         let pending_count = self.steps.values().filter(|advice| advice.pending).count();
+        let workers_max = self.request_workers_max(timing);
+        let backlog = self.backlog();
+        let slowdown = self.slowdown;
         let advice = self.steps.entry(step).or_default();
         if advice.pending || pending_count >= PENDING_REQUESTS_MAX {
             return None;
         }
-        let StepAdvice {
-            asked_workers,
-            tickets,
-            ..
-        } = advice;
-        tickets.retain(|worker, ticket| {
-            let valid = now < ticket.valid_until;
-            if !valid {
-                asked_workers.swap_remove(worker);
-            }
-            valid
-        });
-        if candidates.iter().any(|worker| tickets.contains_key(worker)) {
+        let workers = advice.wanted_workers(now, candidates, workers_max);
+        if workers.is_empty() {
             return None;
         }
-        let unasked_workers = candidates
-            .iter()
-            .filter(|worker| !asked_workers.contains(*worker));
-        let workers: Vec<WorkerIndex> =
-            unasked_workers.take(REQUEST_WORKERS_MAX).copied().collect();
-        if workers.is_empty() {
+        let service_time = Duration::from_millis(timing.reply_ms(workers.len()));
+        let reply_time = backlog.saturating_add(scaled(service_time, slowdown));
+        if !self.open_requests.is_empty() && reply_time > reply_time_max {
             return None;
         }
         advice.pending = true;
-        Some(workers)
+        advice.asked_at = now;
+        let request = OpenRequest {
+            asked_at: now,
+            service_time,
+        };
+        self.open_requests.insert(step, request);
+        Some(TicketRequest {
+            workers,
+            reply_time,
+        })
     }
 
-    /// Records the tickets of a reply; their validity starts when the request was sent, at
-    /// `asked_at`.
+    /// Expected time until the service has answered all open requests.
+    fn backlog(&self) -> Duration {
+        let times = self.open_requests.values();
+        let times = times.map(|request| request.service_time);
+        let sum = times.fold(Duration::ZERO, Duration::saturating_add);
+        scaled(sum, self.slowdown)
+    }
+
+    /// Number of workers that one request may name, so that its tickets arrive in time.
+    fn request_workers_max(&self, timing: &AdviceTiming) -> usize {
+        let time_max = reply_time_max(timing).div_f64(self.slowdown);
+        let fits = |workers: &usize| Duration::from_millis(timing.reply_ms(*workers)) <= time_max;
+        let largest = (1..=REQUEST_WORKERS_MAX).rev().find(fits);
+        largest.unwrap_or(1)
+    }
+
+    /// Records the tickets of a reply that arrived at `now`; their validity starts when the request was
+    /// sent. Returns whether they arrived too late to be used.
     pub fn record_reply(
         &mut self,
-        asked_at: BootTime,
+        now: BootTime,
         step: StepKey,
         requested: Vec<WorkerIndex>,
         allowed: Vec<(WorkerIndex, Arc<str>)>,
         validity: Duration,
-    ) {
+    ) -> bool {
+        let request = self.open_requests.swap_remove(&step);
+        let asked_at = request.map_or(now, |request| request.asked_at);
+        if let Some(request) = request {
+            self.learn_slowdown(now, request);
+        }
+        let valid_until = asked_at + validity.mul_f64(VALIDITY_FRACTION);
         let Some(advice) = self.steps.get_mut(&step) else {
-            return;
+            return false;
         };
         advice.pending = false;
         advice.asked_workers.extend(requested);
-        let valid_until = asked_at + validity.mul_f64(VALIDITY_FRACTION);
         for (worker, ticket) in allowed {
             advice.tickets.insert(
                 worker,
@@ -126,10 +212,26 @@
                 },
             );
         }
+        now >= valid_until
+    }
+
+    /// Compares the time that the service took for a request with its configuration. It answers in
+    /// turn, so it began when it had answered the one before.
+    fn learn_slowdown(&mut self, now: BootTime, request: OpenRequest) {
+        let began_at = request.asked_at.max(self.replied_at);
+        self.replied_at = now;
+        let expected = request.service_time.as_secs_f64();
+        if expected <= 0.0 {
+            return;
+        }
+        let ratio = now.saturating_since(began_at).as_secs_f64() / expected;
+        let mean = (self.slowdown + ratio) / 2.0;
+        self.slowdown = mean.clamp(1.0, SLOWDOWN_MAX);
     }
 
     /// Ends a request without a reply, so that the step may send it again.
     pub fn cancel_request(&mut self, step: StepKey) {
+        self.open_requests.swap_remove(&step);
         if let Some(advice) = self.steps.get_mut(&step) {
             advice.pending = false;
         }
@@ -149,3 +251,31 @@
         self.steps.retain(|step, _| ledger.step(*step).is_some());
     }
 }
+
+impl StepAdvice {
+    /// Drops the tickets that have expired and returns the workers to ask about; none if a candidate
+    /// has a ticket, or the service has decided on all.
+    fn wanted_workers(
+        &mut self,
+        now: BootTime,
+        candidates: &[WorkerIndex],
+        workers_max: usize,
+    ) -> Vec<WorkerIndex> {
+        let asked_workers = &mut self.asked_workers;
+        self.tickets.retain(|worker, ticket| {
+            let valid = now < ticket.valid_until;
+            if !valid {
+                asked_workers.swap_remove(worker);
+            }
+            valid
+        });
+        let tickets = &self.tickets;
+        if candidates.iter().any(|worker| tickets.contains_key(worker)) {
+            return Vec::new();
+        }
+        let unasked = candidates
+            .iter()
+            .filter(|worker| !asked_workers.contains(*worker));
+        unasked.take(workers_max).copied().collect()
+    }
+}
