Agent: a number that the worker has forgotten is not acknowledged again

Each renewal repeated the highest acknowledged completion. Carried out late by the next incarnation, which numbers its completions from 1 again, it makes that one forget completions that nobody has seen, and their tasks run again.

Change: the agent sends the number until an answer shows that the worker has forgotten it, and 0 from then on.

A test of foreign heartbeats now also asks that no task runs twice while a worker is replaced.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -56,6 +56,8 @@
 /// Answer to a lease renewal.
 pub(super) struct RenewalResult {
     pub(super) key: WorkerKey,
+    /// Highest completion that the renewal let the worker forget.
+    pub(super) last_completion: u64,
     pub(super) answer: RenewalAnswer,
 }
 
--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -80,7 +80,7 @@
         }
         let (key, last_completion, fencing_token) = (
             worker.key.clone(),
-            worker.acknowledged_completion,
+            worker.completion_to_forget(),
             self.fencing_token,
         );
         for listed_next in self.unconfirmed_stops.values_mut() {
@@ -99,7 +99,11 @@
                 )
                 .await;
             // Sending fails only after the loop has stopped.
-            let _ = results.send(RenewalResult { key, answer });
+            let _ = results.send(RenewalResult {
+                key,
+                last_completion,
+                answer,
+            });
         });
         self.renewal_sent_at = now;
         self.renewal = RenewalPlan::InFlight;
@@ -138,7 +142,7 @@
                 if is_other_incarnation {
                     return self.await_next_incarnation();
                 }
-                self.handle_renewal_report(now, report);
+                self.handle_renewal_report(now, result.last_completion, report);
             }
             RenewalAnswer::OtherIncarnation => self.replace_worker("other_incarnation"),
             RenewalAnswer::Refused => {
@@ -166,12 +170,20 @@
         self.adopt_successor();
     }
 
-    pub(super) fn handle_renewal_report(&mut self, now: BootTime, report: RenewalReport) {
+    /// Handles the report of a renewal that let the worker forget the completions up to
+    /// `last_completion`.
+    fn handle_renewal_report(
+        &mut self,
+        now: BootTime,
+        last_completion: u64,
+        report: RenewalReport,
+    ) {
         self.lease.record_clock(now, report.clock_ms);
         self.record_silence(false);
         let Some(worker) = &mut self.worker else {
             return;
         };
+        worker.forgotten_completion = worker.forgotten_completion.max(last_completion);
         let omits_completions = report.omits_completions;
         let previous_max = self.acknowledge_max.unwrap_or(u64::MAX);
         self.acknowledge_max = report.acknowledge_max;
--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -52,6 +52,8 @@
     pub(super) sequence: u64,
     /// Highest completion that the leader has acknowledged.
     pub(super) acknowledged_completion: u64,
+    /// Highest completion that the worker has forgotten, as its answers show.
+    pub(super) forgotten_completion: u64,
     /// Highest completion that counts as reported to the leader on this session.
     pub(super) reported_completion: u64,
     /// Completions that the leader has not acknowledged.
@@ -84,6 +86,7 @@
             silent: false,
             sequence: 0,
             acknowledged_completion: 0,
+            forgotten_completion: 0,
             reported_completion: 0,
             completions: Vec::new(),
             running: Vec::new(),
@@ -120,6 +123,17 @@
             .any(|completion| completion.task == task && completion.run == run)
     }
 
+    /// Highest completion for the worker to forget, 0 if it has forgotten all that it may. The next
+    /// incarnation numbers its completions anew and may carry out a late renewal, so a number is not
+    /// repeated without need.
+    pub(super) fn completion_to_forget(&self) -> u64 {
+        if self.acknowledged_completion > self.forgotten_completion {
+            self.acknowledged_completion
+        } else {
+            0
+        }
+    }
+
     /// Stores the lists of a renewal report and returns the completions that are new in it, which
     /// then count as reported. The next full report repeats those that are not acknowledged.
     pub(super) fn update_lists(&mut self, report: RenewalReport) -> Vec<RunCompletion> {
--- a/crates/guavavane_cell/tests/foreign_heartbeat.rs
+++ b/crates/guavavane_cell/tests/foreign_heartbeat.rs
@@ -163,6 +163,10 @@
         assert!(agent.record_heartbeat(heartbeat).await);
         // The runs of the former incarnation are freed and started again.
         cell.wait_for_starts(4, JOB_TIMEOUT).await;
+        if name == "worker-0" {
+            // The runs go on until the later incarnation of that name has been told to refuse them.
+            cell.history.assert_no_duplicate_runs();
+        }
     }
 }
 
--- a/crates/guavavane_cell/tests/next_incarnation.rs
+++ b/crates/guavavane_cell/tests/next_incarnation.rs
@@ -10,10 +10,13 @@
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::support::agent_settings;
+use crate::support::odd_worker::OddWorker;
+use crate::support::odd_worker::WorkerOddity;
 use crate::support::step;
 use crate::support::worker_heartbeat;
 use crate::support::TestCell;
@@ -31,6 +34,7 @@
 use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_standin::simulated_worker::RecordedRun;
+use guavavane_standin::simulated_worker::SimulatedWorker;
 use guavavane_standin::simulated_worker::LONG_RUNNING_PAYLOAD;
 
 /// Run time of a task, longer than the test.
@@ -248,3 +252,41 @@
     let left: Vec<TaskKey> = active_runs(&cell).iter().map(|run| run.task).collect();
     assert_eq!(left[0].step.job, JobKey(1));
 }
+
+/// Worker that records which completions are acknowledged to it.
+#[derive(Clone)]
+struct RecordingWorker {
+    worker: SimulatedWorker,
+    acknowledged: Arc<Mutex<Vec<u64>>>,
+}
+
+impl WorkerOddity for RecordingWorker {
+    fn worker(&self) -> &SimulatedWorker {
+        &self.worker
+    }
+
+    fn record_acknowledgement(&self, last_completion: u64) {
+        self.acknowledged.lock().unwrap().push(last_completion);
+    }
+}
+
+// Guards against a renewal that is carried out late by the next incarnation, which then forgets
+// completions of its own that nobody has seen.
+#[tokio::test]
+async fn a_completion_that_the_worker_has_forgotten_is_not_acknowledged_again() {
+    let cell = TestCell::start(0, TASK_RUN_TIME).await;
+    let worker = RecordingWorker {
+        worker: SimulatedWorker::new(0, CHECK_INTERVAL, cell.history.clone()),
+        acknowledged: Arc::default(),
+    };
+    let agent = start_agent(agent_settings(0, cell.address), OddWorker(worker.clone()));
+    assert!(agent.record_heartbeat(worker_heartbeat(0)).await);
+    let accepted = cell.submit(1, vec![step(1, vec![])]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    cell.wait_for_state(1, JobState::Completed, START_TIMEOUT)
+        .await;
+    tokio::time::sleep(STOP_TIMEOUT).await;
+    let acknowledged = worker.acknowledged.lock().unwrap().clone();
+    assert!(acknowledged.contains(&1), "{acknowledged:?}");
+    assert_eq!(acknowledged.last(), Some(&0), "{acknowledged:?}");
+}
--- a/crates/guavavane_cell/tests/support/odd_worker.rs
+++ b/crates/guavavane_cell/tests/support/odd_worker.rs
@@ -32,6 +32,9 @@
         false
     }
 
+    /// Takes note of a renewal that acknowledges the completions up to this one.
+    fn record_acknowledgement(&self, _last_completion: u64) {}
+
     /// Takes note of a renewal with this deadline before it is answered.
     fn record_renewal(&self, _deadline_ms: Option<u64>) {}
 
@@ -95,6 +98,7 @@
         if self.0.refuses_renewals() {
             return RenewalAnswer::Refused;
         }
+        self.0.record_acknowledgement(last_completion);
         self.0.record_renewal(deadline_ms);
         let simulated = self.0.worker();
         let mut answer = simulated
