--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
+use super::refusal::RunRefusals;
 use super::target_watch::ShareSummary;
 use super::target_watch::TargetWatch;
 use crate::worker_api::RenewalReport;
@@ -50,6 +52,8 @@
     pub(super) sequence: u64,
     /// Highest completion that the leader has acknowledged.
     pub(super) acknowledged_completion: u64,
+    /// Highest completion that the worker has forgotten, as its answers show.
+    pub(super) forgotten_completion: u64,
     /// Highest completion that counts as reported to the leader on this session.
     pub(super) reported_completion: u64,
     /// Completions that the leader has not acknowledged.
@@ -65,6 +69,10 @@
     pub(super) attributes: IndexMap<(TaskKey, RunNumber), RunAttributes>,
     /// Checkpoints in the latest list.
     pub(super) checkpoints: IndexMap<TaskKey, Arc<str>>,
+    /// Runs of earlier incarnations that this one has to refuse.
+    pub(super) refusals: RunRefusals,
+    /// Runs of the latest report to the leader.
+    pub(super) reported_runs: IndexSet<(TaskKey, RunNumber)>,
     pub(super) throttle: ThrottleController,
     target_watch: TargetWatch,
 }
@@ -78,6 +86,7 @@
             silent: false,
             sequence: 0,
             acknowledged_completion: 0,
+            forgotten_completion: 0,
             reported_completion: 0,
             completions: Vec::new(),
             running: Vec::new(),
@@ -85,6 +94,8 @@
             has_list: false,
             attributes: IndexMap::new(),
             checkpoints: IndexMap::new(),
+            refusals: RunRefusals::default(),
+            reported_runs: IndexSet::new(),
             throttle: ThrottleController::new(violation_timeout),
             target_watch: TargetWatch::default(),
         }
@@ -96,12 +107,33 @@
             .any(|status| status.task == task && status.run == run)
     }
 
+    /// A listed run that the leader has neither ordered on this incarnation nor been told of.
+    pub(super) fn unknown_run(&self) -> Option<(TaskKey, RunNumber)> {
+        let mut runs = self.running.iter().map(|status| (status.task, status.run));
+        runs.find(|run| {
+            !self.attributes.contains_key(run)
+                && !self.reported_runs.contains(run)
+                && !self.refusals.is_pending(run)
+        })
+    }
+
     pub(super) fn has_ended(&self, task: TaskKey, run: RunNumber) -> bool {
         self.completions
             .iter()
             .any(|completion| completion.task == task && completion.run == run)
     }
 
+    /// Highest completion for the worker to forget, 0 if it has forgotten all that it may. The next
+    /// incarnation numbers its completions anew and may carry out a late renewal, so a number is not
+    /// repeated without need.
+    pub(super) fn completion_to_forget(&self) -> u64 {
+        if self.acknowledged_completion > self.forgotten_completion {
+            self.acknowledged_completion
+        } else {
+            0
+        }
+    }
+
     /// Stores the lists of a renewal report and returns the completions that are new in it, which
     /// then count as reported. The next full report repeats those that are not acknowledged.
     pub(super) fn update_lists(&mut self, report: RenewalReport) -> Vec<RunCompletion> {
