Leader: completions of an incarnation that isn't adopted wait for its next report

An incarnation that is asked to refuse runs may complete one of them before its agent reports it again. That completion was committed for the new incarnation, where it has no effect, and acknowledged: the run of the earlier one would then be freed and its task run again.

Found by reading. A full report repeats all completions that aren't acknowledged, so nothing is lost by waiting.

--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -226,14 +226,31 @@
         !draining && !excluded
     }
 
-    /// Commits completions that a worker reported.
+    /// Commits completions that a worker reported. Those of an incarnation that is asked to refuse runs
+    /// wait for its next report, because they may be of runs that an earlier one still has.
     pub(super) fn handle_completions(&mut self, key: &WorkerKey, completions: Vec<RunCompletion>) {
         if completions.is_empty() {
             return;
         }
-        if let Some(worker) = self.quorum.read_local(|ledger| ledger.worker_index(key)) {
-            self.propose_completions(worker, completions);
-        }
+        let worker = self.quorum.read_local(|ledger| ledger.worker_index(key));
+        let Some(worker) = worker.filter(|worker| !self.awaits_report(*worker)) else {
+            tracing::info!(event = "completions_deferred", worker = %key, completions = completions.len());
+            return;
+        };
+        self.propose_completions(worker, completions);
+    }
+
+    /// Whether a worker has been added and not been adopted on a session, so that its agent reports it
+    /// again.
+    fn awaits_report(&self, worker: WorkerIndex) -> bool {
+        let Some(state) = &self.leader_state else {
+            return true;
+        };
+        let is_adopted = state
+            .workers
+            .get(&worker)
+            .is_some_and(|w| w.session.is_some());
+        !is_adopted && !state.pending_losses.contains_key(&worker)
     }
 
     /// Proposes the completions that no proposal in flight holds.
