Agent: after an unanswered renewal the next one only asks who answers

Cause: the agent noticed the crash only when a renewal that waits up to 0.8 s timed out. The next one repeated the acknowledgement that had got no answer, and the deadline, both by the counts of the earlier incarnation. The new one forgot completions that nobody had seen, and held a lease far beyond the agent's bound.

Change: while the worker is silent, a renewal carries neither; once an answer shows the incarnation, the next one follows at once with both. What remains: a renewal with a new acknowledgement that is itself carried out late.

--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -96,11 +96,15 @@
     }
 
     /// Extends the lease and returns its deadline, on the worker's clock and within the leader's
-    /// grant. Returns the earlier deadline while the worker is silent or refuses renewals, and none if
-    /// its clock is unknown or the grant is nearly over. A deadline may be earlier than one before it;
+    /// grant. Returns the earlier deadline while the worker refuses renewals, and none if its clock is
+    /// unknown, the grant is nearly over, or the worker is silent: it may have ended, and the deadline
+    /// lies far ahead on the clock of the next incarnation. A deadline may be earlier than one before it;
     /// it never shortens the lease of the worker.
     pub(super) fn extend_deadline(&mut self, now: BootTime) -> Option<u64> {
-        if self.silent || self.refused {
+        if self.silent {
+            return None;
+        }
+        if self.refused {
             return self.deadline_ms;
         }
         let (read_at, clock_ms) = self.clock?;
--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -178,6 +178,8 @@
         last_completion: u64,
         report: RenewalReport,
     ) {
+        // The renewal after an unanswered one carries no deadline, so the next one follows at once.
+        let lacked_deadline = self.lease.is_silent();
         self.lease.record_clock(now, report.clock_ms);
         self.record_silence(false);
         let Some(worker) = &mut self.worker else {
@@ -205,7 +207,7 @@
         let utilisation = is_report_due.then(|| utilisation.clone());
         let key = worker.key.clone();
         // The worker answers at once as long as it has a completion that is not acknowledged.
-        if !worker.completions.is_empty() || omits_completions {
+        if !lacked_deadline && (!worker.completions.is_empty() || omits_completions) {
             self.renewal = RenewalPlan::DueAt(now + ACKNOWLEDGEMENT_WAIT);
         }
         if let Some((task, run)) = worker.unknown_run().filter(|_| self.reported) {
--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -123,14 +123,15 @@
             .any(|completion| completion.task == task && completion.run == run)
     }
 
-    /// Highest completion for the worker to forget, 0 if it has forgotten all that it may. The next
-    /// incarnation numbers its completions anew and may carry out a late renewal, so a number is not
-    /// repeated without need.
+    /// Highest completion for the worker to forget, 0 for none. The next incarnation numbers its
+    /// completions anew, so a number is not repeated without need, and not sent while the worker may
+    /// have ended: after an unanswered renewal, the next one only shows which incarnation answers.
     pub(super) fn completion_to_forget(&self) -> u64 {
-        if self.acknowledged_completion > self.forgotten_completion {
-            self.acknowledged_completion
-        } else {
+        let is_forgotten = self.acknowledged_completion <= self.forgotten_completion;
+        if is_forgotten || self.silent {
             0
+        } else {
+            self.acknowledged_completion
         }
     }
 
--- a/crates/guavavane_cell/tests/next_incarnation.rs
+++ b/crates/guavavane_cell/tests/next_incarnation.rs
@@ -31,6 +31,7 @@
 use guavavane_jobs::prelude::RawJob;
 use guavavane_jobs::prelude::RawStep;
 use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::RunOutcome;
 use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_standin::simulated_worker::RecordedRun;
@@ -39,6 +40,8 @@
 
 /// Run time of a task, longer than the test.
 const TASK_RUN_TIME: Duration = Duration::from_secs(60);
+/// Run time of a task that ends while the worker is being adopted.
+const LATE_RUN_TIME: Duration = Duration::from_millis(5);
 /// Longest wait for starts that nothing delays.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which a run that has to stop is stopped.
@@ -89,6 +92,19 @@
     }
 }
 
+/// Submits a job of one task and waits until the only worker holds its start.
+async fn hold_only_start(cell: &TestCell) {
+    cell.workers[0].holds_starts.store(true, Ordering::Relaxed);
+    let accepted = cell.submit(1, vec![step(1, vec![])]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    let until = Instant::now() + START_TIMEOUT;
+    while cell.workers[0].held_starts() == 0 {
+        assert!(Instant::now() < until, "no start is held");
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+    cell.workers[0].holds_starts.store(false, Ordering::Relaxed);
+}
+
 /// Restarts the worker with index 0 under its name.
 async fn restart_worker(cell: &TestCell) {
     cell.workers[0].holds_starts.store(false, Ordering::Relaxed);
@@ -206,15 +222,7 @@
 #[tokio::test]
 async fn the_completion_of_a_late_start_counts() {
     let cell = TestCell::start(1, Duration::from_millis(1)).await;
-    cell.workers[0].holds_starts.store(true, Ordering::Relaxed);
-    let accepted = cell.submit(1, vec![step(1, vec![])]).await;
-    assert_eq!(accepted, CallerReply::Accepted);
-    let until = Instant::now() + START_TIMEOUT;
-    while cell.workers[0].held_starts() == 0 {
-        assert!(Instant::now() < until, "no start is held");
-        tokio::time::sleep(CHECK_INTERVAL).await;
-    }
-    cell.workers[0].holds_starts.store(false, Ordering::Relaxed);
+    hold_only_start(&cell).await;
     cell.workers[0].restart(RESTARTED_MS);
     cell.workers[0].carry_out_held_starts();
     tokio::time::sleep(CHECK_INTERVAL).await;
@@ -225,6 +233,24 @@
     assert_eq!(cell.history.all().len(), 1, "{:?}", cell.history.all());
 }
 
+// Guards against a completion that is committed for the next incarnation before the runs of the earlier
+// one are given to it: it has no effect there, and the task runs again.
+#[tokio::test]
+async fn the_completion_of_a_late_start_counts_although_it_comes_between_two_reports() {
+    let cell = TestCell::start(1, LATE_RUN_TIME).await;
+    hold_only_start(&cell).await;
+    cell.workers[0].restart(RESTARTED_MS);
+    announce_restarted_worker(&cell).await;
+    cell.workers[0].carry_out_held_starts();
+    cell.wait_for_state(1, JobState::Completed, START_TIMEOUT)
+        .await;
+    let runs = cell.history.all();
+    let done = runs
+        .iter()
+        .filter(|run| run.outcome == Some(RunOutcome::Done));
+    assert_eq!(done.count(), 1, "{runs:?}");
+}
+
 // Guards against a run on a worker that neither its agent nor the leader has ordered and nobody stops.
 #[tokio::test]
 async fn a_run_that_nobody_knows_of_is_stopped() {
@@ -253,11 +279,12 @@
     assert_eq!(left[0].step.job, JobKey(1));
 }
 
-/// Worker that records which completions are acknowledged to it.
+/// Worker that records which completions are acknowledged to it, and the deadline of its latest renewal.
 #[derive(Clone)]
 struct RecordingWorker {
     worker: SimulatedWorker,
     acknowledged: Arc<Mutex<Vec<u64>>>,
+    deadline_ms: Arc<Mutex<Option<u64>>>,
 }
 
 impl WorkerOddity for RecordingWorker {
@@ -268,6 +295,10 @@
     fn record_acknowledgement(&self, last_completion: u64) {
         self.acknowledged.lock().unwrap().push(last_completion);
     }
+
+    fn record_renewal(&self, deadline_ms: Option<u64>) {
+        *self.deadline_ms.lock().unwrap() = deadline_ms;
+    }
 }
 
 // Guards against a renewal that is carried out late by the next incarnation, which then forgets
@@ -278,6 +309,7 @@
     let worker = RecordingWorker {
         worker: SimulatedWorker::new(0, CHECK_INTERVAL, cell.history.clone()),
         acknowledged: Arc::default(),
+        deadline_ms: Arc::default(),
     };
     let agent = start_agent(agent_settings(0, cell.address), OddWorker(worker.clone()));
     assert!(agent.record_heartbeat(worker_heartbeat(0)).await);
@@ -290,3 +322,25 @@
     assert!(acknowledged.contains(&1), "{acknowledged:?}");
     assert_eq!(acknowledged.last(), Some(&0), "{acknowledged:?}");
 }
+
+// Guards against a renewal that reaches the next incarnation after an unanswered one: that would forget
+// completions that nobody has seen, and hold a lease by the clock of the earlier one.
+#[tokio::test]
+async fn a_renewal_after_an_unanswered_one_acknowledges_nothing_and_has_no_deadline() {
+    let cell = TestCell::start(0, TASK_RUN_TIME).await;
+    let worker = RecordingWorker {
+        worker: SimulatedWorker::new(0, TASK_RUN_TIME, cell.history.clone()),
+        acknowledged: Arc::default(),
+        deadline_ms: Arc::default(),
+    };
+    let agent = start_agent(agent_settings(0, cell.address), OddWorker(worker.clone()));
+    assert!(agent.record_heartbeat(worker_heartbeat(0)).await);
+    let accepted = cell.submit(1, vec![step(1, vec![])]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    cell.wait_for_starts(1, START_TIMEOUT).await;
+    assert!(worker.deadline_ms.lock().unwrap().is_some());
+    worker.worker.silent.store(true, Ordering::Relaxed);
+    tokio::time::sleep(ADOPTION_TIME).await;
+    assert_eq!(*worker.deadline_ms.lock().unwrap(), None);
+    assert_eq!(worker.acknowledged.lock().unwrap().last(), Some(&0));
+}
--- a/crates/guavavane_standin/src/simulated_worker.rs
+++ b/crates/guavavane_standin/src/simulated_worker.rs
@@ -94,6 +94,8 @@
     }
 }
 
+/// Longest lease that the worker accepts, in milliseconds.
+const LEASE_MAX_MS: u64 = 6_000;
 /// CPU share of a run that has just started, in percent.
 const STARTING_SHARE_PERCENT: u32 = 100;
 
@@ -146,6 +148,12 @@
             measurements: IndexMap::new(),
         }
     }
+
+    /// Extends the lease to a deadline on the worker's clock, or as far as a lease may reach.
+    fn extend_lease(&mut self, deadline_ms: u64) {
+        let longest_ms = clock_ms(self) + LEASE_MAX_MS;
+        self.deadline_ms = self.deadline_ms.max(deadline_ms.min(longest_ms));
+    }
 }
 
 /// Simulated worker that obeys its lease; clones share the worker.
@@ -185,15 +193,26 @@
     /// Ends the incarnation with all its runs and starts the next one, which reports that it started at
     /// `started_ms` and knows nothing of before. Held starts stay held.
     pub fn restart(&self, started_ms: u64) {
+        self.end_all_runs();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let held_starts = std::mem::take(&mut state.held_starts);
+        *state = WorkerState::new(Some(started_ms), state.restarts + 1);
+        state.held_starts = held_starts;
+    }
+
+    /// Falls silent and ends all runs, until the next restart.
+    pub fn crash(&self) {
+        self.silent.store(true, Ordering::Relaxed);
+        self.end_all_runs();
+    }
+
+    fn end_all_runs(&self) {
         self.advance();
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         self.void_completions(&state);
         while !state.runs.is_empty() {
             self.end_run(&mut state, 0, RunOutcome::Lapsed);
         }
-        let held_starts = std::mem::take(&mut state.held_starts);
-        *state = WorkerState::new(Some(started_ms), state.restarts + 1);
-        state.held_starts = held_starts;
     }
 
     fn restarts(&self) -> u64 {
@@ -201,6 +220,12 @@
         state.restarts
     }
 
+    /// Start of the present incarnation as the worker reports it; none before its first restart.
+    pub fn started_ms(&self) -> Option<u64> {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.started_ms
+    }
+
     /// Number of starts that the worker holds.
     pub fn held_starts(&self) -> usize {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -226,7 +251,7 @@
         if state.ended_runs.iter().any(is_superseded) {
             return OrderAnswer::Refused(OrderRefusal::Old);
         }
-        state.deadline_ms = state.deadline_ms.max(order.deadline_ms);
+        state.extend_lease(order.deadline_ms);
         let is_running = state
             .runs
             .iter()
@@ -318,9 +343,10 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         for completion in &state.completions {
-            let recorded = history.iter_mut().find(|recorded| {
+            let is_latest = |recorded: &&mut RecordedRun| {
                 recorded.task == completion.task && recorded.run == completion.run
-            });
+            };
+            let recorded = history.iter_mut().rev().find(is_latest);
             if let Some(recorded) = recorded {
                 recorded.void = true;
             }
@@ -478,7 +504,7 @@
         self.advance();
         let restarts = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            state.deadline_ms = state.deadline_ms.max(deadline_ms.unwrap_or(0));
+            state.extend_lease(deadline_ms.unwrap_or(0));
             state.restarts
         };
         let wait_ends_at = Instant::now() + wait;
