Soak: workers crash and start again under their name

A crash leaves starts unanswered for up to 0.3 s, then the worker is silent for up to 1 s with all its runs ended, comes back as the next incarnation and carries out the unanswered starts up to 0.5 s later. Crashes overlap with each other and with all other faults; they have a generator stream of their own. Lists say when the worker was born, its heartbeats count anew, a lease is at most 6 s, a call without an answer stays unanswered (it was a 503, which says that nothing was done), and a higher run of a running task is taken.

--- a/tools/soak/src/cell.rs
+++ b/tools/soak/src/cell.rs
@@ -53,6 +53,8 @@
     subnet: u8,
     /// Runs of all workers.
     pub history: RunHistory,
+    /// Simulated workers.
+    pub workers: Vec<SimulatedWorker>,
     /// Whether the heartbeats of each worker are paused.
     heartbeats_paused: [Arc<AtomicBool>; WORKER_COUNT as usize],
 }
@@ -186,12 +188,17 @@
             programs.push(process);
         }
     }
+    let history = RunHistory::default();
+    let workers = (0..WORKER_COUNT).map(|number| {
+        SimulatedWorker::new(usize::from(number), TASK_SERVICE_TIME, history.clone())
+    });
     let cell = SoakCell {
         programs,
         relays: start_relays(subnet, ports)?,
         ports,
         subnet,
-        history: RunHistory::default(),
+        workers: workers.collect(),
+        history,
         heartbeats_paused: Default::default(),
     };
     start_workers(&cell)?;
@@ -216,7 +223,7 @@
 
 /// Starts the simulated workers on a separate thread.
 fn start_workers(cell: &SoakCell) -> anyhow::Result<()> {
-    let (subnet, ports, history) = (cell.subnet, cell.ports, cell.history.clone());
+    let (subnet, ports, workers) = (cell.subnet, cell.ports, cell.workers.clone());
     let heartbeats_paused = cell.heartbeats_paused.clone();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -225,12 +232,7 @@
         .name("workers".to_owned())
         .spawn(move || {
             runtime.block_on(async {
-                for number in 0..WORKER_COUNT {
-                    let worker = SimulatedWorker::new(
-                        usize::from(number),
-                        TASK_SERVICE_TIME,
-                        history.clone(),
-                    );
+                for (number, worker) in (0..WORKER_COUNT).zip(workers) {
                     let advanced_worker = worker.clone();
                     tokio::spawn(async move {
                         loop {
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -4,7 +4,7 @@
 //! repeat a run exactly: the processes run in real time, and a draw may depend on which faults are
 //! active. A run passes if all accepted jobs complete after the faults have ended, no two runs of
 //! a task overlap, no run starts after one that succeeded, and long-running tasks run again in
-//! time. With faults of the control processes, one of them loses its disk at the end, and the
+//! time. Workers crash and start again under their name meanwhile. With faults of the control processes, one of them loses its disk at the end, and the
 //! others must go on: an acknowledged configuration stays, and a new one is acknowledged in time.
 //! Last, workers are lost together with their agent or the leader, and their long-running tasks must
 //! run elsewhere in time.
@@ -17,6 +17,7 @@
 
 use anyhow::bail;
 use anyhow::Context;
+use indexmap::IndexMap;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -33,6 +34,7 @@
 use crate::checks::wait_until_completed;
 use crate::checks::LongRunningTask;
 use crate::connection::OpenConnections;
+use crate::crash::WorkerCrash;
 use crate::faults::FaultSchedule;
 use crate::faults::FaultSpan;
 use crate::lost_worker::LostWorkerPlan;
@@ -56,6 +58,8 @@
 const CONTROL_FAULT_STREAM: u64 = 1;
 /// Generator stream of the lost workers.
 const LOST_WORKER_STREAM: u64 = 2;
+/// Generator stream of the crashes of workers.
+const CRASH_STREAM: u64 = 3;
 /// Time in which a control process catches up after a fault.
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 /// Time for which a control process is down when it loses its disk.
@@ -108,6 +112,8 @@
     pub unclear: usize,
     /// Injected faults of processes and networks.
     pub faults: usize,
+    /// Crashes of workers that started again under their name.
+    pub crashes: usize,
     /// Injected disk faults.
     pub disk_faults: usize,
     /// Series of restarts of all control processes.
@@ -170,6 +176,9 @@
     cell: SoakCell,
     schedule: FaultSchedule,
     control_random: ChaCha8Rng,
+    crash_random: ChaCha8Rng,
+    /// Crashes that are under way, by worker.
+    crashes: IndexMap<usize, JoinHandle<FaultSpan>>,
     report: SoakReport,
     submissions: Vec<Submission>,
     /// Connections of clients that stay open until a process exits.
@@ -180,6 +189,8 @@
     fn start(program: &'a Path, folder: &Path, settings: SoakSettings) -> anyhow::Result<Self> {
         let mut control_random = ChaCha8Rng::seed_from_u64(settings.seed);
         control_random.set_stream(CONTROL_FAULT_STREAM);
+        let mut crash_random = ChaCha8Rng::seed_from_u64(settings.seed);
+        crash_random.set_stream(CRASH_STREAM);
         let cell = start_cell(program, folder, settings.subnet, settings.ports)?;
         Ok(Self {
             program,
@@ -188,6 +199,8 @@
             cell,
             schedule: FaultSchedule::default(),
             control_random,
+            crash_random,
+            crashes: IndexMap::new(),
             report: SoakReport {
                 subnet: settings.subnet,
                 ..SoakReport::default()
@@ -243,12 +256,44 @@
             if self.settings.scope == FaultScope::ControlProcesses {
                 self.disturb_control()?;
             }
+            self.crash_worker()?;
             self.submit_job(&mut random);
             thread::sleep(JOB_INTERVAL);
         }
+        self.end_crashes(|_| true)?;
         self.schedule.end_all(&mut self.cell, self.program)
     }
 
+    /// Crashes a worker at random, unless its latest crash is under way.
+    fn crash_worker(&mut self) -> anyhow::Result<()> {
+        self.end_crashes(JoinHandle::is_finished)?;
+        let random = &mut self.crash_random;
+        let worker = random.random_range(0..self.cell.workers.len());
+        let crash = WorkerCrash::draw(random);
+        if random.random_bool(0.06) && !self.crashes.contains_key(&worker) {
+            let simulated = self.cell.workers[worker].clone();
+            self.crashes.insert(worker, crash.begin(simulated));
+            self.report.crashes += 1;
+        }
+        Ok(())
+    }
+
+    /// Records the selected crashes once they are over.
+    fn end_crashes(
+        &mut self,
+        is_due: impl Fn(&JoinHandle<FaultSpan>) -> bool,
+    ) -> anyhow::Result<()> {
+        let (due, remaining) = std::mem::take(&mut self.crashes)
+            .into_iter()
+            .partition::<IndexMap<_, _>, _>(|(_, crash)| is_due(crash));
+        self.crashes = remaining;
+        for crash in due.into_values() {
+            let span = crash.join().ok().context("a crash panicked")?;
+            self.schedule.spans.push(span);
+        }
+        Ok(())
+    }
+
     /// Injects disk faults and plans restarts at random; starts control processes that have exited.
     fn disturb_control(&mut self) -> anyhow::Result<()> {
         let random = &mut self.control_random;
--- a/tools/soak/src/worker.rs
+++ b/tools/soak/src/worker.rs
@@ -30,6 +30,10 @@
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Start of a worker's first incarnation, in milliseconds since 1970.
+const FIRST_STARTED_MS: u64 = 1;
+/// Time after which a call that the worker leaves unanswered is given up; longer than its caller waits.
+const UNANSWERED_TIME: Duration = Duration::from_secs(4);
 /// Timeout for the response to a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -48,32 +52,49 @@
 ) -> std::io::Result<()> {
     let key = WorkerKey {
         name: Arc::from(format!("i-{number}")),
-        started_ms: 1,
+        started_ms: FIRST_STARTED_MS,
     };
-    let (served_worker, served_key) = (worker, key.clone());
+    let (served_worker, served_key) = (worker.clone(), key.clone());
     serve(address, move |request| {
         let (worker, key) = (served_worker.clone(), served_key.clone());
         async move { answer_call(&worker, key, request).await }
     })
     .await?;
-    tokio::spawn(send_heartbeats(agent, number, heartbeats_paused));
+    tokio::spawn(send_heartbeats(agent, worker, number, heartbeats_paused));
     Ok(())
 }
 
-async fn send_heartbeats(agent: SocketAddr, number: usize, paused: Arc<AtomicBool>) {
+/// Start of the worker's present incarnation, in milliseconds since 1970.
+pub fn started_ms(worker: &SimulatedWorker) -> u64 {
+    worker.started_ms().unwrap_or(FIRST_STARTED_MS)
+}
+
+async fn send_heartbeats(
+    agent: SocketAddr,
+    worker: SimulatedWorker,
+    number: usize,
+    paused: Arc<AtomicBool>,
+) {
     let client = PlatformClient::new(agent);
     let paths = [
         "/Instances.Heartbeat/i-0",
         "/Instances.Heartbeat/i-1",
         "/Instances.Heartbeat/i-2",
     ];
-    for sequence in 1_u64.. {
-        while paused.load(Ordering::Relaxed) {
+    let (mut sequence, mut born) = (0, 0);
+    loop {
+        while paused.load(Ordering::Relaxed) || worker.silent.load(Ordering::Relaxed) {
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         }
+        sequence = if born == started_ms(&worker) {
+            sequence + 1
+        } else {
+            1
+        };
+        born = started_ms(&worker);
         let body = json!({
             "Service": "pool", "Addr": "127.0.0.1:1", "Zone": "caxias", "Version": "v1",
-            "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Seq": sequence, "born": 1,
+            "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Seq": sequence, "born": born,
             "Capacity": {"Cpu": 8000, "MemMb": 8000, "Gpus": 0}, "Labels": ["a", "r1"],
         });
         // A failed heartbeat needs no retry: the next one follows after the interval.
@@ -89,7 +110,7 @@
     }
 }
 
-fn order_response(answer: OrderAnswer) -> BufferedResponse {
+async fn order_response(answer: OrderAnswer) -> BufferedResponse {
     match answer {
         OrderAnswer::Done => json_response(StatusCode::OK, r#"{"ClockMs":1}"#),
         OrderAnswer::Refused(OrderRefusal::Old) => {
@@ -102,10 +123,16 @@
             json_response(StatusCode::CONFLICT, r#"{"ClockMs":1,"Reason":"room"}"#)
         }
         OrderAnswer::OtherIncarnation => empty_response(StatusCode::MISDIRECTED_REQUEST),
-        OrderAnswer::Unanswered => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+        OrderAnswer::Unanswered => unanswered().await,
     }
 }
 
+/// Leaves a call without a response for longer than its caller waits.
+async fn unanswered() -> BufferedResponse {
+    tokio::time::sleep(UNANSWERED_TIME).await;
+    empty_response(StatusCode::SERVICE_UNAVAILABLE)
+}
+
 fn runs_response(report: &RenewalReport) -> BufferedResponse {
     let running = report.running.iter();
     let running = running.map(|status| json!([status.task.to_string(), status.run.0, "", 50, 0]));
@@ -121,6 +148,7 @@
     });
     let body = json!({
         "ClockMs": report.clock_ms,
+        "born": report.started_ms.unwrap_or(FIRST_STARTED_MS),
         "Running": running.collect::<Vec<Value>>(),
         "Finished": completions.collect::<Vec<Value>>(),
     });
@@ -151,10 +179,10 @@
                 deadline_ms: body["DeadlineMs"].as_u64().unwrap_or(0),
                 ticket: Arc::from(body["Ticket"].as_str().unwrap_or("")),
             };
-            order_response(worker.start(key, fencing_token, order).await)
+            order_response(worker.start(key, fencing_token, order).await).await
         }
         ("/run-stop", Some(task)) => {
-            order_response(worker.stop(key, fencing_token, task, run).await)
+            order_response(worker.stop(key, fencing_token, task, run).await).await
         }
         ("/hold", _) => {
             let wait = Duration::from_millis(body["WaitMs"].as_u64().unwrap_or(0));
@@ -165,7 +193,7 @@
                 .await
             {
                 RenewalAnswer::Report(report) => runs_response(&report),
-                _ => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+                _ => unanswered().await,
             }
         }
         _ => empty_response(StatusCode::NOT_FOUND),
