--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod commit;
 mod engine;
 mod group_report;
+mod incarnation;
 mod leader_state;
 mod maintenance;
 mod open_completions;
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -6,6 +6,7 @@
 
 use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
+use super::incarnation::request_refusals;
 use super::leader_state::DeferredReport;
 use super::leader_state::PendingLoss;
 use super::leader_state::WorkerState;
@@ -18,14 +19,12 @@
 use guavavane_jobs::ledger::WorkerRecord;
 use guavavane_jobs::plan::interference::InterferenceModel;
 use guavavane_jobs::plan::interference::PairEstimate;
-use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunCompletion;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerKey;
 use guavavane_model::prelude::BootClock;
-use guavavane_quorum::prelude::QuorumHandle;
 
 impl ControlEngine {
     /// Handles an agent's report of its worker; a worker that is not in the ledger is added first.
@@ -79,13 +78,7 @@
             loss.deferred = Some(DeferredReport { session, report });
             return;
         }
-        let unrefused = unrefused_runs(&self.quorum, index, &report);
-        if !unrefused.is_empty() {
-            tracing::info!(event = "refusal_asked", worker = %report.key, runs = unrefused.len());
-            leader_session.sender.send(FromControl::RefuseRuns {
-                key: report.key,
-                runs: unrefused,
-            });
+        if request_refusals(&self.quorum, leader_session, index, &report) {
             return;
         }
         if let SessionRole::Agent { worker, .. } = &mut leader_session.role {
@@ -110,26 +103,6 @@
         self.request_pass();
     }
 
-    /// Proposes the loss of all other incarnations on the same VM. The present one may have carried out
-    /// a start that was meant for an earlier one; its completion counts for the run of that one.
-    fn lose_other_incarnations(&mut self, index: WorkerIndex, completions: &[RunCompletion]) {
-        let replaced = self
-            .quorum
-            .read_local(|ledger| other_incarnations(ledger, index));
-        for worker in replaced {
-            let inherited = self.quorum.read_local(|ledger| {
-                let record = ledger.worker(worker);
-                let is_recorded = |completion: &&RunCompletion| {
-                    let run = record.and_then(|record| record.runs.get(&completion.task));
-                    run.is_some_and(|run| run.run == completion.run)
-                };
-                completions.iter().filter(is_recorded).cloned().collect()
-            });
-            self.propose_completions(worker, inherited);
-            self.declare_worker_lost(worker, true, "replaced");
-        }
-    }
-
     /// Starts runs that the worker lacks and stops runs that are not desired on it. A desired run
     /// that may not start now is stopped as well, so that its agent withdraws it; but not for want of a
     /// ticket if the report is repeated on its session, since the start may be under way. The start of a
@@ -240,19 +213,6 @@
         self.propose_completions(worker, completions);
     }
 
-    /// Whether a worker has been added and not been adopted on a session, so that its agent reports it
-    /// again.
-    fn awaits_report(&self, worker: WorkerIndex) -> bool {
-        let Some(state) = &self.leader_state else {
-            return true;
-        };
-        let is_adopted = state
-            .workers
-            .get(&worker)
-            .is_some_and(|w| w.session.is_some());
-        !is_adopted && !state.pending_losses.contains_key(&worker)
-    }
-
     /// Proposes the completions that no proposal in flight holds.
     pub(super) fn propose_completions(
         &mut self,
@@ -455,31 +415,6 @@
     }
 }
 
-/// Other incarnations on the VM of a worker.
-fn other_incarnations(ledger: &JobLedger, index: WorkerIndex) -> Vec<WorkerIndex> {
-    let node = ledger.worker(index).map(|worker| &worker.node);
-    let workers = node.into_iter().flat_map(|node| ledger.workers_on(node));
-    workers.filter(|other| *other != index).collect()
-}
-
-/// Runs of other incarnations with the name of the reported worker that it may still start, because it
-/// has not confirmed to refuse them.
-fn unrefused_runs(
-    quorum: &QuorumHandle<JobLedger>,
-    index: WorkerIndex,
-    report: &WorkerReport,
-) -> Vec<(TaskKey, RunNumber)> {
-    quorum.read_local(|ledger| {
-        let others = other_incarnations(ledger, index).into_iter();
-        let others = others.filter_map(|other| ledger.worker(other));
-        let namesakes = others.filter(|other| other.key.name == report.key.name);
-        let runs = namesakes.flat_map(|other| &other.runs);
-        let runs = runs.map(|(task, record)| (*task, record.run));
-        runs.filter(|run| !report.refused_runs.contains(run))
-            .collect()
-    })
-}
-
 /// Learned estimates for the pairs of latency-critical and best-effort images on a worker.
 fn learned_estimates(interference: &InterferenceModel, worker: &WorkerRecord) -> Vec<PairEstimate> {
     let runs = || worker.runs.values();
--- a/crates/guavavane_standin/src/lib.rs
+++ b/crates/guavavane_standin/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod harness;
 pub mod http;
 pub mod relay;
+mod run_history;
 pub mod simulated_worker;
 pub mod socket_owner;
 pub mod worker;
--- a/crates/guavavane_standin/src/simulated_worker.rs
+++ b/crates/guavavane_standin/src/simulated_worker.rs
@@ -1,4 +1,4 @@
-//! In-process worker that obeys leases as the platform's workers do, and the history of all runs.
+//! In-process worker that obeys leases as the platform's workers do.
 //!
 //! The worker implements `WorkerApi` without a network: tests connect it to an agent directly,
 //! and the soak test serves it over HTTP.
@@ -13,6 +13,8 @@
 
 use indexmap::IndexMap;
 
+pub use crate::run_history::RecordedRun;
+pub use crate::run_history::RunHistory;
 use guavavane_cell::prelude::OrderAnswer;
 use guavavane_cell::prelude::OrderRefusal;
 use guavavane_cell::prelude::RenewalAnswer;
@@ -31,69 +33,6 @@
 /// Payload of tasks that fail after their service time.
 pub const FAILING_PAYLOAD: &str = "failing";
 
-/// Run of a task, as recorded in the history that all workers share.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RecordedRun {
-    /// Task of the run.
-    pub task: TaskKey,
-    /// Number of the run.
-    pub run: RunNumber,
-    /// Index of the worker that executed the run.
-    pub worker: usize,
-    /// Time at which the run started.
-    pub started_at: Instant,
-    /// Time at which the run ended; none while the run is active.
-    pub ended: Option<Instant>,
-    /// Outcome of the run; none while the run is active.
-    pub outcome: Option<RunOutcome>,
-    /// Whether the lease of the worker expired before the completion was acknowledged: the
-    /// completion is void, and the task may run again.
-    pub void: bool,
-}
-
-/// Runs of all workers, in the order of their starts; clones share the history.
-#[derive(Clone, Default)]
-pub struct RunHistory(Arc<Mutex<Vec<RecordedRun>>>);
-
-impl RunHistory {
-    /// All recorded runs.
-    pub fn all(&self) -> Vec<RecordedRun> {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
-    }
-
-    /// Panics if two runs of a task overlap, or if one starts after another has succeeded.
-    pub fn assert_no_duplicate_runs(&self) {
-        if let Some(fault) = self.find_duplicate_run() {
-            panic!("{fault}");
-        }
-    }
-
-    /// Describes two runs of a task that overlap, or one that starts after another has succeeded; a
-    /// void success doesn't count.
-    pub fn find_duplicate_run(&self) -> Option<String> {
-        let runs = self.all();
-        for (index, earlier) in runs.iter().enumerate() {
-            for later in &runs[index + 1..] {
-                if earlier.task != later.task {
-                    continue;
-                }
-                let ended_before = earlier.ended.is_some_and(|ended| ended <= later.started_at);
-                let has_succeeded = earlier.outcome == Some(RunOutcome::Done) && !earlier.void;
-                if !ended_before || has_succeeded {
-                    return Some(format!(
-                        "{} runs twice: {earlier:?} {later:?}",
-                        earlier.task
-                    ));
-                }
-            }
-        }
-        None
-    }
-}
-
 /// Longest lease that the worker accepts, in milliseconds.
 const LEASE_MAX_MS: u64 = 6_000;
 /// CPU share of a run that has just started, in percent.
@@ -277,21 +216,7 @@
             ends_at: (!is_long_running).then(|| Instant::now() + self.service_time),
             outcome,
         });
-        let recorded = RecordedRun {
-            task: order.task,
-            run: order.run,
-            worker: self.index,
-            started_at: Instant::now(),
-            ended: None,
-            outcome: None,
-            void: false,
-        };
-        let mut history = self
-            .history
-            .0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        history.push(recorded);
+        self.history.record_start(self.index, order.task, order.run);
     }
 
     /// Sets the measurement that the following reports contain for a task.
@@ -319,37 +244,14 @@
             checkpoint: Arc::from(""),
         });
         state.next_completion += 1;
-        let mut history = self
-            .history
-            .0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let is_active = |recorded: &&mut RecordedRun| {
-            let is_same = recorded.task == run.task && recorded.run == run.run;
-            is_same && recorded.worker == self.index && recorded.ended.is_none()
-        };
-        let recorded = history.iter_mut().find(is_active);
-        if let Some(recorded) = recorded {
-            recorded.ended = Some(Instant::now());
-            recorded.outcome = Some(outcome);
-        }
+        self.history
+            .record_end(self.index, run.task, run.run, outcome);
     }
 
     /// Marks the runs of unacknowledged completions as void.
     fn void_completions(&self, state: &WorkerState) {
-        let mut history = self
-            .history
-            .0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
         for completion in &state.completions {
-            let is_latest = |recorded: &&mut RecordedRun| {
-                recorded.task == completion.task && recorded.run == completion.run
-            };
-            let recorded = history.iter_mut().rev().find(is_latest);
-            if let Some(recorded) = recorded {
-                recorded.void = true;
-            }
+            self.history.void(completion.task, completion.run);
         }
     }
 
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -2,12 +2,12 @@
 //!
 //! A generator with the given seed draws the faults, the jobs and the entries. A seed doesn't
 //! repeat a run exactly: the processes run in real time, and a draw may depend on which faults are
-//! active. A run passes if all accepted jobs complete after the faults have ended, no two runs of
-//! a task overlap, no run starts after one that succeeded, and long-running tasks run again in
-//! time. Workers crash and start again under their name meanwhile. With faults of the control processes, one of them loses its disk at the end, and the
-//! others must go on: an acknowledged configuration stays, and a new one is acknowledged in time.
-//! Last, workers are lost together with their agent or the leader, and their long-running tasks must
-//! run elsewhere in time.
+//! active. A run passes if all accepted jobs complete after the faults have ended, no two runs of a
+//! task overlap, no run starts after one that succeeded, and long-running tasks run again in time.
+//! Workers crash and start again under their name meanwhile. With faults of the control processes,
+//! one of them loses its disk at the end, and the others must go on: an acknowledged configuration
+//! stays, and a new one is acknowledged in time. Last, workers are lost together with their agent
+//! or the leader, and their long-running tasks must run elsewhere in time.
 
 use std::path::Path;
 use std::thread;
