Ledger: a failure of a gang counts whichever member's end arrives first

Cause: a failure counted only if no other end of that run had been recorded. The order in which the ends of the members arrive isn't fixed: with the agent of the failing member frozen for 1.2 s, `broken` of the other one came first.

Change: the step keeps the latest run of which a member has failed, beside the latest broken one; each such run counts once.

--- a/crates/guavavane_jobs/src/ledger/apply.rs
+++ b/crates/guavavane_jobs/src/ledger/apply.rs
@@ -395,13 +395,14 @@
             return false;
         };
         task.phase = TaskPhase::Waiting;
-        // In a gang, only the first unsuccessful completion of a run may count as a failure, since
-        // the other members end because of it.
+        // A run of a gang counts as one failure, however many of its members fail and whichever of
+        // their ends arrives first.
         let counts_as_failure = completion.outcome == RunOutcome::Failed
             && !is_long_running
-            && (!step_spec.gang || step.last_broken_run < completion.run);
+            && (!step_spec.gang || step.last_failed_run < completion.run);
         if counts_as_failure {
             if step_spec.gang {
+                step.last_failed_run = completion.run;
                 step.tasks.iter_mut().for_each(|task| task.failures += 1);
             } else {
                 task.failures += 1;
--- a/crates/guavavane_jobs/src/ledger/record.rs
+++ b/crates/guavavane_jobs/src/ledger/record.rs
@@ -88,6 +88,8 @@
     /// Latest run of the gang of which a member has ended without success; the other members of
     /// that run must stop.
     pub last_broken_run: RunNumber,
+    /// Latest run of the gang of which a member has failed; each such run counts as one failure.
+    pub last_failed_run: RunNumber,
 }
 
 impl StepRecord {
@@ -103,6 +105,7 @@
             tasks: vec![task; spec.tasks as usize],
             done: 0,
             last_broken_run: RunNumber(0),
+            last_failed_run: RunNumber(0),
         }
     }
 
