Agent: it ends only once a leader has committed the losses that it reported

Cause: a loss counted as reported once it was written to an open session. If the leader froze before it had committed the loss, the report was gone, and on a VM that is taken away no process repeats it: the next leader waits 12.7 s.

Change: an agent that ends asks on its session whether the losses which it has reported are committed (ConfirmLosses, LossesCommitted), again on each further session, and ends with the answer, or as before when three quarters of the grace period are over. Nothing changes while it runs.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -96,8 +96,13 @@
     /// Latest heartbeat of a later incarnation, while the current worker has not been seen to have
     /// ended.
     pub(super) successor: Option<WorkerHeartbeat>,
-    /// Whether the latest end or lease expiry of a worker was sent on no session.
-    pub(super) has_unreported_loss: bool,
+    /// Whether an end or a lease expiry of a worker was reported that no leader has confirmed.
+    pub(super) has_unconfirmed_loss: bool,
+    /// Number of the latest question whether the losses are committed; none if the present session was
+    /// not asked since the latest loss.
+    pub(super) loss_question: Option<u64>,
+    /// Number of questions so far.
+    pub(super) loss_questions: u64,
     /// Latest incarnations that have ended for good, which each session reports again.
     pub(super) ended_workers: VecDeque<WorkerKey>,
     /// Reply to a shutdown that waits for a lease to expire.
@@ -137,7 +142,9 @@
             leaving: false,
             acknowledge_max: None,
             successor: None,
-            has_unreported_loss: false,
+            has_unconfirmed_loss: false,
+            loss_question: None,
+            loss_questions: 0,
             ended_workers: VecDeque::new(),
             pending_shutdown: None,
             renewal: RenewalPlan::DueAt(BootTime::default()),
@@ -217,16 +224,20 @@
         }
     }
 
-    /// Confirms a shutdown unless a lease may be in force whose end only this process can report soon:
-    /// the next one would begin the wait anew. The runs of a worker that answers go on, and the next
+    /// Confirms a shutdown unless a lease may be in force whose end only this process can report soon, or
+    /// a loss has been reported to a leader that may have been lost with it: no other process may follow
+    /// on this VM, and the next one would begin the wait anew. The runs of a worker that answers go on, and the next
     /// process reports them.
     fn confirm_shutdown(&mut self) {
         let answers = |worker: &LocalWorker| worker.has_list && !worker.silent;
         let is_renewed = self.worker.as_ref().is_some_and(answers) && !self.lease.is_refused();
         let awaits_expiry = self.lease.may_be_held() && !is_renewed;
-        if awaits_expiry || self.has_unreported_loss {
+        if self.pending_shutdown.is_none() || awaits_expiry {
             return;
         }
+        if self.has_unconfirmed_loss {
+            return self.ask_for_losses();
+        }
         if let Some(reply) = self.pending_shutdown.take() {
             // Sending fails only if the process no longer waits.
             let _ = reply.send(());
@@ -318,6 +329,7 @@
             }
             SessionEvent::Closed => {
                 self.session = None;
+                self.loss_question = None;
                 self.reported = false;
                 self.granted_from = None;
             }
@@ -356,6 +368,7 @@
                 }
             }
             FromControl::RefuseRuns { key, runs } => self.refuse_runs(&key, runs),
+            FromControl::LossesCommitted { number } => self.record_committed_losses(number),
             FromControl::CompletionsCommitted {
                 key,
                 last_completion,
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -89,13 +89,34 @@
         if !self.lease.may_be_held() {
             self.send_to_leader(ToControl::LeaseExpired);
         }
-        self.has_unreported_loss = false;
+        self.loss_question = None;
     }
 
     /// Reports a loss that has just been noticed; without a session, the next one reports it.
     pub(super) fn report_loss(&mut self, loss: ToControl) {
         self.send_to_leader(loss);
-        self.has_unreported_loss = self.session.is_none();
+        self.has_unconfirmed_loss = true;
+        self.loss_question = None;
+    }
+
+    /// Asks the leader whether the reported losses are committed, unless the question is open.
+    pub(super) fn ask_for_losses(&mut self) {
+        if self.loss_question.is_some() || self.session.is_none() {
+            return;
+        }
+        self.loss_questions += 1;
+        let number = self.loss_questions;
+        self.loss_question = Some(number);
+        self.send_to_leader(ToControl::ConfirmLosses { number });
+    }
+
+    /// Records that the losses are committed which were reported before a question.
+    pub(super) fn record_committed_losses(&mut self, number: u64) {
+        if self.loss_question == Some(number) {
+            tracing::info!(event = "losses_confirmed", number);
+            self.loss_question = None;
+            self.has_unconfirmed_loss = false;
+        }
     }
 
     /// Forgets the worker and reports that it has ended. The leader then frees its runs at once, so no
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -326,6 +326,7 @@
             ToControl::Stalled { key, runs } => self.move_stalled_runs(&key, &runs),
             ToControl::WorkerEnded { key } => self.handle_worker_ended(&key),
             ToControl::LeaseExpired => self.handle_expired_lease(id),
+            ToControl::ConfirmLosses { number } => self.confirm_losses(id, number),
             ToControl::Peer(_)
             | ToControl::Join { .. }
             | ToControl::EntryHello { .. }
--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -111,6 +111,8 @@
     pub(super) capacities: CapacityTable,
     /// Losses of workers that are not committed.
     pub(super) pending_losses: IndexMap<WorkerIndex, PendingLoss>,
+    /// Questions of agents whether their losses are committed, by session, with their numbers.
+    pub(super) loss_questions: IndexMap<SessionId, u64>,
     /// Completions that are not known to be recorded.
     pub(super) open_completions: IndexMap<WorkerIndex, OpenCompletions>,
     /// Withdrawals whose proposal was refused.
@@ -163,6 +165,7 @@
             workers: workers.collect(),
             capacities: CapacityTable::default(),
             pending_losses: IndexMap::new(),
+            loss_questions: IndexMap::new(),
             open_completions: IndexMap::new(),
             refused_withdrawals: IndexSet::new(),
             refused_reports: IndexMap::new(),
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod group_report;
 mod incarnation;
 mod leader_state;
+mod loss_confirmation;
 mod maintenance;
 mod open_completions;
 mod operator;
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -370,6 +370,7 @@
             state.pending_losses.insert(worker, loss);
             return self.propose_loss(worker);
         }
+        self.answer_loss_questions();
         self.request_pass();
         if let Some(DeferredReport { session, report }) = loss.deferred {
             self.handle_worker_report(session, *report);
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -244,6 +244,11 @@
     /// Reports that no worker on the agent's VM holds a lease, so that all runs there have stopped.
     /// Each session says so until the agent grants its worker a lease.
     LeaseExpired,
+    /// Asks whether the losses that the agent has reported are committed, before its process ends.
+    ConfirmLosses {
+        /// Number of the question, which the answer repeats.
+        number: u64,
+    },
 }
 
 /// Messages from a control process.
@@ -310,4 +315,9 @@
         /// Runs to refuse.
         runs: Vec<(TaskKey, RunNumber)>,
     },
+    /// Says that the losses which the agent had reported before its question are committed.
+    LossesCommitted {
+        /// Number of the question.
+        number: u64,
+    },
 }
--- a/crates/guavavane_cell/tests/repeated_losses.rs
+++ b/crates/guavavane_cell/tests/repeated_losses.rs
@@ -168,3 +168,36 @@
     let mut second = next_stream(&streams).await;
     assert!(receive_expiry(&mut second).await.is_some());
 }
+
+/// Receives the agent's question whether its losses are committed and returns its number.
+async fn receive_loss_question(stream: &mut LeaderStream) -> Option<u64> {
+    let find = |message| match message {
+        ToControl::ConfirmLosses { number } => Some(number),
+        _ => None,
+    };
+    receive_matching(stream, find).await
+}
+
+// Guards against an agent that ends although the leader, to which it has just reported a loss, is lost
+// before it commits it: on a VM that is taken away, nobody would report it to the next leader.
+#[tokio::test]
+async fn an_agent_ends_only_once_a_leader_has_committed_its_losses() {
+    let (leader, streams) = listen().await;
+    let (agent, worker) = start_test_agent(leader);
+    assert!(agent.record_heartbeat(worker_heartbeat(0)).await);
+    let mut first = next_stream(&streams).await;
+    assert!(receive_report(&mut first).await.is_some());
+    worker.silent.store(true, Ordering::Relaxed);
+    assert!(receive_expiry(&mut first).await.is_some());
+    let shutdown = tokio::spawn(async move { agent.prepare_shutdown().await });
+    assert!(receive_loss_question(&mut first).await.is_some());
+
+    // The leader is lost before the loss is committed.
+    drop(first);
+    let mut second = next_stream(&streams).await;
+    assert!(receive_expiry(&mut second).await.is_some());
+    let number = receive_loss_question(&mut second).await.unwrap();
+    assert!(!shutdown.is_finished());
+    second.0.send(FromControl::LossesCommitted { number });
+    timeout(MESSAGE_TIMEOUT, shutdown).await.unwrap().unwrap();
+}
