Agent: it awaits the longest lease of a worker that has started again

Cause: a start that is carried out late carries a deadline by the clock of the earlier incarnation, which lies far ahead on the new one; the worker takes it, also from a start that it refuses as old, up to MaxHoldMs (6 s). The agent counted 2.9 s from its own renewals.

Change: from the first answer of a worker that follows another one of its name, the agent takes its lease to be the longest one that a worker accepts, from 1 s later. The soak waits for that before it loses workers.

The simulated worker takes a lease from a start that it refuses as old.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -93,6 +93,8 @@
     /// Highest completion that the worker may forget, because the one after it was unreadable in its
     /// latest report; none if it may forget all.
     pub(super) acknowledge_max: Option<u64>,
+    /// Name of the worker before the present one.
+    pub(super) former_name: Option<Arc<str>>,
     /// Latest heartbeat of a later incarnation, while the current worker has not been seen to have
     /// ended.
     pub(super) successor: Option<WorkerHeartbeat>,
@@ -141,6 +143,7 @@
             worker: None,
             leaving: false,
             acknowledge_max: None,
+            former_name: None,
             successor: None,
             has_unconfirmed_loss: false,
             loss_question: None,
@@ -283,11 +286,13 @@
         let now = BootClock.now();
         self.lease.reset_for_worker();
         self.ended_workers.retain(|key| *key != heartbeat.key);
-        self.worker = Some(LocalWorker::new(
+        let mut worker = LocalWorker::new(
             heartbeat.key.clone(),
             heartbeat.facts.clone(),
             self.violation_timeout,
-        ));
+        );
+        worker.follows_incarnation = self.former_name.as_ref() == Some(&worker.key.name);
+        self.worker = Some(worker);
         self.renewal = RenewalPlan::DueAt(now);
         self.update_worker(&heartbeat);
         self.refuse_late_starts(now);
--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -10,6 +10,9 @@
 
 /// Number of renewals that fit into one lease of the worker, so that two of them may fail.
 const RENEWALS_PER_LEASE: u32 = 3;
+/// Time after the first answer of a worker in which calls meant for an earlier one of its name may still
+/// extend its lease.
+const LATE_CALL_MARGIN: Duration = Duration::from_millis(1_000);
 /// Shortest lease that is worth granting to the worker; below it a renewal carries no deadline.
 const LEASE_MIN: Duration = Duration::from_millis(200);
 
@@ -66,6 +69,15 @@
         self.refused = false;
     }
 
+    /// Records that a worker which follows another one of its name has answered at `now`. Calls that were
+    /// meant for the earlier one carry deadlines by its clock, which lie far ahead on the clock of this
+    /// one: they extend the lease as far as a worker allows.
+    pub(super) fn record_late_calls(&mut self, now: BootTime) {
+        let lease_max = self.timing.expiry_bound(self.timing.worker_lease_max);
+        let expired_by = now + LATE_CALL_MARGIN + lease_max;
+        self.expired_by = self.expired_by.max(Some(expired_by));
+    }
+
     /// Records a reading of the worker's clock that arrived at `now` with the answer to a renewal.
     pub(super) fn record_clock(&mut self, now: BootTime, clock_ms: u64) {
         self.clock = Some((now, clock_ms));
--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -185,6 +185,9 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
+        if std::mem::take(&mut worker.follows_incarnation) {
+            self.lease.record_late_calls(now);
+        }
         worker.forgotten_completion = worker.forgotten_completion.max(last_completion);
         let omits_completions = report.omits_completions;
         let previous_max = self.acknowledge_max.unwrap_or(u64::MAX);
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -136,6 +136,7 @@
         let worker = self.worker.take()?;
         tracing::warn!(event = "worker_gone", worker = %worker.key, reason);
         self.end_orders(&worker.key.name);
+        self.former_name = Some(Arc::clone(&worker.key.name));
         self.leaving = false;
         self.acknowledge_max = None;
         self.reported = false;
--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -69,6 +69,8 @@
     pub(super) attributes: IndexMap<(TaskKey, RunNumber), RunAttributes>,
     /// Checkpoints in the latest list.
     pub(super) checkpoints: IndexMap<TaskKey, Arc<str>>,
+    /// Whether it follows an earlier incarnation and has not answered yet.
+    pub(super) follows_incarnation: bool,
     /// Runs of earlier incarnations that this one has to refuse.
     pub(super) refusals: RunRefusals,
     /// Runs of the latest report to the leader.
@@ -94,6 +96,7 @@
             has_list: false,
             attributes: IndexMap::new(),
             checkpoints: IndexMap::new(),
+            follows_incarnation: false,
             refusals: RunRefusals::default(),
             reported_runs: IndexSet::new(),
             throttle: ThrottleController::new(violation_timeout),
--- a/crates/guavavane_cell/src/timing.rs
+++ b/crates/guavavane_cell/src/timing.rs
@@ -19,6 +19,8 @@
     pub agent_lease: Duration,
     /// Lease that one renewal grants to a worker.
     pub worker_lease: Duration,
+    /// Longest lease that a worker accepts from any call.
+    pub worker_lease_max: Duration,
     /// Time that a suspended worker may run past the expiry of its lease after it resumes.
     pub thaw_slack: Duration,
 }
--- a/crates/guavavane_cell/tests/group_report.rs
+++ b/crates/guavavane_cell/tests/group_report.rs
@@ -32,6 +32,7 @@
         timing: LeaseTiming {
             agent_lease: Duration::from_secs(3),
             worker_lease: Duration::from_millis(600),
+            worker_lease_max: Duration::from_millis(6_000),
             thaw_slack: Duration::from_millis(50),
         },
         uncommitted_proposals_max: UNCOMMITTED_PROPOSALS_MAX,
--- a/crates/guavavane_cell/tests/next_incarnation.rs
+++ b/crates/guavavane_cell/tests/next_incarnation.rs
@@ -178,6 +178,23 @@
     }
 }
 
+// Guards against a lease that a late start extends by the clock of the earlier incarnation: its end is
+// reported while the runs go on.
+#[tokio::test]
+async fn a_late_start_extends_no_lease_beyond_what_the_agent_awaits() {
+    let cell = start_busy_cell().await;
+    hold_starts(&cell, spread_step()).await;
+    restart_worker(&cell).await;
+    wait_for_active_runs(&cell, ALL_TASKS).await;
+    let on_worker = |run: &RecordedRun| run.worker == 0;
+    assert!(active_runs(&cell).iter().any(on_worker));
+    cell.workers[0].carry_out_held_starts();
+    cell.workers[0].silent.store(true, Ordering::Relaxed);
+    tokio::time::sleep(STOP_TIMEOUT).await;
+    cell.workers[0].advance();
+    cell.history.assert_no_duplicate_runs();
+}
+
 // Guards against a start that is carried out before the first list of the next incarnation.
 #[tokio::test]
 async fn a_late_start_is_stopped_before_its_task_starts_elsewhere() {
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -75,6 +75,7 @@
     LeaseTiming {
         agent_lease: Duration::from_millis(3_000),
         worker_lease: WORKER_LEASE,
+        worker_lease_max: Duration::from_secs(6),
         thaw_slack: Duration::from_millis(50),
     }
 }
--- a/crates/guavavane_standin/src/simulated_worker.rs
+++ b/crates/guavavane_standin/src/simulated_worker.rs
@@ -185,12 +185,13 @@
         if order.deadline_ms < clock_ms(state) {
             return OrderAnswer::Refused(OrderRefusal::Late);
         }
+        // A start that is refused as old extends the lease, too.
+        state.extend_lease(order.deadline_ms);
         let is_superseded =
             |(task, run): &(TaskKey, RunNumber)| *task == order.task && *run >= order.run;
         if state.ended_runs.iter().any(is_superseded) {
             return OrderAnswer::Refused(OrderRefusal::Old);
         }
-        state.extend_lease(order.deadline_ms);
         let is_running = state
             .runs
             .iter()
--- a/tools/soak/src/lost_worker.rs
+++ b/tools/soak/src/lost_worker.rs
@@ -30,6 +30,7 @@
 const LEASE_TIMING: LeaseTiming = LeaseTiming {
     agent_lease: Duration::from_millis(12_000),
     worker_lease: Duration::from_millis(2_500),
+    worker_lease_max: Duration::from_millis(6_000),
     thaw_slack: Duration::from_millis(300),
 };
 /// Longest time until a task runs elsewhere while a leader is in office, after its worker's lease has
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -72,6 +72,9 @@
 const LOST_DISK_WATCH_TIME: Duration = Duration::from_secs(24);
 /// Maximum time for which long-running tasks are watched after other faults.
 const WATCH_TIME_MAX: Duration = Duration::from_secs(40);
+/// Time after a crash for which the agent awaits the longest lease of the restarted worker, longer than
+/// that of 6 s with its drift and the margins for late calls and suspended workers.
+const CRASH_LEASE_TIME: Duration = Duration::from_secs(8);
 /// Time between two checks of the long-running tasks.
 const WATCH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -177,6 +180,8 @@
     schedule: FaultSchedule,
     control_random: ChaCha8Rng,
     crash_random: ChaCha8Rng,
+    /// End of the latest crash.
+    crashed_at: Option<Instant>,
     /// Crashes that are under way, by worker.
     crashes: IndexMap<usize, JoinHandle<FaultSpan>>,
     report: SoakReport,
@@ -200,6 +205,7 @@
             schedule: FaultSchedule::default(),
             control_random,
             crash_random,
+            crashed_at: None,
             crashes: IndexMap::new(),
             report: SoakReport {
                 subnet: settings.subnet,
@@ -289,6 +295,7 @@
         self.crashes = remaining;
         for crash in due.into_values() {
             let span = crash.join().ok().context("a crash panicked")?;
+            self.crashed_at = self.crashed_at.max(Some(span.ended_at));
             self.schedule.spans.push(span);
         }
         Ok(())
@@ -393,6 +400,9 @@
 
     /// Loses workers with long-running tasks, one after the other, each in a different way.
     fn lose_workers(&mut self, tasks: &[LongRunningTask]) -> anyhow::Result<()> {
+        if let Some(crashed_at) = self.crashed_at {
+            thread::sleep(CRASH_LEASE_TIME.saturating_sub(crashed_at.elapsed()));
+        }
         let mut random = ChaCha8Rng::seed_from_u64(self.settings.seed);
         random.set_stream(LOST_WORKER_STREAM);
         let plans = [
