Agent: the heartbeat of a later incarnation doesn't wait for an open renewal

Cause: the agent had the heartbeat of the next incarnation, but waited for its open renewal to the ended one, for up to 0.8 s and a timeout, before it asked who answers and had the late starts refused.

Change: such a heartbeat makes the next renewal due at once; only the answer to the latest renewal counts. What is left is the time until the first heartbeat.

The soak's workers send a heartbeat as soon as they are back.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -56,6 +56,8 @@
 /// Answer to a lease renewal.
 pub(super) struct RenewalResult {
     pub(super) key: WorkerKey,
+    /// Number of the renewal.
+    pub(super) number: u64,
     /// Highest completion that the renewal let the worker forget.
     pub(super) last_completion: u64,
     pub(super) answer: RenewalAnswer,
@@ -110,6 +112,8 @@
     /// Reply to a shutdown that waits for a lease to expire.
     pending_shutdown: Option<oneshot::Sender<()>>,
     pub(super) renewal: RenewalPlan,
+    /// Number of the latest renewal; the answers to earlier ones are ignored.
+    pub(super) renewal_number: u64,
     /// Time of the next utilisation report to the leader.
     pub(super) next_utilisation_report: BootTime,
     /// Stopped runs whose end a renewal report has to confirm, each with whether the next report
@@ -151,6 +155,7 @@
             ended_workers: VecDeque::new(),
             pending_shutdown: None,
             renewal: RenewalPlan::DueAt(BootTime::default()),
+            renewal_number: 0,
             next_utilisation_report: BootTime::default(),
             unconfirmed_stops: IndexMap::new(),
             recent_starts: IndexMap::new(),
@@ -272,7 +277,8 @@
             Some(worker) if worker.has_list => {
                 tracing::info!(event = "successor_found", worker = %worker.key, successor = %heartbeat.key);
                 self.successor = Some(heartbeat);
-                self.renew_now();
+                // A renewal under way may wait for long on a worker that has ended.
+                self.renewal = RenewalPlan::DueAt(BootClock.now());
             }
             _ => self.adopt_worker(heartbeat),
         }
--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -86,6 +86,8 @@
         for listed_next in self.unconfirmed_stops.values_mut() {
             *listed_next = true;
         }
+        self.renewal_number += 1;
+        let number = self.renewal_number;
         let worker_api = self.worker_api.clone();
         let results = self.renewal_results.0.clone();
         tokio::spawn(async move {
@@ -101,6 +103,7 @@
             // Sending fails only after the loop has stopped.
             let _ = results.send(RenewalResult {
                 key,
+                number,
                 last_completion,
                 answer,
             });
@@ -129,6 +132,9 @@
     }
 
     pub(super) fn handle_renewal(&mut self, result: RenewalResult) {
+        if result.number != self.renewal_number {
+            return;
+        }
         let now = BootClock.now();
         self.renewal = RenewalPlan::DueAt(now);
         if !self.is_current(&result.key) {
--- a/crates/guavavane_standin/src/simulated_worker.rs
+++ b/crates/guavavane_standin/src/simulated_worker.rs
@@ -112,6 +112,8 @@
     pub drops_answers: Arc<AtomicBool>,
     /// Whether the worker leaves starts unanswered and holds them until it is told to carry them out.
     pub holds_starts: Arc<AtomicBool>,
+    /// Whether renewals that were open at a restart stay without an answer for 500 ms.
+    pub answers_late: Arc<AtomicBool>,
 }
 
 impl SimulatedWorker {
@@ -126,6 +128,7 @@
             out_of_capacity: Arc::default(),
             drops_answers: Arc::default(),
             holds_starts: Arc::default(),
+            answers_late: Arc::default(),
         }
     }
 
@@ -412,6 +415,9 @@
         };
         let wait_ends_at = Instant::now() + wait;
         loop {
+            if self.restarts() != restarts && self.answers_late.load(Ordering::Relaxed) {
+                tokio::time::sleep(Duration::from_millis(500)).await;
+            }
             if self.silent.load(Ordering::Relaxed) || self.restarts() != restarts {
                 return RenewalAnswer::Unanswered;
             }
--- a/tools/soak/src/worker.rs
+++ b/tools/soak/src/worker.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::StatusCode;
 use serde_json::json;
@@ -34,6 +35,8 @@
 const FIRST_STARTED_MS: u64 = 1;
 /// Time after which a call that the worker leaves unanswered is given up; longer than its caller waits.
 const UNANSWERED_TIME: Duration = Duration::from_secs(4);
+/// Time between two checks whether the worker has started again; it then sends a heartbeat at once.
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Timeout for the response to a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -84,7 +87,7 @@
     let (mut sequence, mut born) = (0, 0);
     loop {
         while paused.load(Ordering::Relaxed) || worker.silent.load(Ordering::Relaxed) {
-            tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+            tokio::time::sleep(RESTART_CHECK_INTERVAL).await;
         }
         sequence = if born == started_ms(&worker) {
             sequence + 1
@@ -106,7 +109,10 @@
                 timeout: HEARTBEAT_TIMEOUT,
             })
             .await;
-        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        let next_at = Instant::now() + HEARTBEAT_INTERVAL;
+        while Instant::now() < next_at && born == started_ms(&worker) {
+            tokio::time::sleep(RESTART_CHECK_INTERVAL).await;
+        }
     }
 }
 
