Agent: the question which incarnation answers carries nothing else

Change: such a renewal carries neither and doesn't wait; the next one follows at once with both if the worker is still the same.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -112,6 +112,9 @@
     /// Reply to a shutdown that waits for a lease to expire.
     pending_shutdown: Option<oneshot::Sender<()>>,
     pub(super) renewal: RenewalPlan,
+    /// Whether the next renewal only asks which incarnation answers, because one that may be a later one
+    /// has sent a heartbeat.
+    pub(super) asks_incarnation: bool,
     /// Number of the latest renewal; the answers to earlier ones are ignored.
     pub(super) renewal_number: u64,
     /// Time of the next utilisation report to the leader.
@@ -155,6 +158,7 @@
             ended_workers: VecDeque::new(),
             pending_shutdown: None,
             renewal: RenewalPlan::DueAt(BootTime::default()),
+            asks_incarnation: false,
             renewal_number: 0,
             next_utilisation_report: BootTime::default(),
             unconfirmed_stops: IndexMap::new(),
@@ -278,6 +282,7 @@
                 tracing::info!(event = "successor_found", worker = %worker.key, successor = %heartbeat.key);
                 self.successor = Some(heartbeat);
                 // A renewal under way may wait for long on a worker that has ended.
+                self.asks_incarnation = true;
                 self.renewal = RenewalPlan::DueAt(BootClock.now());
             }
             _ => self.adopt_worker(heartbeat),
--- a/crates/guavavane_cell/src/agent/lease_renewal.rs
+++ b/crates/guavavane_cell/src/agent/lease_renewal.rs
@@ -73,16 +73,18 @@
         let Some(worker) = &self.worker else {
             return;
         };
-        let deadline_ms = self.lease.extend_deadline(now);
+        // Acknowledgement and deadline are by the counts and the clock of one incarnation.
+        let (deadline_ms, last_completion) = if self.asks_incarnation {
+            (None, 0)
+        } else {
+            let deadline_ms = self.lease.extend_deadline(now);
+            (deadline_ms, worker.completion_to_forget())
+        };
         let mut wait = self.renewal_wait(worker).min(self.lease.renewal_wait_max());
         if deadline_ms.is_none() {
             wait = wait.min(GRANT_WAIT);
         }
-        let (key, last_completion, fencing_token) = (
-            worker.key.clone(),
-            worker.completion_to_forget(),
-            self.fencing_token,
-        );
+        let (key, fencing_token) = (worker.key.clone(), self.fencing_token);
         for listed_next in self.unconfirmed_stops.values_mut() {
             *listed_next = true;
         }
@@ -116,7 +118,8 @@
     pub(super) fn renewal_wait(&self, worker: &LocalWorker) -> Duration {
         // After a refused renewal, the lease is extended again only once one is answered.
         let is_expiring = worker.silent || self.lease.is_refused();
-        if !worker.has_list || !worker.completions.is_empty() || is_expiring {
+        let has_completions = !worker.completions.is_empty();
+        if !worker.has_list || has_completions || is_expiring || self.asks_incarnation {
             return Duration::ZERO;
         }
         if !self.unconfirmed_stops.is_empty() && !worker.omits_rows {
@@ -184,8 +187,9 @@
         last_completion: u64,
         report: RenewalReport,
     ) {
-        // The renewal after an unanswered one carries no deadline, so the next one follows at once.
-        let lacked_deadline = self.lease.is_silent();
+        // A renewal that only asked for the incarnation had no deadline, so the next one follows at once.
+        let lacked_deadline = self.lease.is_silent() || self.asks_incarnation;
+        self.asks_incarnation = false;
         self.lease.record_clock(now, report.clock_ms);
         self.record_silence(false);
         let Some(worker) = &mut self.worker else {
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -138,6 +138,7 @@
         self.end_orders(&worker.key.name);
         self.former_name = Some(Arc::clone(&worker.key.name));
         self.leaving = false;
+        self.asks_incarnation = false;
         self.acknowledge_max = None;
         self.reported = false;
         self.granted_from = None;
--- a/crates/guavavane_cell/tests/next_incarnation.rs
+++ b/crates/guavavane_cell/tests/next_incarnation.rs
@@ -383,3 +383,33 @@
     let waited = restarted_at.elapsed();
     assert!(waited < OPEN_RENEWAL_TIME, "{waited:?}");
 }
+
+// Guards against the question which incarnation answers that itself lets the next one forget completions.
+#[tokio::test]
+async fn a_renewal_after_the_heartbeat_of_a_later_incarnation_acknowledges_nothing() {
+    let cell = TestCell::start(0, TASK_RUN_TIME).await;
+    let worker = RecordingWorker {
+        worker: SimulatedWorker::new(0, CHECK_INTERVAL, cell.history.clone()),
+        acknowledged: Arc::default(),
+        deadline_ms: Arc::default(),
+    };
+    let agent = start_agent(agent_settings(0, cell.address), OddWorker(worker.clone()));
+    assert!(agent.record_heartbeat(worker_heartbeat(0)).await);
+    let accepted = cell.submit(1, vec![step(1, vec![])]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    cell.wait_for_state(1, JobState::Completed, START_TIMEOUT)
+        .await;
+    worker.worker.silent.store(true, Ordering::Relaxed);
+    let renewals = worker.acknowledged.lock().unwrap().len();
+    let mut later = worker_heartbeat(0);
+    later.key.started_ms = RESTARTED_MS;
+    assert!(agent.record_heartbeat(later).await);
+    tokio::time::sleep(ADOPTION_TIME).await;
+    let acknowledged = worker.acknowledged.lock().unwrap().clone();
+    assert!(acknowledged.len() > renewals, "{acknowledged:?}");
+    assert!(
+        acknowledged[renewals..].iter().all(|number| *number == 0),
+        "{acknowledged:?}"
+    );
+    assert_eq!(*worker.deadline_ms.lock().unwrap(), None);
+}
