--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -69,9 +69,9 @@
         self.refused = false;
     }
 
-    /// Records that a worker which follows another one of its name has answered at `now`. Calls that were
-    /// meant for the earlier one carry deadlines by its clock, which lie far ahead on the clock of this
-    /// one: they extend the lease as far as a worker allows.
+    /// Records that the next incarnation of a worker has answered at `now`. Calls that were meant for the
+    /// ended incarnation carry deadlines on its clock, which lie far ahead on the clock of the next one:
+    /// such a call extends the lease as far as a worker allows.
     pub(super) fn record_late_calls(&mut self, now: BootTime) {
         let lease_max = self.timing.expiry_bound(self.timing.worker_lease_max);
         let expired_by = now + LATE_CALL_MARGIN + lease_max;
