Tests of probation, red: work that waits although nothing fails on the workers any more

What callers see: after a job that fails everywhere has put the workers on probation, a job that could run waits beside idle workers: while many long-running tasks wait, or for ever beside a long-running job that fails everywhere; and many long-running tasks start one a second on each worker.

--- a/crates/guavavane_cell/tests/probation.rs
+++ b/crates/guavavane_cell/tests/probation.rs
@@ -16,6 +16,7 @@
 use guavavane_cell::prelude::CallerReply;
 use guavavane_jobs::prelude::RawJob;
 use guavavane_jobs::prelude::RawStep;
+use guavavane_model::prelude::ResourceVector;
 use guavavane_standin::simulated_worker::FAILING_PAYLOAD;
 use guavavane_standin::simulated_worker::LONG_RUNNING_PAYLOAD;
 
@@ -26,6 +27,8 @@
 const JOB_TIMEOUT: Duration = Duration::from_secs(7);
 /// Number of workers.
 const WORKERS: u64 = 2;
+/// Tasks of a long-running job that takes all trials of the workers for longer than `JOB_TIMEOUT`.
+const MANY_TASKS: u64 = 20;
 
 async fn submit(cell: &TestCell, key: u64, payload: &str, step: RawStep) {
     let job = RawJob {
@@ -105,3 +108,54 @@
     cell.wait_for_state(3, JobState::Completed, JOB_TIMEOUT)
         .await;
 }
+
+/// Long-running step of many small tasks, which all have room beside others.
+fn wide_long_running_step() -> RawStep {
+    RawStep {
+        long_running: true,
+        demand: ResourceVector::new(100, 100, 0),
+        ..step(MANY_TASKS, Vec::new())
+    }
+}
+
+/// Submits a job that can be done and waits until it is.
+async fn assert_job_completes(cell: &TestCell) {
+    submit(cell, 3, "payload", step(1, Vec::new())).await;
+    cell.wait_for_state(3, JobState::Completed, JOB_TIMEOUT)
+        .await;
+}
+
+// Guards against workers on which nothing fails any more, but which stay out of use because long-running
+// tasks take all their trials and never end.
+#[tokio::test]
+async fn a_job_starts_beside_many_waiting_long_running_tasks_after_a_job_that_fails_everywhere() {
+    let cell = TestCell::start(WORKERS as usize, RUN_TIME).await;
+    submit(&cell, 1, FAILING_PAYLOAD, step(8, Vec::new())).await;
+    cell.wait_for_state(1, JobState::Failed, JOB_TIMEOUT).await;
+    submit(&cell, 2, LONG_RUNNING_PAYLOAD, wide_long_running_step()).await;
+    assert_job_completes(&cell).await;
+}
+
+// Guards against a cell in which nothing else starts beside a long-running job that fails everywhere, which
+// has no limit of attempts.
+#[tokio::test]
+async fn a_job_starts_beside_a_long_running_job_that_fails_everywhere() {
+    let cell = TestCell::start(WORKERS as usize, RUN_TIME).await;
+    submit(&cell, 2, FAILING_PAYLOAD, wide_long_running_step()).await;
+    cell.wait_for_starts(4 * MANY_TASKS as usize, JOB_TIMEOUT)
+        .await;
+    assert_job_completes(&cell).await;
+}
+
+// Guards against many long-running tasks that start one a second on each worker on which nothing fails any
+// more.
+#[tokio::test]
+async fn many_long_running_tasks_start_after_a_job_that_fails_everywhere() {
+    let cell = TestCell::start(WORKERS as usize, RUN_TIME).await;
+    submit(&cell, 1, FAILING_PAYLOAD, step(8, Vec::new())).await;
+    cell.wait_for_state(1, JobState::Failed, JOB_TIMEOUT).await;
+    let started = cell.history.all().len();
+    submit(&cell, 2, LONG_RUNNING_PAYLOAD, wide_long_running_step()).await;
+    let expected = started + MANY_TASKS as usize;
+    cell.wait_for_starts(expected, JOB_TIMEOUT).await;
+}
