Leader: a log line says what keeps the longest waiting steps from starting

Cause of the gap: no log told whether a waiting step lacks room, a ticket or a CPU share, or whether the workers are kept out of use.

Change: the feasibility of a worker names its first obstacle (plan::obstacle). Every 3 s the leader logs, for the four steps that have waited longest, how many workers have which obstacle: event step_waits. It costs four judgements of each worker in 3 s. No decision changes.

--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -127,6 +127,8 @@
     pub(super) checkpoints: IndexMap<TaskKey, Arc<str>>,
     /// Time since which each step has had waiting tasks.
     pub(super) waiting_since: IndexMap<StepKey, BootTime>,
+    /// Time at which it was last logged why steps wait.
+    pub(super) waits_reported_at: BootTime,
     /// Run times observed in this term.
     pub(super) run_times: RunTimes,
     /// Times at which the runs that have not ended were ordered.
@@ -173,6 +175,7 @@
             advice: AdviceCache::default(),
             checkpoints: IndexMap::new(),
             waiting_since: IndexMap::new(),
+            waits_reported_at: now,
             run_times: RunTimes::default(),
             ordered_at: IndexMap::new(),
             interference: InterferenceModel::default(),
--- a/crates/guavavane_cell/src/control/maintenance.rs
+++ b/crates/guavavane_cell/src/control/maintenance.rs
@@ -25,6 +25,7 @@
         self.repeat_refused();
         self.expire_agent_leases();
         self.update_gauges();
+        self.report_waiting_steps(now);
         self.release_due_occurrences();
         self.forget_ended_jobs(now);
         // Repeats the stops: an agent gives up after a timeout, and any change of the ledger may have
--- a/crates/guavavane_cell/src/control/scheduling.rs
+++ b/crates/guavavane_cell/src/control/scheduling.rs
@@ -3,12 +3,16 @@
 //! Inputs request a pass, and one pass follows all inputs that arrived together. Only one proposal of
 //! starts is in flight at a time.
 
+use std::cmp::Reverse;
+use std::time::Duration;
+
 use super::caller::time_of_day_ms;
 use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
 use super::leader_state::LeaderState;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::plan::capacity_table::CapacityTable;
+use guavavane_jobs::plan::obstacle::count_obstacles;
 use guavavane_jobs::plan::order::waiting_steps;
 use guavavane_jobs::plan::pass::choose_movable_tasks;
 use guavavane_jobs::plan::pass::choose_starts;
@@ -16,8 +20,15 @@
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerKey;
+use guavavane_model::prelude::BootTime;
+
+/// Time for which a step waits before a log line says why, and time between two such lines.
+const WAIT_REPORT_INTERVAL: Duration = Duration::from_secs(3);
+/// Most steps that are reported at a time; those that have waited longest come first.
+const WAIT_REPORTS_MAX: usize = 4;
 
 impl ControlEngine {
     /// Requests a scheduling pass after the inputs that have arrived.
@@ -64,6 +75,27 @@
         self.propose(command, CommitPurpose::Start(choices));
     }
 
+    /// Logs what keeps the longest waiting steps from starting.
+    pub(super) fn report_waiting_steps(&mut self, now: BootTime) {
+        let Some(state) = &mut self.leader_state else {
+            return;
+        };
+        if now.saturating_since(state.waits_reported_at) < WAIT_REPORT_INTERVAL {
+            return;
+        }
+        state.waits_reported_at = now;
+        let waits = state.longest_waits(now);
+        self.quorum.read_local(|ledger| {
+            state.with_capacities(ledger, |state, table| {
+                for (step, waited) in waits {
+                    let workers = count_obstacles(ledger, table, state, step);
+                    let waited_ms = waited.as_millis();
+                    tracing::info!(event = "step_waits", %step, waited_ms, %workers);
+                }
+            });
+        });
+    }
+
     /// Stops stalled best-effort runs that would fit on another worker. Once the end of a run is
     /// committed, a scheduling pass places its task anew, not necessarily on that worker.
     pub(super) fn move_stalled_runs(&mut self, key: &WorkerKey, runs: &[(TaskKey, RunNumber)]) {
@@ -81,6 +113,18 @@
 }
 
 impl LeaderState {
+    /// Steps that have waited longest, with their waiting times.
+    fn longest_waits(&self, now: BootTime) -> Vec<(StepKey, Duration)> {
+        let waits = self.waiting_since.iter();
+        let waits = waits.map(|(step, since)| (*step, now.saturating_since(*since)));
+        let mut waits: Vec<(StepKey, Duration)> = waits
+            .filter(|(_, waited)| *waited >= WAIT_REPORT_INTERVAL)
+            .collect();
+        waits.sort_by_key(|(_, waited)| Reverse(*waited));
+        waits.truncate(WAIT_REPORTS_MAX);
+        waits
+    }
+
     /// Calls `decide` with the capacities of all workers, brought up to date.
     fn with_capacities<R>(
         &mut self,
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -3,7 +3,8 @@
 //! The leader runs a scheduling pass ([`pass`]): it orders the waiting steps ([`order`]) by
 //! deadlines from estimated run times ([`slack`]) and chooses a worker for each task
 //! (`placement`) by the capacity of each worker ([`capacity`]), which [`capacity_table`] keeps up to
-//! date. A worker on which runs keep failing is on probation ([`probation`]). [`advice`] holds the
+//! date. A worker on which runs keep failing is on probation ([`probation`]). [`obstacle`] tells
+//! why a step waits. [`advice`] holds the
 //! tickets of the external advice service that some queues need.
 //!
 //! The agent of each worker throttles best-effort tasks that slow down latency-critical ones
@@ -17,6 +18,7 @@
 pub mod capacity_table;
 pub mod interference;
 mod interference_filter;
+pub mod obstacle;
 pub mod order;
 pub mod pass;
 mod placement;
--- a/crates/guavavane_jobs/src/plan/candidate_queue.rs
+++ b/crates/guavavane_jobs/src/plan/candidate_queue.rs
@@ -9,7 +9,7 @@
 use super::capacity_table::CapacityTable;
 use super::capacity_table::ImageCoefficients;
 use super::capacity_table::WorkerSlot;
-use super::placement::is_feasible;
+use super::placement::find_obstacle;
 use super::placement::score;
 use super::placement::PlacementContext;
 use crate::ledger::WorkerIndex;
@@ -69,6 +69,6 @@
     index: WorkerIndex,
     slot: &WorkerSlot,
 ) -> Option<Candidate> {
-    is_feasible(context, coefficients, index, slot)
-        .then(|| (score(context, coefficients, slot), Reverse(index)))
+    let feasible = find_obstacle(context, coefficients, index, slot).is_none();
+    feasible.then(|| (score(context, coefficients, slot), Reverse(index)))
 }
--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -102,7 +102,7 @@
 }
 
 /// Placement constraints of a step; none if its job has ended.
-fn step_context<'pass, I: PassInput>(
+pub(super) fn step_context<'pass, I: PassInput>(
     ledger: &'pass JobLedger,
     input: &'pass I,
     key: StepKey,
--- a/crates/guavavane_jobs/src/plan/placement.rs
+++ b/crates/guavavane_jobs/src/plan/placement.rs
@@ -17,6 +17,7 @@
 use super::capacity_table::ImageCoefficients;
 use super::capacity_table::WorkerSlot;
 use super::interference::InterferenceModel;
+use super::obstacle::WorkerObstacle;
 use crate::identity::StepKey;
 use crate::job::StepKind;
 use crate::job::StepSpec;
@@ -79,31 +80,41 @@
     slot.facts.labels.last()
 }
 
-/// Whether a worker can run one more task of the step now.
-pub(super) fn is_feasible(
+/// What keeps a worker from running one more task of the step now; none if it is feasible.
+pub(super) fn find_obstacle(
     context: &PlacementContext<'_>,
     coefficients: &ImageCoefficients,
     index: WorkerIndex,
     slot: &WorkerSlot,
-) -> bool {
+) -> Option<WorkerObstacle> {
     let (spec, capacity) = (context.spec, &slot.capacity);
-    capacity.condition.schedulable
-        && capacity.fits(&spec.reserved())
-        && context
-            .allowed_workers
-            .as_ref()
-            .is_none_or(|allowed_workers| allowed_workers.contains(&index))
-        && &*slot.facts.pool == context.pool
-        && spec
-            .required_label
-            .as_ref()
-            .is_none_or(|label| slot.facts.has_label(label))
-        && spec
-            .per_worker_max
-            .is_none_or(|maximum| capacity.run_count(context.key) < maximum)
-        && allows_start(context, capacity)
-        && has_idle_cpu(spec, capacity)
-        && leaves_cpu_share(context, coefficients, slot)
+    let run_count = || capacity.run_count(context.key);
+    let allowed_workers = context.allowed_workers.as_ref();
+    let label = spec.required_label.as_ref();
+    if !capacity.condition.schedulable {
+        Some(WorkerObstacle::Unschedulable)
+    } else if !capacity.fits(&spec.reserved()) {
+        Some(WorkerObstacle::NoCapacity)
+    } else if allowed_workers.is_some_and(|allowed| !allowed.contains(&index)) {
+        Some(WorkerObstacle::NoTicket)
+    } else if &*slot.facts.pool != context.pool {
+        Some(WorkerObstacle::OtherPool)
+    } else if label.is_some_and(|label| !slot.facts.has_label(label)) {
+        Some(WorkerObstacle::NoLabel)
+    } else if spec
+        .per_worker_max
+        .is_some_and(|maximum| run_count() >= maximum)
+    {
+        Some(WorkerObstacle::StepLimit)
+    } else if !allows_start(context, capacity) {
+        Some(WorkerObstacle::OnProbation)
+    } else if !has_idle_cpu(spec, capacity) {
+        Some(WorkerObstacle::NoIdleCpu)
+    } else if !leaves_cpu_share(context, coefficients, slot) {
+        Some(WorkerObstacle::NoCpuShare)
+    } else {
+        None
+    }
 }
 
 /// Whether the worker is not on probation, or this task may be its next trial.
