Jobs: a best-effort job of which nothing runs starts a task beside busy processors

What callers could see: an accepted job has nothing running for as long as other best-effort tasks use all processors, although these reserve none and most of the workers' room is free.

Cause: a step that has waited 1.5 s accepts any CPU share (IDLE_JOB_WAIT_MAX), but has_idle_cpu still asked for two fifths of its demand.

Change: such a task needs no idle processor on a worker of which half is free, so that one job's task is not held up for ever and a cell whose room is in use doesn't split its processors further.

--- a/crates/guavavane_jobs/src/plan/capacity.rs
+++ b/crates/guavavane_jobs/src/plan/capacity.rs
@@ -141,6 +141,12 @@
         sum.is_some_and(|sum| sum.fits_within(&self.total))
     }
 
+    /// Whether the reservations take at most half of the worker.
+    pub fn is_half_free(&self) -> bool {
+        let twice = self.reserved.checked_add(&self.reserved);
+        twice.is_some_and(|twice| twice.fits_within(&self.total))
+    }
+
     /// Processor that no task is expected to use, in thousandths of a core; negative if best-effort
     /// tasks could use more than there is.
     pub fn idle_cpu_millis(&self) -> i64 {
--- a/crates/guavavane_jobs/src/plan/placement.rs
+++ b/crates/guavavane_jobs/src/plan/placement.rs
@@ -108,7 +108,7 @@
         Some(WorkerObstacle::StepLimit)
     } else if !allows_start(context, capacity) {
         Some(WorkerObstacle::OnProbation)
-    } else if !has_idle_cpu(spec, capacity) {
+    } else if !has_idle_cpu(context, capacity) {
         Some(WorkerObstacle::NoIdleCpu)
     } else if !leaves_cpu_share(context, coefficients, slot) {
         Some(WorkerObstacle::NoCpuShare)
@@ -126,14 +126,17 @@
 }
 
 /// Whether a worker has idle processor for a best-effort task. A worker without best-effort and
-/// long-running tasks always has.
-fn has_idle_cpu(spec: &StepSpec, capacity: &WorkerCapacity) -> bool {
+/// long-running tasks always has. A task that accepts any CPU share needs none on a worker of which
+/// half is free: best-effort tasks reserve no processor, and those that use it may take long.
+fn has_idle_cpu(context: &PlacementContext<'_>, capacity: &WorkerCapacity) -> bool {
+    let spec = context.spec;
     if !spec.best_effort {
         return true;
     }
     let wanted_millis = i64::try_from(spec.demand.cpu_millis).unwrap_or(i64::MAX / 100);
     capacity.best_effort_tasks == 0 && capacity.long_running_tasks == 0
         || capacity.idle_cpu_millis() >= wanted_millis / 100 * BEST_EFFORT_IDLE_CPU_MIN_PERCENT
+        || context.cpu_share_min <= 0.0 && capacity.is_half_free()
 }
 
 /// Whether the latency-critical tasks of a worker are expected to leave a best-effort task the
