Jobs: trials of a worker on probation double as long as no run fails, and finite runs go first

What callers saw: after workers had answered with errors for some seconds, jobs waited beside them for 5.8 to 8.8 s more although nothing failed on them any more; beside a long-running job that fails everywhere, which has no limit of attempts, other jobs never started.

Cause: probation ended only by a run that succeeds, and each second admitted one trial, of the step with the earliest deadline. A long-running task never ends, so while such tasks wait they took all trials, and none of them counted.

Change: the number of trials doubles with each second in which no run has failed, and after four at once the probation is over. A pass gives the trials to finite steps first (TrialOrder), whose end tells whether the worker is sound; long-running steps get what is left.

--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -296,18 +296,23 @@
 
     /// Counts the outcome of a run on a worker.
     fn record_outcome(&mut self, now: BootTime, index: WorkerIndex, outcome: RunOutcome) {
+        self.update_probation(index, |probation| match outcome {
+            RunOutcome::Failed => probation.record_failure(now),
+            RunOutcome::Done => probation.record_success(),
+            _ => {}
+        });
+    }
+
+    /// Changes the probation of a worker and logs whether it has begun or ended.
+    fn update_probation(&mut self, index: WorkerIndex, change: impl FnOnce(&mut WorkerProbation)) {
         let Some(worker) = self.worker_mut(index) else {
             return;
         };
-        let was_active = worker.probation.is_active();
-        match outcome {
-            RunOutcome::Failed => worker.probation.record_failure(now),
-            RunOutcome::Done => worker.probation.record_success(),
-            _ => {}
-        }
-        let probation = worker.probation;
-        if probation.is_active() != was_active {
-            let (active, failures) = (probation.is_active(), probation.consecutive_failures());
+        let before = worker.probation;
+        change(&mut worker.probation);
+        let after = worker.probation;
+        if after.is_active() != before.is_active() {
+            let (active, failures) = (after.is_active(), after.consecutive_failures());
             tracing::info!(
                 event = "worker_probation",
                 worker = index.0,
@@ -334,9 +339,7 @@
     pub(super) fn record_starts(&mut self, now: BootTime, committed: &[&StartChoice]) {
         for choice in committed {
             self.ordered_at.insert((choice.task, choice.run), now);
-            if let Some(worker) = self.workers.get_mut(&choice.worker) {
-                worker.probation.record_start(now);
-            }
+            self.update_probation(choice.worker, |probation| probation.record_start(now));
         }
     }
 }
--- a/crates/guavavane_jobs/src/plan/capacity.rs
+++ b/crates/guavavane_jobs/src/plan/capacity.rs
@@ -85,8 +85,8 @@
     pub demanded_load: BestEffortLoad,
     /// Number of runs of each step.
     pub runs_by_step: IndexMap<StepKey, u32>,
-    /// Step of the trial that the present pass has placed here, if the worker is on probation.
-    pub trial_step: Option<StepKey>,
+    /// Trials that the present pass has placed here by step, if the worker is on probation.
+    pub trials: IndexMap<StepKey, u32>,
     /// What the leader knows of the worker besides the ledger.
     pub condition: WorkerCondition,
 }
--- a/crates/guavavane_jobs/src/plan/capacity_table.rs
+++ b/crates/guavavane_jobs/src/plan/capacity_table.rs
@@ -96,6 +96,12 @@
         self.slots.iter().map(|(index, slot)| (*index, slot))
     }
 
+    /// Whether any worker is on probation.
+    pub(super) fn has_probation(&self) -> bool {
+        let mut slots = self.slots.values();
+        slots.any(|slot| slot.capacity.condition.probation.is_active())
+    }
+
     /// Records that the condition of a worker has changed.
     pub fn mark_changed(&mut self, worker: WorkerIndex) {
         self.stale.insert(worker);
@@ -181,7 +187,7 @@
         if let Some(slot) = self.slots.get_mut(&worker) {
             slot.capacity.reserve(task, run);
             if slot.capacity.condition.probation.is_active() {
-                slot.capacity.trial_step = Some(task.step);
+                *slot.capacity.trials.entry(task.step).or_insert(0) += 1;
             }
             update_budgets(slot, &mut self.critical_images, interference);
         }
--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -3,6 +3,9 @@
 //! A pass takes the waiting steps in a given order, places their tasks one by one, and reserves the
 //! capacity of each until the table is refreshed. The tasks of a gang are placed all together or not
 //! at all.
+//!
+//! Workers on probation go first to the steps whose runs tell whether the worker is sound; the other
+//! steps get them in later rounds.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +22,7 @@
 use super::placement::PlacementContext;
 use super::placement::CPU_SHARE_ACCEPTED;
 use super::placement::CPU_SHARE_WANTED;
+use super::probation::TrialOrder;
 use super::refused_demand::RefusedDemands;
 use super::slack::RunTimes;
 use crate::identity::RunNumber;
@@ -72,8 +76,13 @@
     ledger: &'pass JobLedger,
     input: &'pass I,
     table: &'pass mut CapacityTable,
+    /// Demands that no worker could meet.
     refused: RefusedDemands,
+    /// Demands that no worker could meet which isn't on probation.
+    refused_without_trials: RefusedDemands,
     choices: Vec<StartChoice>,
+    /// Number of tasks placed by step.
+    placed: IndexMap<StepKey, usize>,
 }
 
 impl<'pass, I: PassInput> PassScope<'pass, I> {
@@ -83,7 +92,9 @@
             input,
             table,
             refused: RefusedDemands::default(),
+            refused_without_trials: RefusedDemands::default(),
             choices: Vec::new(),
+            placed: IndexMap::new(),
         }
     }
 
@@ -97,8 +108,38 @@
             let slot = self.table.slot(worker);
             context.rack = slot.and_then(worker_rack).cloned();
         }
+        *self.placed.entry(context.key).or_insert(0) += 1;
         self.choices.push(choice);
     }
+
+    /// Number of tasks of a step that this pass has placed.
+    fn placed(&self, step: StepKey) -> usize {
+        self.placed.get(&step).copied().unwrap_or(0)
+    }
+
+    /// Whether a step certainly finds no worker.
+    fn is_refused(&self, context: &PlacementContext<'_>) -> bool {
+        self.refused.cover(context)
+            || !context.allows_trials && self.refused_without_trials.cover(context)
+    }
+
+    /// Records that no worker is left for a step.
+    fn record_refusal(&mut self, context: &PlacementContext<'_>) {
+        if context.allows_trials {
+            self.refused.record(context);
+        } else {
+            self.refused_without_trials.record(context);
+        }
+    }
+
+    /// Order in which a step gets trials.
+    fn trial_order(&self, step: &WaitingStep) -> TrialOrder {
+        let spec = self.ledger.step_spec(step.key);
+        match spec.map(|spec| spec.kind) {
+            Some(StepKind::LongRunning) => TrialOrder::LongRunning,
+            _ => TrialOrder::Finite,
+        }
+    }
 }
 
 /// Placement constraints of a step; none if its job has ended.
@@ -126,6 +167,7 @@
         best_effort_images,
         allowed_workers: advice.map(|_| input.allowed_workers(key)),
         cpu_share_min,
+        allows_trials: true,
         now: input.now(),
     })
 }
@@ -138,15 +180,26 @@
     steps: &[WaitingStep],
 ) -> Vec<StartChoice> {
     let mut scope = PassScope::new(ledger, table, input);
+    let has_probation = scope.table.has_probation();
     for step in steps {
-        if scope.choices.len() >= PASS_STARTS_MAX {
-            break;
-        }
-        place_step(&mut scope, step);
+        let allows_trials = !has_probation || scope.trial_order(step) == TrialOrder::Finite;
+        place_step(&mut scope, step, allows_trials);
+    }
+    if has_probation {
+        place_later_trials(&mut scope, steps);
     }
     scope.choices
 }
 
+/// Places the steps that come last as trials also on workers on probation.
+fn place_later_trials<I: PassInput>(scope: &mut PassScope<'_, I>, steps: &[WaitingStep]) {
+    for step in steps {
+        if scope.trial_order(step) == TrialOrder::LongRunning {
+            place_step(scope, step, true);
+        }
+    }
+}
+
 /// Returns those tasks of the worker `from` that would fit on other workers now, best-effort tasks
 /// with the CPU share `CPU_SHARE_WANTED`, in their order.
 pub fn choose_movable_tasks<I: PassInput>(
@@ -211,9 +264,16 @@
     advice_steps.collect()
 }
 
-/// Places the waiting tasks of one step, as far as there are feasible workers.
-fn place_step<I: PassInput>(scope: &mut PassScope<'_, I>, waiting: &WaitingStep) {
+/// Places the waiting tasks of one step that aren't placed yet, as far as there are feasible workers.
+fn place_step<I: PassInput>(
+    scope: &mut PassScope<'_, I>,
+    waiting: &WaitingStep,
+    allows_trials: bool,
+) {
     let (key, input, ledger) = (waiting.key, scope.input, scope.ledger);
+    if scope.choices.len() >= PASS_STARTS_MAX {
+        return;
+    }
     let (Some(record), Some(job)) = (ledger.step(key), ledger.job(key.job)) else {
         return;
     };
@@ -221,22 +281,26 @@
     let Some(mut context) = step_context(ledger, input, key, cpu_share_min) else {
         return;
     };
-    if scope.refused.cover(&context) {
+    context.allows_trials = allows_trials;
+    let placed = scope.placed(key);
+    if placed > 0 {
+        context.cpu_share_min = context.cpu_share_min.max(CPU_SHARE_ACCEPTED);
+    }
+    if scope.is_refused(&context) {
         return;
     }
     if context.spec.gang {
         return place_gang(scope, &mut context, record);
     }
     let mut candidates = CandidateQueue::new(&context, scope.table);
-    for (index, task) in record.tasks.iter().enumerate() {
-        if task.phase != TaskPhase::Waiting {
-            continue;
-        }
+    let tasks = record.tasks.iter().enumerate();
+    let waiting_tasks = tasks.filter(|(_, task)| task.phase == TaskPhase::Waiting);
+    for (index, task) in waiting_tasks.skip(placed) {
         if scope.choices.len() >= PASS_STARTS_MAX {
             return;
         }
         let Some(worker) = candidates.pop() else {
-            return scope.refused.record(&context);
+            return scope.record_refusal(&context);
         };
         let task_key = key.task(u32::try_from(index).expect("the number of tasks is bounded"));
         let choice = start_choice(task_key, task, worker, input);
@@ -287,7 +351,7 @@
     record: &StepRecord,
 ) {
     let is_waiting = |task: &TaskRecord| task.phase == TaskPhase::Waiting;
-    if !record.tasks.iter().all(is_waiting) {
+    if scope.placed(context.key) > 0 || !record.tasks.iter().all(is_waiting) {
         return;
     }
     let runs = record.tasks.iter().map(|task| task.run);
@@ -299,6 +363,7 @@
     for index in 0..record.tasks.len() {
         let Some(worker) = candidates.pop() else {
             scope.choices.truncate(placed_before);
+            scope.placed.swap_remove(&context.key);
             return scope.table.restore(slots_before);
         };
         let slot_before = scope.table.slot(worker);
--- a/crates/guavavane_jobs/src/plan/placement.rs
+++ b/crates/guavavane_jobs/src/plan/placement.rs
@@ -71,6 +71,8 @@
     pub(super) allowed_workers: Option<IndexSet<WorkerIndex>>,
     /// CPU share, from 0 to 1, that latency-critical tasks have to leave to a best-effort task.
     pub(super) cpu_share_min: f64,
+    /// Whether a task may be a trial of a worker on probation.
+    pub(super) allows_trials: bool,
     /// Time of the pass, for workers on probation.
     pub(super) now: BootTime,
 }
@@ -117,12 +119,14 @@
     }
 }
 
-/// Whether the worker is not on probation, or this task may be its next trial.
+/// Whether the worker is not on probation, or this task may be a trial.
 fn allows_start(context: &PlacementContext<'_>, capacity: &WorkerCapacity) -> bool {
-    match capacity.trial_step {
-        Some(step) => context.spec.gang && step == context.key,
-        None => capacity.condition.probation.allows_start(context.now),
-    }
+    let probation = &capacity.condition.probation;
+    let Some(trials_due) = probation.trials_due(context.now) else {
+        return true;
+    };
+    let is_begun = context.spec.gang && capacity.trials.contains_key(&context.key);
+    context.allows_trials && (is_begun || capacity.trials.values().sum::<u32>() < trials_due)
 }
 
 /// Whether a worker has idle processor for a best-effort task. A worker without best-effort and
--- a/crates/guavavane_jobs/src/plan/probation.rs
+++ b/crates/guavavane_jobs/src/plan/probation.rs
@@ -1,9 +1,11 @@
 //! Probation of workers on which runs keep failing.
 //!
 //! After [`PROBATION_FAILURES_MIN`] failures in a row a worker is on probation until a run succeeds
-//! on it. Meanwhile it gets trials only: one task, or the members of one gang, at a time. The failures
-//! may be those of a job that fails everywhere, and some runs never end, so no trial holds up the next
-//! one for longer than [`TRIAL_INTERVAL`]: every worker stays in use.
+//! on it. Meanwhile it gets trials only. A trial is one task, or the members of one gang. As long as no
+//! run fails, the number of trials doubles with each [`TRIAL_INTERVAL`], because some runs never end; when
+//! more than [`TRIALS_MAX`] are due, the probation is over.
+//!
+//! The failures may be those of a job that fails everywhere, so every worker stays in use.
 
 use std::time::Duration;
 
@@ -13,11 +15,18 @@
 pub const PROBATION_FAILURES_MIN: u32 = 3;
 /// Longest time that a trial, or a failure beside other runs, holds up the next trial.
 pub const TRIAL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Most trials of one interval.
+pub const TRIALS_MAX: u32 = 4;
 
 /// Failures of a worker and its trials.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkerProbation {
     consecutive_failures: u32,
+    /// Trials of the present interval; 0 if a run has failed since.
+    trials: u32,
+    /// Trials of the present interval that have not started.
+    trials_left: u32,
+    /// End of the present interval.
     next_trial_at: BootTime,
 }
 
@@ -26,7 +35,7 @@
     pub fn after_failures(consecutive_failures: u32) -> Self {
         Self {
             consecutive_failures,
-            next_trial_at: BootTime::default(),
+            ..Self::default()
         }
     }
 
@@ -40,22 +49,46 @@
         self.consecutive_failures >= PROBATION_FAILURES_MIN
     }
 
-    /// Whether the worker may get a task at `now`.
-    pub fn allows_start(&self, now: BootTime) -> bool {
-        !self.is_active() || now >= self.next_trial_at
+    /// Number of trials that may start at `now`; none if there is no limit.
+    pub fn trials_due(&self, now: BootTime) -> Option<u32> {
+        if !self.is_active() {
+            return None;
+        }
+        if now < self.next_trial_at {
+            return Some(self.trials_left);
+        }
+        let trials = self.next_trials();
+        (trials <= TRIALS_MAX).then_some(trials)
+    }
+
+    /// Trials of the interval after the present one.
+    fn next_trials(&self) -> u32 {
+        self.trials.saturating_mul(2).max(1)
     }
 
     /// Records a start on the worker, which is a trial during probation.
     pub fn record_start(&mut self, now: BootTime) {
-        if self.is_active() {
-            self.next_trial_at = now + TRIAL_INTERVAL;
+        if !self.is_active() {
+            return;
         }
+        if now >= self.next_trial_at {
+            self.trials = self.next_trials();
+            self.trials_left = self.trials;
+        }
+        if self.trials > TRIALS_MAX {
+            return self.record_success();
+        }
+        self.trials = self.trials.max(1);
+        self.trials_left = self.trials_left.saturating_sub(1);
+        self.next_trial_at = now + TRIAL_INTERVAL;
     }
 
     /// Records a failed run.
     pub fn record_failure(&mut self, now: BootTime) {
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
-        self.record_start(now);
+        self.trials = 0;
+        self.trials_left = 0;
+        self.next_trial_at = now + TRIAL_INTERVAL;
     }
 
     /// Records a run that succeeded, which ends the probation.
@@ -65,6 +98,16 @@
 
     /// Ends the present trial: the worker holds no run that will end by itself.
     pub fn end_trial(&mut self) {
-        self.next_trial_at = BootTime::default();
+        self.trials_left = self.trials_left.max(1);
     }
 }
+
+/// Order in which waiting steps get the trials of workers on probation. The run of a trial should tell
+/// whether the worker is sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TrialOrder {
+    /// The runs end by themselves.
+    Finite,
+    /// The runs don't end by themselves.
+    LongRunning,
+}
