Jobs: the tasks of a job whose runs keep failing are the last to be trials

What callers saw: long-running tasks that are to last never start beside a long-running job that fails everywhere and was accepted earlier.

Cause: that job has no limit of attempts and the earliest deadline, so it won each trial of each worker, and each of its failures began the trials again.

Change: the leader counts the failures in a row of each job, for 10 s (JobFailures); after three the job's steps come last as trials (TrialOrder::Failing). On workers that are not on probation nothing changes, and the failures still count against the workers: by the count alone a job's own fault and a worker's can't be told apart.

--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -27,6 +27,7 @@
 use guavavane_jobs::plan::interference::UtilisationSample;
 use guavavane_jobs::plan::order::step_rank;
 use guavavane_jobs::plan::pass::PassInput;
+use guavavane_jobs::plan::probation::JobFailures;
 use guavavane_jobs::plan::probation::WorkerProbation;
 use guavavane_jobs::plan::slack::RunTimes;
 use guavavane_jobs::prelude::JobKey;
@@ -129,6 +130,8 @@
     pub(super) waiting_since: IndexMap<StepKey, BootTime>,
     /// Time at which it was last logged why steps wait.
     pub(super) waits_reported_at: BootTime,
+    /// Jobs whose latest runs have failed.
+    pub(super) job_failures: IndexMap<JobKey, JobFailures>,
     /// Run times observed in this term.
     pub(super) run_times: RunTimes,
     /// Times at which the runs that have not ended were ordered.
@@ -176,6 +179,7 @@
             checkpoints: IndexMap::new(),
             waiting_since: IndexMap::new(),
             waits_reported_at: now,
+            job_failures: IndexMap::new(),
             run_times: RunTimes::default(),
             ordered_at: IndexMap::new(),
             interference: InterferenceModel::default(),
@@ -289,13 +293,28 @@
             {
                 self.run_times.learn(&queue, now.saturating_since(at));
             }
-            self.record_outcome(now, index, completion.outcome);
+            self.record_job_outcome(now, completion.task.step.job, completion.outcome);
+            self.record_worker_outcome(now, index, completion.outcome);
         }
         self.end_idle_trial(index, ledger);
     }
 
+    /// Counts the outcome of a run of a job.
+    fn record_job_outcome(&mut self, now: BootTime, job: JobKey, outcome: RunOutcome) {
+        match outcome {
+            RunOutcome::Failed => {
+                let failures = self.job_failures.entry(job).or_default();
+                failures.record_failure(now);
+            }
+            RunOutcome::Done => {
+                self.job_failures.swap_remove(&job);
+            }
+            _ => {}
+        }
+    }
+
     /// Counts the outcome of a run on a worker.
-    fn record_outcome(&mut self, now: BootTime, index: WorkerIndex, outcome: RunOutcome) {
+    fn record_worker_outcome(&mut self, now: BootTime, index: WorkerIndex, outcome: RunOutcome) {
         self.update_probation(index, |probation| match outcome {
             RunOutcome::Failed => probation.record_failure(now),
             RunOutcome::Done => probation.record_success(),
@@ -379,6 +398,11 @@
         self.advice.allowed_workers(BootClock.now(), step)
     }
 
+    fn is_failing(&self, job: JobKey) -> bool {
+        let failures = self.job_failures.get(&job);
+        failures.is_some_and(|failures| failures.is_failing(BootClock.now()))
+    }
+
     fn waiting_time(&self, step: StepKey) -> Duration {
         let since = self.waiting_since.get(&step);
         since.map_or(Duration::ZERO, |since| {
--- a/crates/guavavane_cell/src/control/maintenance.rs
+++ b/crates/guavavane_cell/src/control/maintenance.rs
@@ -85,6 +85,9 @@
         };
         self.quorum
             .read_local(|ledger| state.advice.remove_ended_steps(ledger));
+        state
+            .job_failures
+            .retain(|_, failures| !failures.is_forgotten(now));
         let expired = state.ended_at.iter();
         let expired = expired.filter(|(_, at)| now.saturating_since(**at) > retention);
         let jobs: Vec<JobKey> = expired.map(|(job, _)| *job).collect();
--- a/crates/guavavane_cell/tests/probation.rs
+++ b/crates/guavavane_cell/tests/probation.rs
@@ -159,3 +159,16 @@
     let expected = started + MANY_TASKS as usize;
     cell.wait_for_starts(expected, JOB_TIMEOUT).await;
 }
+
+// Guards against long-running tasks that wait for ever beside a long-running job that fails everywhere and
+// comes before them.
+#[tokio::test]
+async fn long_running_tasks_start_beside_a_long_running_job_that_fails_everywhere() {
+    let cell = TestCell::start(WORKERS as usize, RUN_TIME).await;
+    submit(&cell, 1, FAILING_PAYLOAD, wide_long_running_step()).await;
+    cell.wait_for_starts(4 * MANY_TASKS as usize, JOB_TIMEOUT)
+        .await;
+    submit(&cell, 2, LONG_RUNNING_PAYLOAD, wide_long_running_step()).await;
+    cell.wait_for_runs_of(2, MANY_TASKS as usize, JOB_TIMEOUT)
+        .await;
+}
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -224,6 +224,24 @@
         self.history.all()
     }
 
+    /// Waits until this many runs of a job were started; panics after `limit`.
+    pub(crate) async fn wait_for_runs_of(&self, key: u64, runs: usize, limit: Duration) {
+        let until = Instant::now() + limit;
+        loop {
+            let history = self.history.all();
+            let started = history.iter().filter(|run| run.task.step.job.0 == key);
+            let started = started.count();
+            if started >= runs {
+                return;
+            }
+            assert!(
+                Instant::now() < until,
+                "{started} of {runs} runs of job {key}"
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     /// Waits until a job is in a state; panics after `limit`.
     pub(crate) async fn wait_for_state(&self, key: u64, state: JobState, limit: Duration) {
         let until = Instant::now() + limit;
--- a/crates/guavavane_jobs/examples/pass_rate.rs
+++ b/crates/guavavane_jobs/examples/pass_rate.rs
@@ -77,6 +77,10 @@
         IndexSet::new()
     }
 
+    fn is_failing(&self, _job: JobKey) -> bool {
+        false
+    }
+
     fn waiting_time(&self, _step: StepKey) -> Duration {
         Duration::ZERO
     }
--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -25,6 +25,7 @@
 use super::probation::TrialOrder;
 use super::refused_demand::RefusedDemands;
 use super::slack::RunTimes;
+use crate::identity::JobKey;
 use crate::identity::RunNumber;
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
@@ -67,6 +68,9 @@
     /// Workers for which a step holds a valid ticket of the advice service.
     fn allowed_workers(&self, step: StepKey) -> IndexSet<WorkerIndex>;
 
+    /// Whether the latest runs of a job have failed, so that it may fail everywhere.
+    fn is_failing(&self, job: JobKey) -> bool;
+
     /// Time for which a step has had waiting tasks.
     fn waiting_time(&self, step: StepKey) -> Duration;
 }
@@ -134,6 +138,9 @@
 
     /// Order in which a step gets trials.
     fn trial_order(&self, step: &WaitingStep) -> TrialOrder {
+        if self.input.is_failing(step.key.job) {
+            return TrialOrder::Failing;
+        }
         let spec = self.ledger.step_spec(step.key);
         match spec.map(|spec| spec.kind) {
             Some(StepKind::LongRunning) => TrialOrder::LongRunning,
@@ -193,9 +200,11 @@
 
 /// Places the steps that come last as trials also on workers on probation.
 fn place_later_trials<I: PassInput>(scope: &mut PassScope<'_, I>, steps: &[WaitingStep]) {
-    for step in steps {
-        if scope.trial_order(step) == TrialOrder::LongRunning {
-            place_step(scope, step, true);
+    for order in [TrialOrder::LongRunning, TrialOrder::Failing] {
+        for step in steps {
+            if scope.trial_order(step) == order {
+                place_step(scope, step, true);
+            }
         }
     }
 }
--- a/crates/guavavane_jobs/src/plan/probation.rs
+++ b/crates/guavavane_jobs/src/plan/probation.rs
@@ -5,7 +5,8 @@
 //! run fails, the number of trials doubles with each [`TRIAL_INTERVAL`], because some runs never end; when
 //! more than [`TRIALS_MAX`] are due, the probation is over.
 //!
-//! The failures may be those of a job that fails everywhere, so every worker stays in use.
+//! The failures may be those of a job that fails everywhere, so every worker stays in use, and the tasks
+//! of a job whose runs keep failing ([`JobFailures`]) are the last to be trials.
 
 use std::time::Duration;
 
@@ -17,6 +18,10 @@
 pub const TRIAL_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Most trials of one interval.
 pub const TRIALS_MAX: u32 = 4;
+/// Consecutive failures from which a job is taken to fail everywhere.
+const JOB_FAILURES_MIN: u32 = 3;
+/// Time after which a failure of a job no longer counts.
+const JOB_FAILURE_MEMORY: Duration = Duration::from_secs(10);
 
 /// Failures of a worker and its trials.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -102,6 +107,34 @@
     }
 }
 
+/// Failures of a job since the last of its runs that succeeded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct JobFailures {
+    consecutive_failures: u32,
+    latest_at: BootTime,
+}
+
+impl JobFailures {
+    /// Records a failed run of the job.
+    pub fn record_failure(&mut self, now: BootTime) {
+        if self.is_forgotten(now) {
+            self.consecutive_failures = 0;
+        }
+        self.consecutive_failures = self.consecutive_failures.saturating_add(1);
+        self.latest_at = now;
+    }
+
+    /// Whether the job is taken to fail everywhere.
+    pub fn is_failing(&self, now: BootTime) -> bool {
+        self.consecutive_failures >= JOB_FAILURES_MIN && !self.is_forgotten(now)
+    }
+
+    /// Whether the failures no longer count.
+    pub fn is_forgotten(&self, now: BootTime) -> bool {
+        now.saturating_since(self.latest_at) >= JOB_FAILURE_MEMORY
+    }
+}
+
 /// Order in which waiting steps get the trials of workers on probation. The run of a trial should tell
 /// whether the worker is sound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -110,4 +143,6 @@
     Finite,
     /// The runs don't end by themselves.
     LongRunning,
+    /// The latest runs of the job have failed.
+    Failing,
 }
--- a/crates/guavavane_jobs/tests/support/replay.rs
+++ b/crates/guavavane_jobs/tests/support/replay.rs
@@ -35,6 +35,8 @@
     pub(crate) run_times: RunTimes,
     pub(crate) conditions: IndexMap<WorkerIndex, WorkerCondition>,
     pub(crate) waiting_since: IndexMap<StepKey, u64>,
+    /// Jobs whose latest runs have failed.
+    pub(crate) failing: IndexSet<JobKey>,
 }
 
 impl PassInput for ReplayView {
@@ -62,6 +64,10 @@
         IndexSet::new()
     }
 
+    fn is_failing(&self, job: JobKey) -> bool {
+        self.failing.contains(&job)
+    }
+
     fn waiting_time(&self, step: StepKey) -> Duration {
         let since = self.waiting_since.get(&step).copied();
         Duration::from_millis(self.now_ms - since.unwrap_or(self.now_ms))
