An agent that ends gives its lease back

Cause: an agent whose worker answers ended at once, counting on its next process. The leader had only its bound on the agent's lease, 12.7 s from the last ping or from its own election.

Evidence: process_ended at 6.3 s, worker_lost reason=lease_over at 19.0 s for just these workers.

Change: with its shutdown confirmed, the agent limits its grant to one lease of the worker, accepts no later one and tells the leader the time after which all runs have certainly stopped. The leader detaches the worker, so that later pings renew nothing, and frees its runs after that time unless a process of the agent reports the worker again. The agent counts from before it sends, the leader from when it handles, so the agent's lease still ends first; a paused or partitioned agent finds its grant over. The time that a message states is capped by the agent's lease.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -239,7 +239,7 @@
     /// Confirms a shutdown unless a lease may be in force whose end only this process can report soon, or
     /// a loss has been reported to a leader that may have been lost with it: no other process may follow
     /// on this VM, and the next one would begin the wait anew. The runs of a worker that answers go on, and the next
-    /// process reports them.
+    /// process reports them; if none follows, the leader frees them once the released lease is over.
     fn confirm_shutdown(&mut self) {
         let answers = |worker: &LocalWorker| worker.has_list && !worker.silent;
         let is_renewed = self.worker.as_ref().is_some_and(answers) && !self.lease.is_refused();
@@ -251,6 +251,7 @@
             return self.ask_for_losses();
         }
         if let Some(reply) = self.pending_shutdown.take() {
+            self.release_lease();
             // Sending fails only if the process no longer waits.
             let _ = reply.send(());
         }
--- a/crates/guavavane_cell/src/agent/lease.rs
+++ b/crates/guavavane_cell/src/agent/lease.rs
@@ -22,6 +22,8 @@
     timing: LeaseTiming,
     /// End of the leader's grant.
     granted_until: BootTime,
+    /// Whether the grant was given back, so that later ones are void.
+    released: bool,
     /// Latest reading of the worker's clock in milliseconds, with the time of its arrival.
     clock: Option<(BootTime, u64)>,
     /// Latest deadline sent to the worker, in milliseconds on the worker's clock.
@@ -41,6 +43,7 @@
         Self {
             timing,
             granted_until: BootTime::default(),
+            released: false,
             clock: None,
             deadline_ms: None,
             silent: false,
@@ -56,10 +59,31 @@
 
     /// Extends the grant after the leader answered a ping that was sent at `sent_at`.
     pub(super) fn record_grant(&mut self, sent_at: BootTime) {
+        if self.released {
+            return;
+        }
         let until = sent_at + self.timing.agent_lease;
         self.granted_until = self.granted_until.max(until);
     }
 
+    /// Gives the grant back but for one lease of the worker, so that its runs last until the next process
+    /// of the agent renews it. Returns the time after which all runs on the worker have certainly stopped
+    /// unless that process follows.
+    pub(super) fn release(&mut self, now: BootTime) -> Duration {
+        self.released = true;
+        self.granted_until = self.granted_until.min(now + self.timing.worker_lease);
+        let clock_age = self.clock.map(|(read_at, _)| now.saturating_since(read_at));
+        let lease = clock_age.unwrap_or_default() + self.timing.worker_lease;
+        let extended_until = self.timing.expiry_bound(lease);
+        let current = self.remaining(now).unwrap_or_default();
+        extended_until.max(current)
+    }
+
+    /// Whether the grant was given back.
+    pub(super) fn is_released(&self) -> bool {
+        self.released
+    }
+
     /// Resets the state for a new worker. The expiry stays, so that workers which never answer do not
     /// postpone it.
     pub(super) fn reset_for_worker(&mut self) {
--- a/crates/guavavane_cell/src/agent/report.rs
+++ b/crates/guavavane_cell/src/agent/report.rs
@@ -70,6 +70,20 @@
         if self.granted_from.is_none() {
             self.request_grant();
         }
+        if self.lease.is_released() {
+            // The leader counts a report as the start of a lease.
+            self.release_lease();
+        }
+    }
+
+    /// Gives the lease back to the leader, since the process ends and no other one may follow.
+    pub(super) fn release_lease(&mut self) {
+        let remaining = self.lease.release(BootClock.now());
+        tracing::info!(
+            event = "lease_released",
+            remaining_ms = remaining.as_millis() as u64
+        );
+        self.send_to_leader(ToControl::ReleaseLease { remaining });
     }
 
     /// Requests the first lease of the session without waiting for the next regular ping.
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -327,6 +327,7 @@
             ToControl::WorkerEnded { key } => self.handle_worker_ended(&key),
             ToControl::LeaseExpired => self.handle_expired_lease(id),
             ToControl::ConfirmLosses { number } => self.confirm_losses(id, number),
+            ToControl::ReleaseLease { remaining } => self.shorten_lease(id, remaining),
             ToControl::Peer(_)
             | ToControl::Join { .. }
             | ToControl::EntryHello { .. }
--- a/crates/guavavane_cell/src/control/session.rs
+++ b/crates/guavavane_cell/src/control/session.rs
@@ -35,20 +35,23 @@
     /// Closes a session and returns whether it was open. Its worker gets no orders until it is reported
     /// again.
     pub(super) fn close_session(&mut self, id: SessionId) -> bool {
-        let Some(closed) = self.sessions.swap_remove(&id) else {
-            return false;
+        self.detach_worker(id);
+        self.sessions.swap_remove(&id).is_some()
+    }
+
+    /// Detaches the worker that was reported on a session: it gets no orders until it is reported again.
+    /// Returns the worker if no later session has reported it.
+    pub(super) fn detach_worker(&mut self, id: SessionId) -> Option<WorkerIndex> {
+        let SessionRole::Agent { worker, .. } = &mut self.sessions.get_mut(&id)?.role else {
+            return None;
         };
-        if let SessionRole::Agent {
-            worker: Some(worker),
-            ..
-        } = closed.role
-        {
-            let worker_state = self.worker_mut(worker);
-            if let Some(state) = worker_state.filter(|state| state.session == Some(id)) {
-                state.session = None;
-            }
+        let worker = worker.take()?;
+        let state = self.worker_mut(worker)?;
+        if state.session != Some(id) {
+            return None;
         }
-        true
+        state.session = None;
+        Some(worker)
     }
 
     /// Makes this the session on which an agent reports and closes the one on which it reported before:
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -1,6 +1,7 @@
 //! Leader's handling of workers and their agents: reports, completions, losses and moves.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexSet;
 
@@ -296,6 +297,24 @@
         }
     }
 
+    /// Shortens the lease of an agent whose process ends. Its worker gets no orders until the next process
+    /// reports it, and later pings on the session renew nothing.
+    pub(super) fn shorten_lease(&mut self, session: SessionId, remaining: Duration) {
+        let timing = self.settings.timing;
+        let remaining = remaining.min(timing.agent_lease);
+        let lease_expires_at = BootClock.now() + timing.expiry_bound(remaining);
+        let Some(state) = &mut self.leader_state else {
+            return;
+        };
+        let Some(index) = state.detach_worker(session) else {
+            return;
+        };
+        if let Some(worker) = state.worker_mut(index) {
+            tracing::info!(event = "lease_shortened", worker = index.0);
+            worker.lease_expires_at = worker.lease_expires_at.min(lease_expires_at);
+        }
+    }
+
     fn workers_on(&self, node: &str) -> Vec<WorkerIndex> {
         self.quorum
             .read_local(|ledger| ledger.workers_on(node).collect())
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -249,6 +250,11 @@
         /// Number of the question, which the answer repeats.
         number: u64,
     },
+    /// Gives the lease of an agent back whose process ends: no grant extends it any more.
+    ReleaseLease {
+        /// Time from the sending after which all runs on the agent's VM have certainly stopped.
+        remaining: Duration,
+    },
 }
 
 /// Messages from a control process.
