A worker that rejects all starts no longer draws the same task again and again

What callers see: a job with one waiting task stays queued or running while most of the cell is free (LOST).

Cause: a start that a worker refuses for want of room or health, or leaves unanswered, ends as a withdrawal, and the leader records nothing of the worker. What starts nothing stays idle, so the next pass finds it the best worker again. Nothing ends this: withdrawals count neither as failures of the worker nor as attempts of the task.

Change: the agent tells the leader of a start that the worker refused as room or for another reason of its own (429, 503), or did not answer in START_TIMEOUT. The leader counts it as a failure of the worker, as it counts a failed run: the score falls at once, and the third in a row begins the probation, whose trials find out when the worker starts tasks again. Refusals that concern the run only (old, late, ticket, fence) don't count.

--- a/crates/guavavane_cell/src/agent/order.rs
+++ b/crates/guavavane_cell/src/agent/order.rs
@@ -46,6 +46,8 @@
     pub(super) result: OrderResult,
     /// Whether a try of a start got no answer, so that it may still be carried out.
     pub(super) may_be_late: bool,
+    /// Whether the worker accepted no try of a start, for no reason that concerns its run only.
+    pub(super) is_rejected: bool,
 }
 
 /// Time for which orders hold: that of one incarnation of the worker, up to the end of its lease.
--- a/crates/guavavane_cell/src/agent/order_dispatch.rs
+++ b/crates/guavavane_cell/src/agent/order_dispatch.rs
@@ -11,6 +11,7 @@
 use super::order_executor::OrderExecutor;
 use super::worker::RunAttributes;
 use crate::message::StartTask;
+use crate::message::ToControl;
 use crate::metric;
 use crate::worker_api::StartOrder;
 use crate::worker_api::WorkerApi;
@@ -146,6 +147,11 @@
             return;
         }
         self.orders_in_flight.swap_remove(&id);
+        if order.is_rejected {
+            // Before the withdrawal of the run, after which the leader places its task anew.
+            let key = order.key.clone();
+            self.send_to_leader(ToControl::StartRejected { key });
+        }
         match order.result {
             OrderResult::Stopped | OrderResult::NotStarted => {
                 // Only a renewal that is sent after this result returns a list that confirms it.
--- a/crates/guavavane_cell/src/agent/order_executor.rs
+++ b/crates/guavavane_cell/src/agent/order_executor.rs
@@ -32,6 +32,38 @@
 /// Time between two tries.
 const RETRY_INTERVAL: Duration = Duration::from_millis(30);
 
+/// What became of an order; see [`FinishedOrder`].
+struct OrderAttempt {
+    result: OrderResult,
+    may_be_late: bool,
+    is_rejected: bool,
+}
+
+impl OrderAttempt {
+    fn new(result: OrderResult) -> Self {
+        Self {
+            result,
+            may_be_late: false,
+            is_rejected: false,
+        }
+    }
+
+    fn late_if(mut self, may_be_late: bool) -> Self {
+        self.may_be_late = may_be_late;
+        self
+    }
+}
+
+/// Whether a worker that refuses a start for this reason would refuse other starts as well.
+fn is_fault_of_worker(reason: OrderRefusal) -> bool {
+    match reason {
+        OrderRefusal::Room | OrderRefusal::Other => true,
+        OrderRefusal::Fence | OrderRefusal::Old | OrderRefusal::Late | OrderRefusal::Ticket => {
+            false
+        }
+    }
+}
+
 /// Client of a worker, with the incarnation and the fencing token that its orders carry.
 #[derive(Clone)]
 pub(super) struct OrderExecutor<A> {
@@ -49,16 +81,17 @@
         run: RunNumber,
         order: WorkerOrder,
     ) -> FinishedOrder {
-        let (result, may_be_late) = match order {
+        let attempt = match order {
             WorkerOrder::Start(order) => self.start(order).await,
-            WorkerOrder::Stop => (self.stop(task, run, STOP_TIMEOUT).await, false),
+            WorkerOrder::Stop => OrderAttempt::new(self.stop(task, run, STOP_TIMEOUT).await),
         };
         FinishedOrder {
             key: self.key,
             task,
             run,
-            result,
-            may_be_late,
+            result: attempt.result,
+            may_be_late: attempt.may_be_late,
+            is_rejected: attempt.is_rejected,
         }
     }
 
@@ -67,35 +100,46 @@
         !self.scope.is_over() && BootClock.now() < until
     }
 
-    /// Returns the result of a start, and whether a try of it got no answer.
-    async fn start(&self, order: StartOrder) -> (OrderResult, bool) {
+    async fn start(&self, order: StartOrder) -> OrderAttempt {
         let until = BootClock.now() + START_TIMEOUT;
         let (task, run) = (order.task, order.run);
         let mut unanswered = false;
+        let mut rejected = false;
         while self.may_try(until) {
             let answer = self
                 .worker_api
                 .start(self.key.clone(), self.fencing_token, order.clone())
                 .await;
             match answer {
-                OrderAnswer::Done => return (OrderResult::Started, unanswered),
-                OrderAnswer::OtherIncarnation => return (OrderResult::Unanswered, unanswered),
+                OrderAnswer::Done => {
+                    return OrderAttempt::new(OrderResult::Started).late_if(unanswered);
+                }
+                OrderAnswer::OtherIncarnation => {
+                    return OrderAttempt::new(OrderResult::Unanswered).late_if(unanswered);
+                }
                 OrderAnswer::Refused(OrderRefusal::Old) => {
-                    return (OrderResult::NotStarted, unanswered);
+                    return OrderAttempt::new(OrderResult::NotStarted).late_if(unanswered);
                 }
                 OrderAnswer::Refused(reason) => {
                     tracing::info!(event = "start_refused", %task, %run, ?reason, unanswered);
+                    rejected = is_fault_of_worker(reason);
                     break;
                 }
                 OrderAnswer::Unanswered => unanswered = true,
             }
             sleep(RETRY_INTERVAL).await;
         }
+        let is_timed_out = !self.scope.is_over() && BootClock.now() >= until;
         // An unanswered try may have started the run or may still start it. The stop ends the run
         // and keeps any earlier try from starting it later.
-        match self.stop(task, run, STOP_TIMEOUT).await {
-            OrderResult::Stopped => (OrderResult::NotStarted, unanswered),
-            other => (other, unanswered),
+        let result = match self.stop(task, run, STOP_TIMEOUT).await {
+            OrderResult::Stopped => OrderResult::NotStarted,
+            other => other,
+        };
+        OrderAttempt {
+            result,
+            may_be_late: unanswered,
+            is_rejected: rejected || is_timed_out,
         }
     }
 
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -307,6 +307,7 @@
                 self.handle_completions(&key, completions)
             }
             ToControl::Withdrawn { key, task, run } => self.withdraw_run(&key, task, run),
+            ToControl::StartRejected { key } => self.record_rejected_start(&key),
             ToControl::Checkpoints { checkpoints } => self.record_checkpoints(id, checkpoints),
             ToControl::Utilisation { key, samples, load } => {
                 let worker = self.quorum.read_local(|ledger| ledger.worker_index(&key));
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -260,6 +260,18 @@
         state.checkpoints.extend(checkpoints);
     }
 
+    /// Counts a rejected start as a failure of the worker: it would get the same task again, since what
+    /// starts nothing stays idle.
+    pub(super) fn record_rejected_start(&mut self, key: &WorkerKey) {
+        let worker = self.quorum.read_local(|ledger| ledger.worker_index(key));
+        let state = self.leader_state.as_mut();
+        if let Some(worker_state) = state.and_then(|state| state.worker_mut(worker?)) {
+            worker_state.probation.record_failure(BootClock.now());
+            let failures = worker_state.probation.consecutive_failures();
+            tracing::info!(event = "start_rejected", worker = %key, failures);
+        }
+    }
+
     /// Frees a run that never started and no longer can.
     pub(super) fn withdraw_run(&mut self, key: &WorkerKey, task: TaskKey, run: RunNumber) {
         tracing::info!(event = "run_withdrawn", %task, %run, worker = %key);
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -249,6 +249,12 @@
         /// Number of the question, which the answer repeats.
         number: u64,
     },
+    /// Reports that the worker has refused a start or left it unanswered, for no reason that concerns
+    /// the run only.
+    StartRejected {
+        /// Incarnation of the worker.
+        key: WorkerKey,
+    },
 }
 
 /// Messages from a control process.
