An oversized checkpoint no longer keeps the whole cell from starting tasks

What callers see: no task starts any more, though all workers are free (LOST); or a run that has ended holds its worker, and its job never ends.

Cause: a command of more than 1 MiB is refused (TooLarge) each time it is proposed. The checkpoints of workers are bound only by the 4 MiB of a body. The pass chooses the same starts again after a refusal, so one task with such a checkpoint, or many with a few KiB, stops all starts of the cell. The ends of runs are proposed again without change as well.

Change: checkpoints of more than 64 KiB are not kept, so the task resumes from an earlier one; ends are split into commands of 512 KiB, and a pass proposes the starts that fit into as much, gangs as a whole. Remains: a gang whose own starts exceed that is left out; it holds up no other step, but its room in that pass.

--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -8,6 +8,7 @@
 
 mod advice;
 mod caller;
+mod command_size;
 mod commit;
 mod engine;
 mod group_report;
--- a/crates/guavavane_cell/src/control/scheduling.rs
+++ b/crates/guavavane_cell/src/control/scheduling.rs
@@ -4,6 +4,7 @@
 //! starts is in flight at a time.
 
 use super::caller::time_of_day_ms;
+use super::command_size::starts_of_one_command;
 use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
 use super::leader_state::LeaderState;
@@ -51,7 +52,8 @@
                 } else {
                     Vec::new()
                 };
-                (choose_starts(ledger, table, state, &steps), advice_steps)
+                let choices = choose_starts(ledger, table, state, &steps);
+                (starts_of_one_command(ledger, choices), advice_steps)
             })
         });
         self.request_advice(advice_steps);
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -4,6 +4,9 @@
 
 use indexmap::IndexSet;
 
+use super::command_size::drop_long_checkpoints;
+use super::command_size::is_checkpoint_kept;
+use super::command_size::split_completions;
 use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
 use super::incarnation::request_refusals;
@@ -201,10 +204,15 @@
 
     /// Commits completions that a worker reported. Those of an incarnation that is asked to refuse runs
     /// wait for its next report, because they may be of runs that an earlier one still has.
-    pub(super) fn handle_completions(&mut self, key: &WorkerKey, completions: Vec<RunCompletion>) {
+    pub(super) fn handle_completions(
+        &mut self,
+        key: &WorkerKey,
+        mut completions: Vec<RunCompletion>,
+    ) {
         if completions.is_empty() {
             return;
         }
+        drop_long_checkpoints(&mut completions);
         let worker = self.quorum.read_local(|ledger| ledger.worker_index(key));
         let Some(worker) = worker.filter(|worker| !self.awaits_report(*worker)) else {
             tracing::info!(event = "completions_deferred", worker = %key, completions = completions.len());
@@ -224,18 +232,17 @@
         };
         let open = state.open_completions.entry(worker).or_default();
         let completions = open.add(completions);
-        if completions.is_empty() {
-            return;
+        for completions in split_completions(completions) {
+            let command = LedgerCommand::NoteEnds {
+                worker,
+                completions: completions.clone(),
+            };
+            let purpose = CommitPurpose::NoteEnds {
+                worker,
+                completions,
+            };
+            self.propose(command, purpose);
         }
-        let command = LedgerCommand::NoteEnds {
-            worker,
-            completions: completions.clone(),
-        };
-        let purpose = CommitPurpose::NoteEnds {
-            worker,
-            completions,
-        };
-        self.propose(command, purpose);
     }
 
     /// Records the checkpoints of the tasks that are assigned to the session's worker.
@@ -255,7 +262,8 @@
                 let task = ledger.task(task);
                 task.is_some_and(|task| task.phase == TaskPhase::Assigned(worker))
             };
-            checkpoints.retain(|(task, _)| is_assigned(*task));
+            checkpoints
+                .retain(|(task, checkpoint)| is_assigned(*task) && is_checkpoint_kept(checkpoint));
         });
         state.checkpoints.extend(checkpoints);
     }
