--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -323,7 +323,11 @@
     }
 
     /// Changes the probation of a worker and logs whether it has begun or ended.
-    fn update_probation(&mut self, index: WorkerIndex, change: impl FnOnce(&mut WorkerProbation)) {
+    pub(super) fn update_probation(
+        &mut self,
+        index: WorkerIndex,
+        change: impl FnOnce(&mut WorkerProbation),
+    ) {
         let Some(worker) = self.worker_mut(index) else {
             return;
         };
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -255,6 +255,12 @@
         /// Time from the sending after which all runs on the agent's VM have certainly stopped.
         remaining: Duration,
     },
+    /// Reports that the worker has refused a start or left it unanswered, for no reason that concerns
+    /// the run only.
+    StartRejected {
+        /// Incarnation of the worker.
+        key: WorkerKey,
+    },
 }
 
 /// Messages from a control process.
