Soak: workers that fail for a time each run that they start

At drawn times, from a generator stream of their own (the other draws stay as they were), some or all workers fail each run at once for one to six seconds, long-running tasks too, beside all other faults.

All bounds stay. A batch job may end as failed, which the check forbade when nothing could fail: it still fails the soak unless the workers' history holds MaxAttempts failed runs of one of its tasks (two tests in tools/soak/tests/checks.rs).

--- a/tools/soak/src/caller.rs
+++ b/tools/soak/src/caller.rs
@@ -17,6 +17,8 @@
 const LEADER_QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for a response; longer than the timeout of the queues, 3000 ms.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// Number of failed runs of a task after which its job fails.
+pub const ATTEMPTS_MAX: usize = 3;
 
 /// Result of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -92,8 +94,8 @@
         let routes = self.hosts.iter().enumerate().map(|(number, host)| {
             json!({"Name": format!("tally-{number}"), "Host": host.to_string(),
                 "PathPrefix": PATH_PREFIX, "Kind": "unsafe", "TimeoutMs": 3000,
-                "TargetLatencyMs": 250, "Priority": 0, "Service": "pool", "MaxAttempts": 3,
-                "Stretch": 2.0})
+                "TargetLatencyMs": 250, "Priority": 0, "Service": "pool",
+                "MaxAttempts": ATTEMPTS_MAX, "Stretch": 2.0})
         });
         let body = json!({"Version": self.version, "Routes": routes.collect::<Vec<_>>(),
             "Services": [{"Name": "pool", "AdmissionCheck": true}]});
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -5,12 +5,16 @@
 use std::time::Instant;
 
 use anyhow::bail;
+use indexmap::IndexMap;
 
 use crate::caller;
 use crate::caller::RequestResult;
+use crate::caller::ATTEMPTS_MAX;
 use crate::cell::SoakCell;
 use crate::cell::CONTROL_COUNT;
 use crate::faults::FaultSpan;
+use guavavane_jobs::prelude::JobKey;
+use guavavane_jobs::prelude::RunOutcome;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_standin::simulated_worker::RecordedRun;
 
@@ -32,18 +36,25 @@
     pub accepted_at: Instant,
 }
 
-/// Waits until all accepted jobs have completed; fails if one has failed or is unknown.
+/// Waits until all accepted jobs have ended; returns the number of those that failed because workers
+/// have failed the runs of a task.
 ///
 /// # Errors
 ///
-/// Fails if a job doesn't complete in time, has failed or is unknown.
-pub fn wait_until_completed(cell: &SoakCell, mut pending_keys: Vec<u64>) -> anyhow::Result<()> {
+/// Fails if a job doesn't end in time, has failed for no such reason or is unknown.
+pub fn wait_until_ended(cell: &SoakCell, mut pending_keys: Vec<u64>) -> anyhow::Result<usize> {
     let deadline = Instant::now() + COMPLETION_TIMEOUT;
-    let mut queries = 0;
+    let (mut queries, mut failed_jobs) = (0, 0);
     while let Some(key) = pending_keys.pop() {
         queries += 1;
         match caller::query_state(cell.entry_address(queries), key) {
             RequestResult::Answered(200, text) if text.contains("completed") => continue,
+            RequestResult::Answered(200, text)
+                if text.contains("failed") && may_have_failed(key, &cell.history.all()) =>
+            {
+                failed_jobs += 1;
+                continue;
+            }
             RequestResult::Answered(200, text) if !text.contains("failed") => {}
             RequestResult::Answered(503 | 504, _) | RequestResult::Unanswered => {}
             result => bail!("state query of accepted job {key:016x} returned {result:?}"),
@@ -57,7 +68,19 @@
         pending_keys.insert(0, key);
         thread::sleep(Duration::from_millis(20));
     }
-    Ok(())
+    Ok(failed_jobs)
+}
+
+/// Whether workers have failed [`ATTEMPTS_MAX`] runs of a task of the job.
+pub fn may_have_failed(job_key: u64, runs: &[RecordedRun]) -> bool {
+    let is_failure = |run: &&RecordedRun| {
+        run.task.step.job == JobKey(job_key) && run.outcome == Some(RunOutcome::Failed)
+    };
+    let mut failures = IndexMap::<TaskKey, usize>::new();
+    for run in runs.iter().filter(is_failure) {
+        *failures.entry(run.task).or_default() += 1;
+    }
+    failures.into_values().any(|count| count >= ATTEMPTS_MAX)
 }
 
 /// Waits until a control process returns the acknowledged configuration or a newer one.
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -1,6 +1,7 @@
 //! Faults of a run: injects them, ends them and records when they were active.
 
 use std::path::Path;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,6 +25,8 @@
 ];
 /// Duration of a process or network fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..4_000;
+/// Duration of errors of workers, in milliseconds.
+const WORKER_ERRORS_DURATION_MS: std::ops::Range<u64> = 1_000..6_000;
 /// Duration of a disk fault, in milliseconds.
 const DISK_FAULT_DURATION_MS: std::ops::Range<u64> = 1_000..5_000;
 /// Time between two restarts of a series, in milliseconds; shorter than some of the downtimes, so
@@ -41,6 +44,8 @@
     Terminated(usize),
     /// A relay drops, closes or delays its connections.
     Network(usize),
+    /// A worker fails each run that it starts.
+    WorkerErrors(usize),
     /// The disk of a control process is faulty.
     Disk(usize, DiskFault),
 }
@@ -67,7 +72,7 @@
     fn process_index(&self) -> Option<usize> {
         match self.fault {
             SoakFault::Suspended(process) | SoakFault::Terminated(process) => Some(process),
-            SoakFault::Network(_) | SoakFault::Disk(..) => None,
+            SoakFault::Network(_) | SoakFault::WorkerErrors(_) | SoakFault::Disk(..) => None,
         }
     }
 }
@@ -166,6 +171,28 @@
         Some(SoakFault::Terminated(process))
     }
 
+    /// Lets a random share of the workers, often all of them, fail each run that they start; false if
+    /// no worker was chosen, or one fails its runs already.
+    pub fn inject_worker_errors(&mut self, cell: &SoakCell, random: &mut ChaCha8Rng) -> bool {
+        let share = if random.random_bool(0.4) { 1.0 } else { 0.5 };
+        let mut workers: Vec<usize> = (0..cell.workers.len()).collect();
+        workers.retain(|_| random.random_bool(share));
+        let duration = random_duration(random, WORKER_ERRORS_DURATION_MS);
+        let is_worker_error =
+            |active: &ActiveFault| matches!(active.fault, SoakFault::WorkerErrors(_));
+        if workers.is_empty() || self.active.iter().any(is_worker_error) {
+            return false;
+        }
+        for worker in workers {
+            cell.workers[worker]
+                .fails_runs
+                .store(true, Ordering::Relaxed);
+            let fault = SoakFault::WorkerErrors(worker);
+            self.active.push(ActiveFault::new(fault, duration));
+        }
+        true
+    }
+
     /// Causes a random disk fault of a control process; false if a disk is faulty already, or the
     /// fault can't be caused at present.
     pub fn inject_disk_fault(&mut self, cell: &SoakCell, random: &mut ChaCha8Rng) -> bool {
@@ -292,6 +319,10 @@
                     cell.relays[index].set_mode(RelayMode::Pass);
                 }
             }
+            SoakFault::WorkerErrors(index) => {
+                let worker = &cell.workers[index];
+                worker.fails_runs.store(false, Ordering::Relaxed);
+            }
             SoakFault::Disk(index, kind) => kind.end(&cell.programs[index].log_folder())?,
         }
         Ok(())
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -2,12 +2,13 @@
 //!
 //! A generator with the given seed draws the faults, the jobs and the entries. A seed doesn't
 //! repeat a run exactly: the processes run in real time, and a draw may depend on which faults are
-//! active. A run passes if all accepted jobs complete after the faults have ended, no two runs of a
-//! task overlap, no run starts after one that succeeded, and long-running tasks run again in time.
-//! Workers crash and start again under their name meanwhile. With faults of the control processes,
-//! one of them loses its disk at the end, and the others must go on: an acknowledged configuration
-//! stays, and a new one is acknowledged in time. Last, workers are lost together with their agent
-//! or the leader, and their long-running tasks must run elsewhere in time.
+//! active. A run passes if all accepted jobs end after the faults have ended, no two runs of a task
+//! overlap, no run starts after one that succeeded, and long-running tasks run again in time. A job
+//! completes unless a task of it has failed too often. Workers crash and start again under their name
+//! meanwhile, and some or all of them fail for a time each run that they start. With faults of the
+//! control processes, one of them loses its disk at the end, and the others must go on: an
+//! acknowledged configuration stays, and a new one is acknowledged in time. Last, workers are lost
+//! together with their agent or the leader, and their long-running tasks must run elsewhere in time.
 
 use std::path::Path;
 use std::thread;
@@ -31,7 +32,7 @@
 use crate::checks::all_running;
 use crate::checks::find_idle_task;
 use crate::checks::wait_for_config;
-use crate::checks::wait_until_completed;
+use crate::checks::wait_until_ended;
 use crate::checks::LongRunningTask;
 use crate::connection::OpenConnections;
 use crate::crash::WorkerCrash;
@@ -60,6 +61,8 @@
 const LOST_WORKER_STREAM: u64 = 2;
 /// Generator stream of the crashes of workers.
 const CRASH_STREAM: u64 = 3;
+/// Generator stream of the errors of workers.
+const WORKER_ERROR_STREAM: u64 = 4;
 /// Time in which a control process catches up after a fault.
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 /// Time for which a control process is down when it loses its disk.
@@ -117,6 +120,10 @@
     pub faults: usize,
     /// Crashes of workers that started again under their name.
     pub crashes: usize,
+    /// Periods in which workers failed all runs that they started.
+    pub worker_errors: usize,
+    /// Accepted jobs that ended as failed because of such errors.
+    pub failed_jobs: usize,
     /// Injected disk faults.
     pub disk_faults: usize,
     /// Series of restarts of all control processes.
@@ -180,6 +187,7 @@
     schedule: FaultSchedule,
     control_random: ChaCha8Rng,
     crash_random: ChaCha8Rng,
+    worker_error_random: ChaCha8Rng,
     /// End of the latest crash.
     crashed_at: Option<Instant>,
     /// Crashes that are under way, by worker.
@@ -196,6 +204,8 @@
         control_random.set_stream(CONTROL_FAULT_STREAM);
         let mut crash_random = ChaCha8Rng::seed_from_u64(settings.seed);
         crash_random.set_stream(CRASH_STREAM);
+        let mut worker_error_random = ChaCha8Rng::seed_from_u64(settings.seed);
+        worker_error_random.set_stream(WORKER_ERROR_STREAM);
         let cell = start_cell(program, folder, settings.subnet, settings.ports)?;
         Ok(Self {
             program,
@@ -205,6 +215,7 @@
             schedule: FaultSchedule::default(),
             control_random,
             crash_random,
+            worker_error_random,
             crashed_at: None,
             crashes: IndexMap::new(),
             report: SoakReport {
@@ -230,7 +241,7 @@
         if disturbs_control {
             self.lose_disk()?;
         }
-        wait_until_completed(&self.cell, jobs.batch_keys)?;
+        self.report.failed_jobs = wait_until_ended(&self.cell, jobs.batch_keys)?;
         let watch_time = match self.settings.scope {
             FaultScope::ProcessesAndNetwork => Duration::ZERO,
             FaultScope::ControlProcesses => LOST_DISK_WATCH_TIME,
@@ -263,6 +274,7 @@
                 self.disturb_control()?;
             }
             self.crash_worker()?;
+            self.disturb_workers();
             self.submit_job(&mut random);
             thread::sleep(JOB_INTERVAL);
         }
@@ -270,6 +282,14 @@
         self.schedule.end_all(&mut self.cell, self.program)
     }
 
+    /// Lets workers fail their runs at random.
+    fn disturb_workers(&mut self) {
+        let random = &mut self.worker_error_random;
+        if random.random_bool(0.05) && self.schedule.inject_worker_errors(&self.cell, random) {
+            self.report.worker_errors += 1;
+        }
+    }
+
     /// Crashes a worker at random, unless its latest crash is under way.
     fn crash_worker(&mut self) -> anyhow::Result<()> {
         self.end_crashes(JoinHandle::is_finished)?;
--- a/tools/soak/tests/checks.rs
+++ b/tools/soak/tests/checks.rs
@@ -1,4 +1,4 @@
-//! Check of long-running tasks that are idle for too long.
+//! Checks of long-running tasks that are idle for too long, and of failed jobs.
 
 #![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
 
@@ -6,10 +6,12 @@
 use std::time::Instant;
 
 use soak::checks::find_idle_task;
+use soak::checks::may_have_failed;
 use soak::checks::LongRunningTask;
 use soak::faults::FaultSpan;
 
 use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::RunOutcome;
 use guavavane_standin::simulated_worker::RecordedRun;
 
 /// Times in seconds from the acceptance of a job with one task.
@@ -95,3 +97,34 @@
     };
     assert!(is_idle(&history, 100));
 }
+
+/// Runs of the tasks of job 1, by the index of the task and the outcome.
+fn ended_runs(outcomes: &[(u32, RunOutcome)]) -> Vec<RecordedRun> {
+    let now = Instant::now();
+    let runs = outcomes.iter().map(|(index, outcome)| RecordedRun {
+        task: format!("0000000000000001.0.0.{index}").parse().unwrap(),
+        run: RunNumber(1),
+        worker: 0,
+        started_at: now,
+        ended: Some(now),
+        outcome: Some(*outcome),
+        void: false,
+    });
+    runs.collect()
+}
+
+#[test]
+fn job_may_fail_after_three_failed_runs_of_one_task() {
+    let failed = RunOutcome::Failed;
+    let runs = ended_runs(&[(0, failed), (1, failed), (0, failed), (0, failed)]);
+    assert!(may_have_failed(1, &runs));
+    assert!(!may_have_failed(2, &runs));
+}
+
+// Guards against a job that counts lost runs, or those of different tasks, as failures of one.
+#[test]
+fn job_may_not_fail_because_of_other_ends() {
+    let (failed, lapsed) = (RunOutcome::Failed, RunOutcome::Lapsed);
+    let runs = ended_runs(&[(0, failed), (0, lapsed), (0, failed), (1, failed)]);
+    assert!(!may_have_failed(1, &runs));
+}
