Soak: all workers fail what they start beside their long-running tasks, then jobs must end

The drawn errors meet workers with long-running tasks only by chance, and the jobs that follow may find another worker.

--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -183,14 +183,23 @@
         if workers.is_empty() || self.active.iter().any(is_worker_error) {
             return false;
         }
+        self.fail_runs(cell, workers, duration);
+        true
+    }
+
+    /// Lets these workers fail each run that they start.
+    pub fn fail_runs(
+        &mut self,
+        cell: &SoakCell,
+        workers: impl IntoIterator<Item = usize>,
+        duration: Duration,
+    ) {
         for worker in workers {
-            cell.workers[worker]
-                .fails_runs
-                .store(true, Ordering::Relaxed);
+            let fails_runs = &cell.workers[worker].fails_runs;
+            fails_runs.store(true, Ordering::Relaxed);
             let fault = SoakFault::WorkerErrors(worker);
             self.active.push(ActiveFault::new(fault, duration));
         }
-        true
     }
 
     /// Causes a random disk fault of a control process; false if a disk is faulty already, or the
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -7,8 +7,10 @@
 //! completes unless a task of it has failed too often. Workers crash and start again under their name
 //! meanwhile, and some or all of them fail for a time each run that they start. With faults of the
 //! control processes, one of them loses its disk at the end, and the others must go on: an
-//! acknowledged configuration stays, and a new one is acknowledged in time. Last, workers are lost
-//! together with their agent or the leader, and their long-running tasks must run elsewhere in time.
+//! acknowledged configuration stays, and a new one is acknowledged in time. Then all workers fail
+//! what they start beside their long-running tasks, and jobs must end again once they don't. Last,
+//! workers are lost together with their agent or the leader, and their long-running tasks must run
+//! elsewhere in time.
 
 use std::path::Path;
 use std::thread;
@@ -36,6 +38,7 @@
 use crate::checks::LongRunningTask;
 use crate::connection::OpenConnections;
 use crate::crash::WorkerCrash;
+use crate::faults::random_duration;
 use crate::faults::FaultSchedule;
 use crate::faults::FaultSpan;
 use crate::lost_worker::LostWorkerPlan;
@@ -63,6 +66,8 @@
 const CRASH_STREAM: u64 = 3;
 /// Generator stream of the errors of workers.
 const WORKER_ERROR_STREAM: u64 = 4;
+/// Time for which all workers fail their runs at the end, in milliseconds.
+const FINAL_ERRORS_MS: std::ops::Range<u64> = 1_000..4_000;
 /// Time in which a control process catches up after a fault.
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 /// Time for which a control process is down when it loses its disk.
@@ -193,6 +198,8 @@
     /// Crashes that are under way, by worker.
     crashes: IndexMap<usize, JoinHandle<FaultSpan>>,
     report: SoakReport,
+    /// Number of jobs submitted so far.
+    submitted: u64,
     submissions: Vec<Submission>,
     /// Connections of clients that stay open until a process exits.
     _connections: OpenConnections,
@@ -222,6 +229,7 @@
                 subnet: settings.subnet,
                 ..SoakReport::default()
             },
+            submitted: 0,
             submissions: Vec::new(),
         })
     }
@@ -237,7 +245,7 @@
                 acknowledged: 1,
             },
         };
-        let jobs = self.collect_submissions()?;
+        let mut jobs = self.collect_submissions()?;
         if disturbs_control {
             self.lose_disk()?;
         }
@@ -247,6 +255,8 @@
             FaultScope::ControlProcesses => LOST_DISK_WATCH_TIME,
         };
         self.watch_long_running(&jobs.long_running, watch_time)?;
+        jobs.long_running.extend(self.fail_all_workers()?);
+        self.watch_long_running(&jobs.long_running, Duration::ZERO)?;
         self.lose_workers(&jobs.long_running)?;
         self.report.long_running_tasks = jobs.long_running.len();
         self.report.runs = self.cell.history.all().len();
@@ -342,7 +352,8 @@
 
     /// Submits a job on another thread, and once more if it isn't accepted.
     fn submit_job(&mut self, random: &mut ChaCha8Rng) {
-        let key = self.submissions.len() as u64 + 1;
+        self.submitted += 1;
+        let key = self.submitted;
         let entry = self.cell.entry_address(random.random_range(0..2));
         let tasks = random.random_range(1..4);
         let retry_entry = self.cell.entry_address(random.random_range(0..2));
@@ -418,6 +429,25 @@
         Ok(())
     }
 
+    /// Lets all workers fail the runs that they start beside their long-running tasks, while jobs are
+    /// submitted. The accepted ones must end afterwards; returns their long-running tasks.
+    fn fail_all_workers(&mut self) -> anyhow::Result<Vec<LongRunningTask>> {
+        let mut random = self.worker_error_random.clone();
+        let duration = random_duration(&mut random, FINAL_ERRORS_MS);
+        let workers = 0..self.cell.workers.len();
+        self.schedule.fail_runs(&self.cell, workers, duration);
+        let errors_end = Instant::now() + duration;
+        while Instant::now() < errors_end {
+            self.submit_job(&mut random);
+            thread::sleep(JOB_INTERVAL);
+        }
+        self.schedule.end_all(&mut self.cell, self.program)?;
+        let jobs = self.collect_submissions()?;
+        self.report.failed_jobs += wait_until_ended(&self.cell, jobs.batch_keys)
+            .context("after all workers have failed their runs")?;
+        Ok(jobs.long_running)
+    }
+
     /// Loses workers with long-running tasks, one after the other, each in a different way.
     fn lose_workers(&mut self, tasks: &[LongRunningTask]) -> anyhow::Result<()> {
         if let Some(crashed_at) = self.crashed_at {
