A completed task runs again after restarts of its agent and its worker: a failing test

The first try of its start was carried out without an answer, so the agent tried it again; the second try was late. Before the worker started again, the run completed, and the agent received SIGTERM (no order_finished for the run; process_ending, then worker_found i-1@2). The new process of the agent doesn't know of the late start (LateStarts lives in memory), and the leader asks to refuse only the runs that the ledger still holds (refusal_asked runs=19, without this one), so the next incarnation carries it out.

Ruled out: with the same process of the agent the next incarnation refuses the start, as the other new test shows.

--- a/crates/guavavane_cell/tests/next_incarnation.rs
+++ b/crates/guavavane_cell/tests/next_incarnation.rs
@@ -43,6 +43,8 @@
 const TASK_RUN_TIME: Duration = Duration::from_secs(60);
 /// Run time of a task that ends while the worker is being adopted.
 const LATE_RUN_TIME: Duration = Duration::from_millis(5);
+/// Run time of a task whose start is tried again meanwhile.
+const RETRIED_RUN_TIME: Duration = Duration::from_secs(1);
 /// Longest wait for starts that nothing delays.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which a run that has to stop is stopped.
@@ -224,6 +226,45 @@
     cell.history.assert_no_duplicate_runs();
 }
 
+/// Waits until the only worker has completed a job of one task whose start had no answer, and holds
+/// another try of that start.
+async fn complete_with_retried_start(cell: &TestCell) {
+    let worker = &cell.workers[0];
+    worker.drops_answers.store(true, Ordering::Relaxed);
+    let accepted = cell.submit(1, vec![step(1, vec![])]).await;
+    assert_eq!(accepted, CallerReply::Accepted);
+    cell.wait_for_starts(1, START_TIMEOUT).await;
+    worker.holds_starts.store(true, Ordering::Relaxed);
+    cell.wait_for_state(1, JobState::Completed, START_TIMEOUT)
+        .await;
+    assert!(worker.held_starts() > 0, "the start was not tried again");
+    worker.drops_answers.store(false, Ordering::Relaxed);
+}
+
+// Guards against a completed task that runs again since its start was tried twice.
+#[tokio::test]
+async fn a_retried_start_of_a_completed_run_is_refused_by_the_next_incarnation() {
+    let cell = TestCell::start(1, RETRIED_RUN_TIME).await;
+    complete_with_retried_start(&cell).await;
+    restart_worker(&cell).await;
+    tokio::time::sleep(ADOPTION_TIME).await;
+    cell.workers[0].carry_out_held_starts();
+    cell.history.assert_no_duplicate_runs();
+}
+
+// Guards against a completed task that runs again since a new process of the agent doesn't know of the
+// second try of its start, and the leader no longer of the run.
+#[tokio::test]
+async fn a_retried_start_of_an_earlier_agent_process_is_refused_by_the_next_incarnation() {
+    let mut cell = TestCell::start(1, RETRIED_RUN_TIME).await;
+    complete_with_retried_start(&cell).await;
+    cell.agents[0] = start_agent(agent_settings(0, cell.address), cell.workers[0].clone());
+    restart_worker(&cell).await;
+    tokio::time::sleep(ADOPTION_TIME).await;
+    cell.workers[0].carry_out_held_starts();
+    cell.history.assert_no_duplicate_runs();
+}
+
 // Guards against the late start of a cancelled job, which would run with nobody knowing of it.
 #[tokio::test]
 async fn a_late_start_of_a_cancelled_job_is_refused_by_the_next_incarnation() {
