Advice: a best-effort job that accepts any CPU share asks about all workers that may start it

What callers could see: a best-effort job of a queue with advice has nothing running although workers have room: it gets no ticket.

Cause: a step that has waited 1.5 s without a run accepts any CPU share, but steps_needing_advice named only workers that leave half of one.

No deployment in force has a queue with advice and best-effort steps: found by reading, not seen.

--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -259,9 +259,11 @@
 ) -> Vec<AdviceStep> {
     let advice_steps = steps.iter().filter_map(|step| {
         let key = step.key;
-        let queue = ledger.catalog().queue(&ledger.job(key.job)?.queue)?;
-        let timing = queue.advice?;
-        let mut context = step_context(ledger, input, key, CPU_SHARE_ACCEPTED)?;
+        let job = ledger.job(key.job)?;
+        let timing = ledger.catalog().queue(&job.queue)?.advice?;
+        let cpu_share_min = cpu_share_min(job, step, input.waiting_time(key));
+        let accepted_share = cpu_share_min.min(CPU_SHARE_ACCEPTED);
+        let mut context = step_context(ledger, input, key, accepted_share)?;
         // Candidates are all feasible workers, with or without a ticket.
         context.allowed_workers = None;
         Some(AdviceStep {
