Jobs: a step that has waited two seconds comes first as a trial

Cause: finite steps came strictly first, and a job counts as failing only after three failures, when a job of one task is over. A sound long-running job that had failed on such workers also counted as failing for 10 s.

Change: a step that has waited 2 s comes before all others, unless its job keeps failing (TrialOrder::Overdue); a failure of a job is forgotten after 5 s in place of 10, so that it is tried again within the 9 s in which a task that lasts has to run.

--- a/crates/guavavane_cell/tests/probation.rs
+++ b/crates/guavavane_cell/tests/probation.rs
@@ -29,6 +29,10 @@
 const WORKERS: u64 = 2;
 /// Tasks of a long-running job that takes all trials of the workers for longer than `JOB_TIMEOUT`.
 const MANY_TASKS: u64 = 20;
+/// Tasks of a long-running job that a few trials of the workers could start.
+const LONG_RUNNING_TASKS: u64 = 4;
+/// Jobs of one task that take all trials of the workers for longer than `JOB_TIMEOUT`.
+const SMALL_JOBS: u64 = 200;
 
 async fn submit(cell: &TestCell, key: u64, payload: &str, step: RawStep) {
     let job = RawJob {
@@ -154,10 +158,9 @@
     let cell = TestCell::start(WORKERS as usize, RUN_TIME).await;
     submit(&cell, 1, FAILING_PAYLOAD, step(8, Vec::new())).await;
     cell.wait_for_state(1, JobState::Failed, JOB_TIMEOUT).await;
-    let started = cell.history.all().len();
     submit(&cell, 2, LONG_RUNNING_PAYLOAD, wide_long_running_step()).await;
-    let expected = started + MANY_TASKS as usize;
-    cell.wait_for_starts(expected, JOB_TIMEOUT).await;
+    cell.wait_for_runs_of(2, MANY_TASKS as usize, JOB_TIMEOUT)
+        .await;
 }
 
 // Guards against long-running tasks that wait for ever beside a long-running job that fails everywhere and
@@ -172,3 +175,22 @@
     cell.wait_for_runs_of(2, MANY_TASKS as usize, JOB_TIMEOUT)
         .await;
 }
+
+// Guards against long-running tasks that wait for ever beside a stream of small jobs that fail and take all
+// trials.
+#[tokio::test]
+async fn long_running_tasks_start_beside_many_small_jobs_that_fail() {
+    let cell = TestCell::start(WORKERS as usize, RUN_TIME).await;
+    submit(&cell, 1, FAILING_PAYLOAD, step(8, Vec::new())).await;
+    cell.wait_for_state(1, JobState::Failed, JOB_TIMEOUT).await;
+    let long_running_step = RawStep {
+        tasks: LONG_RUNNING_TASKS,
+        ..wide_long_running_step()
+    };
+    submit(&cell, 2, LONG_RUNNING_PAYLOAD, long_running_step).await;
+    for key in 3..3 + SMALL_JOBS {
+        submit(&cell, key, FAILING_PAYLOAD, step(1, Vec::new())).await;
+    }
+    cell.wait_for_runs_of(2, LONG_RUNNING_TASKS as usize, JOB_TIMEOUT)
+        .await;
+}
--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -4,8 +4,8 @@
 //! capacity of each until the table is refreshed. The tasks of a gang are placed all together or not
 //! at all.
 //!
-//! Workers on probation go first to the steps whose runs tell whether the worker is sound; the other
-//! steps get them in later rounds.
+//! Workers on probation go first to the steps that have waited long, then to those whose runs tell whether
+//! the worker is sound; the other steps get them in later rounds.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,7 +82,7 @@
     table: &'pass mut CapacityTable,
     /// Demands that no worker could meet.
     refused: RefusedDemands,
-    /// Demands that no worker could meet which isn't on probation.
+    /// Demands that no worker could meet, with those on probation left out.
     refused_without_trials: RefusedDemands,
     choices: Vec<StartChoice>,
     /// Number of tasks placed by step.
@@ -136,16 +136,12 @@
         }
     }
 
-    /// Order in which a step gets trials.
-    fn trial_order(&self, step: &WaitingStep) -> TrialOrder {
-        if self.input.is_failing(step.key.job) {
-            return TrialOrder::Failing;
-        }
-        let spec = self.ledger.step_spec(step.key);
-        match spec.map(|spec| spec.kind) {
-            Some(StepKind::LongRunning) => TrialOrder::LongRunning,
-            _ => TrialOrder::Finite,
-        }
+    /// Order in which a step gets trials; none if its job has ended.
+    fn trial_order(&self, step: &WaitingStep) -> Option<TrialOrder> {
+        let kind = self.ledger.step_spec(step.key)?.kind;
+        let waiting_time = self.input.waiting_time(step.key);
+        let failing = self.input.is_failing(step.key.job);
+        Some(TrialOrder::new(kind, waiting_time, failing))
     }
 }
 
@@ -189,7 +185,7 @@
     let mut scope = PassScope::new(ledger, table, input);
     let has_probation = scope.table.has_probation();
     for step in steps {
-        let allows_trials = !has_probation || scope.trial_order(step) == TrialOrder::Finite;
+        let allows_trials = !has_probation || scope.trial_order(step) == Some(TrialOrder::Overdue);
         place_step(&mut scope, step, allows_trials);
     }
     if has_probation {
@@ -198,13 +194,19 @@
     scope.choices
 }
 
-/// Places the steps that come last as trials also on workers on probation.
+/// Places the steps that aren't overdue also on workers on probation.
 fn place_later_trials<I: PassInput>(scope: &mut PassScope<'_, I>, steps: &[WaitingStep]) {
-    for order in [TrialOrder::LongRunning, TrialOrder::Failing] {
-        for step in steps {
-            if scope.trial_order(step) == order {
-                place_step(scope, step, true);
-            }
+    let orders: Vec<Option<TrialOrder>> =
+        steps.iter().map(|step| scope.trial_order(step)).collect();
+    let later_orders = [
+        TrialOrder::Finite,
+        TrialOrder::LongRunning,
+        TrialOrder::Failing,
+    ];
+    for order in later_orders {
+        let due_steps = steps.iter().zip(&orders);
+        for (step, _) in due_steps.filter(|(_, known)| **known == Some(order)) {
+            place_step(scope, step, true);
         }
     }
 }
--- a/crates/guavavane_jobs/src/plan/probation.rs
+++ b/crates/guavavane_jobs/src/plan/probation.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+use crate::job::StepKind;
 use guavavane_model::prelude::BootTime;
 
 /// Consecutive failures from which a worker is on probation.
@@ -21,13 +22,15 @@
 /// Consecutive failures from which a job is taken to fail everywhere.
 const JOB_FAILURES_MIN: u32 = 3;
 /// Time after which a failure of a job no longer counts.
-const JOB_FAILURE_MEMORY: Duration = Duration::from_secs(10);
+const JOB_FAILURE_MEMORY: Duration = Duration::from_secs(5);
+/// Longest time for which a step waits behind others for a trial, unless its job keeps failing.
+const TRIAL_WAIT_MAX: Duration = Duration::from_secs(2);
 
 /// Failures of a worker and its trials.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkerProbation {
     consecutive_failures: u32,
-    /// Trials of the present interval; 0 if a run has failed since.
+    /// Trials of the present interval; 0 after a failure, until the next trial starts.
     trials: u32,
     /// Trials of the present interval that have not started.
     trials_left: u32,
@@ -101,7 +104,7 @@
         *self = Self::default();
     }
 
-    /// Ends the present trial: the worker holds no run that will end by itself.
+    /// Makes the next trial due at once: the worker holds no run that will end by itself.
     pub fn end_trial(&mut self) {
         self.trials_left = self.trials_left.max(1);
     }
@@ -137,8 +140,10 @@
 
 /// Order in which waiting steps get the trials of workers on probation. The run of a trial should tell
 /// whether the worker is sound.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TrialOrder {
+    /// The step has waited for [`TRIAL_WAIT_MAX`].
+    Overdue,
     /// The runs end by themselves.
     Finite,
     /// The runs don't end by themselves.
@@ -146,3 +151,19 @@
     /// The latest runs of the job have failed.
     Failing,
 }
+
+impl TrialOrder {
+    /// Order of a step by its kind, its waiting time and whether its job keeps failing.
+    pub fn new(kind: StepKind, waiting_time: Duration, failing: bool) -> Self {
+        if failing {
+            Self::Failing
+        } else if waiting_time >= TRIAL_WAIT_MAX {
+            Self::Overdue
+        } else {
+            match kind {
+                StepKind::Finite => Self::Finite,
+                StepKind::LongRunning => Self::LongRunning,
+            }
+        }
+    }
+}
--- a/crates/guavavane_jobs/tests/probation.rs
+++ b/crates/guavavane_jobs/tests/probation.rs
@@ -13,9 +13,12 @@
 use crate::support::replay::Replay;
 use crate::support::submit;
 use guavavane_jobs::plan::order::waiting_steps;
+use guavavane_jobs::plan::probation::JobFailures;
+use guavavane_jobs::plan::probation::TrialOrder;
 use guavavane_jobs::plan::probation::WorkerProbation;
 use guavavane_jobs::plan::probation::PROBATION_FAILURES_MIN;
 use guavavane_jobs::plan::probation::TRIAL_INTERVAL;
+use guavavane_jobs::prelude::StepKind;
 use guavavane_model::prelude::BootTime;
 
 /// Time of the first failure.
@@ -105,3 +108,31 @@
         assert_eq!(cell.runs.len(), expected);
     }
 }
+
+// Guards against a job that counts as failing for ever although it isn't tried any more.
+#[test]
+fn a_job_counts_as_failing_after_three_failures_for_five_seconds() {
+    let mut failures = JobFailures::default();
+    for _ in 0..2 {
+        failures.record_failure(FAILED_AT);
+    }
+    assert!(!failures.is_failing(FAILED_AT));
+    failures.record_failure(FAILED_AT);
+    assert!(failures.is_failing(FAILED_AT + Duration::from_millis(4_999)));
+    let later = FAILED_AT + Duration::from_secs(5);
+    assert!(!failures.is_failing(later));
+    failures.record_failure(later);
+    assert!(!failures.is_failing(later));
+}
+
+// Guards against steps that wait for ever behind others which always come first as trials.
+#[test]
+fn a_step_that_has_waited_two_seconds_comes_first_unless_its_job_keeps_failing() {
+    let wait = Duration::from_secs(2);
+    let order = TrialOrder::new(StepKind::LongRunning, wait, false);
+    assert_eq!(order, TrialOrder::Overdue);
+    let order = TrialOrder::new(StepKind::Finite, wait, true);
+    assert_eq!(order, TrialOrder::Failing);
+    let order = TrialOrder::new(StepKind::Finite, Duration::ZERO, false);
+    assert_eq!(order, TrialOrder::Finite);
+}
