--- a/crates/guavavane_jobs/src/plan/probation.rs
+++ b/crates/guavavane_jobs/src/plan/probation.rs
@@ -24,7 +24,7 @@
 /// Time after which a failure of a job no longer counts.
 const JOB_FAILURE_MEMORY: Duration = Duration::from_secs(5);
 /// Longest time for which a step waits behind others for a trial, unless its job keeps failing.
-const TRIAL_WAIT_MAX: Duration = Duration::from_secs(2);
+pub const TRIAL_WAIT_MAX: Duration = Duration::from_secs(2);
 
 /// Failures of a worker and its trials.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
