--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -353,7 +353,7 @@
         let runs = ledger.worker(index).map(|record| &record.runs);
         let mut runs = runs.into_iter().flat_map(|runs| runs.values());
         if worker.probation.is_active() && runs.all(|run| run.long_running) {
-            worker.probation.end_trial();
+            worker.probation.make_trial_due();
             self.capacities.mark_changed(index);
         }
     }
--- a/crates/guavavane_jobs/src/plan/probation.rs
+++ b/crates/guavavane_jobs/src/plan/probation.rs
@@ -105,7 +105,7 @@
     }
 
     /// Makes the next trial due at once: the worker holds no run that will end by itself.
-    pub fn end_trial(&mut self) {
+    pub fn make_trial_due(&mut self) {
         self.trials_left = self.trials_left.max(1);
     }
 }
--- a/crates/guavavane_jobs/tests/probation.rs
+++ b/crates/guavavane_jobs/tests/probation.rs
@@ -43,7 +43,7 @@
     assert_eq!(probation.trials_due(next), Some(1));
     probation.record_start(next);
     assert_eq!(probation.trials_due(next), Some(0));
-    probation.end_trial();
+    probation.make_trial_due();
     assert_eq!(probation.trials_due(next), Some(1));
 }
 
