--- /dev/null
+++ b/review/standin-2/late_lease.rs
@@ -0,0 +1,63 @@
+//! A worker leaves a call to hold unanswered and carries it out seconds later. Meanwhile it crashes and starts
+//! again under its `Id`. The deadline in the late call is by the clock of the earlier life. Then the worker
+//! hangs for some seconds.
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::cell::Cell;
+use crate::cell::Record;
+use crate::late_start::find_overlap;
+use crate::worker::Span;
+use crate::worker::Worker;
+
+/// Time for which the first life of the worker lasts.
+const FIRST_LIFE: Duration = Duration::from_secs(22);
+/// Time after which the worker carries out the unanswered calls; the users' pages say 2 to 12 s.
+const LATE_BY: Duration = Duration::from_millis(11_000);
+/// Time from the first unanswered call to the crash, and for how long the worker is down.
+const CRASH_AFTER: Duration = Duration::from_millis(1_500);
+const DOWN: Duration = Duration::from_millis(500);
+/// Time from the worker's start to the job, and from the late call to the hang.
+const JOB_AFTER: Duration = Duration::from_millis(8_000);
+const HANG_AFTER: Duration = Duration::from_millis(2_500);
+/// For how long the worker hangs: it leaves all calls unanswered and does nothing for them.
+const HANG: Duration = Duration::from_millis(5_500);
+const JOB: &str = "5c0e7a21d94b36f8";
+
+pub fn run(record: &Record, trouble: bool) -> Result<Option<String>, String> {
+    let mut cell = Cell::new(record)?;
+    let workers = [
+        Worker::start(0, cell.worker(0), cell.agent(0), record)?,
+        Worker::start(1, cell.worker(1), cell.agent(1), record)?,
+    ];
+    cell.start_all(1, 2)?;
+    cell.put_config(1, 3)?;
+    sleep(FIRST_LIFE);
+    if trouble {
+        workers[0].set_late(Some(Box::new(|path: &str| (path == "/hold").then_some(LATE_BY))));
+    }
+    sleep(CRASH_AFTER);
+    if trouble {
+        workers[0].crash();
+        workers[0].set_late(None);
+        sleep(DOWN);
+        workers[0].begin_life(Duration::ZERO);
+    }
+    sleep(JOB_AFTER);
+    cell.submit(
+        JOB,
+        "{\"Spec\":\"16000 work\",\"Phases\":[{\"Count\":24,\"Cpu\":300,\"MemMb\":100,\"EstimateMs\":16000}]}",
+    )?;
+    sleep(HANG_AFTER);
+    if trouble {
+        record.line("worker i-0a hangs");
+        workers[0].set_hanging(true);
+        sleep(HANG);
+        workers[0].set_hanging(false);
+        record.line("worker i-0a answers again");
+    }
+    sleep(Duration::from_secs(20));
+    let spans: Vec<Span> = workers.iter().flat_map(Worker::spans).collect();
+    Ok(find_overlap(&spans))
+}
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -88,6 +88,8 @@
     life: Option<Life>,
     lives: u32,
     spans: Vec<Span>,
+    /// Whether calls are left unanswered without effect; what runs goes on.
+    hanging: bool,
     /// Decides on a call whether it is left unanswered and carried out after this time.
     late: Option<Box<dyn FnMut(&str) -> Option<Duration> + Send>>,
 }
@@ -119,6 +121,7 @@
                 life: None,
                 lives: 0,
                 spans: Vec::new(),
+                hanging: false,
                 late: None,
             })),
         };
@@ -172,6 +175,11 @@
         self.state.lock().unwrap().late = late;
     }
 
+    /// Lets the worker hang, or answer again.
+    pub fn set_hanging(&self, hanging: bool) {
+        self.state.lock().unwrap().hanging = hanging;
+    }
+
     pub fn spans(&self) -> Vec<Span> {
         self.state.lock().unwrap().spans.clone()
     }
@@ -249,6 +257,9 @@
             if state.life.is_none() {
                 return Reply::Close;
             }
+            if state.hanging {
+                return Reply::Nothing;
+            }
             state.late.as_mut().and_then(|late| late(&request.path))
         };
         if let Some(delay) = late {
