--- a/review/standin-2/cell.rs
+++ b/review/standin-2/cell.rs
@@ -68,7 +68,6 @@
 
 struct Process {
     name: String,
-    role: &'static str,
     child: Option<Child>,
 }
 
@@ -223,7 +222,7 @@
             .map_err(|error| format!("{PROGRAM} doesn't start: {error}"))?;
         self.record.line(&format!("process {name} started"));
         if is_first {
-            self.processes.push(Process { name, role, child: Some(child) });
+            self.processes.push(Process { name, child: Some(child) });
         } else if let Some(process) = self.processes.iter_mut().find(|p| p.name == name) {
             process.child = Some(child);
         }
@@ -247,22 +246,6 @@
         }
     }
 
-    /// Sends SIGKILL or SIGTERM to all processes of a role, then waits for their ends.
-    pub fn signal_all(&mut self, role: &str, signal: i32) {
-        self.record.line(&format!("signal {signal} to all of {role}"));
-        let named = |process: &&mut Process| process.role == role;
-        for process in self.processes.iter_mut().filter(named) {
-            if let Some(child) = &process.child {
-                unsafe { kill(child.id() as i32, signal) };
-            }
-        }
-        for process in self.processes.iter_mut().filter(named) {
-            if let Some(mut child) = process.child.take() {
-                let _ = child.wait();
-            }
-        }
-    }
-
     /// Starts three control processes, entries and agents.
     pub fn start_all(&mut self, entries: u8, agents: u8) -> Result<(), String> {
         for number in 0..3 {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod late_hold;
 mod late_lease;
+mod late_retry;
 mod late_start;
 mod net;
 mod worker;
@@ -23,6 +24,7 @@
     let run = match case.as_str() {
         "late-hold" => late_hold::run,
         "late-lease" => late_lease::run,
+        "late-retry" => late_retry::run,
         "late-start" => late_start::run,
         _ => {
             eprintln!("no such case: {case}");
