--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -14,6 +14,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use crate::cell::Cell;
 use crate::cell::Record;
 use crate::cell::SERVICE;
 use crate::json::Json;
@@ -24,6 +25,10 @@
 
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const MAX_HOLD_MS: u64 = 10_000;
+/// The first workers are of kind `b`, which the cases' jobs require; the others are of kind `a`.
+const WORKERS_OF_KIND_B: u8 = 2;
+/// Workers of a deployment, as on the site.
+pub const WORKERS: u8 = 11;
 const WAIT_MAX_MS: u64 = 2_000;
 
 /// Start of a run and its end, as a worker saw them.
@@ -105,8 +110,14 @@
 }
 
 impl Worker {
+    /// Starts all workers of a deployment.
+    pub fn start_all(cell: &Cell, record: &Record) -> Result<Vec<Self>, String> {
+        let start = |number| Self::start(number, cell.worker(number), cell.agent(number), record);
+        (0..WORKERS).map(start).collect()
+    }
+
     /// Starts a worker: its server, its clock and its heartbeats.
-    pub fn start(
+    fn start(
         number: u8,
         address: SocketAddr,
         agent: SocketAddr,
@@ -204,8 +215,9 @@
                 "{{\"Service\":\"{SERVICE}\",\"Addr\":\"127.0.0.1:1\",\"Zone\":\"z{}\",\
                  \"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":0,\
                  \"Capacity\":{{\"Cpu\":16000,\"MemMb\":64000,\"Gpus\":0}},\
-                 \"Labels\":[\"a\",\"r{}-0\"],\"ClockMs\":{},\"Seq\":{},\"born\":{}}}",
+                 \"Labels\":[\"{}\",\"r{}-0\"],\"ClockMs\":{},\"Seq\":{},\"born\":{}}}",
                 self.number,
+                if self.number < WORKERS_OF_KIND_B { "b" } else { "a" },
                 self.number,
                 life.clock_ms(),
                 life.seq,
