--- a/review/standin-2/late_hold.rs
+++ b/review/standin-2/late_hold.rs
@@ -13,7 +13,7 @@
 /// Time for which jobs are handed in.
 const LOAD: Duration = Duration::from_secs(24);
 /// Time between two jobs.
-const JOB_INTERVAL: Duration = Duration::from_millis(60);
+const JOB_INTERVAL: Duration = Duration::from_millis(30);
 /// From when until when the worker leaves every second hold unanswered, after the start of the load.
 const LATE_FROM: Duration = Duration::from_millis(6_500);
 const LATE_UNTIL: Duration = Duration::from_secs(12);
@@ -63,8 +63,8 @@
             workers[0].begin_life(Duration::ZERO);
         }
         let id = format!("{:016x}", 0x5c0e_0000_0000_0000_u64 + jobs.len() as u64);
-        let body = "{\"Spec\":\"250 uneven\",\"Phases\":[{\"Count\":20,\"Cpu\":300,\"MemMb\":100,\"Requires\":\"b\",\
-                    \"EstimateMs\":250}]}";
+        let body = "{\"Spec\":\"120 uneven\",\"Phases\":[{\"Count\":20,\"Cpu\":300,\"MemMb\":100,\"Requires\":\"b\",\
+                    \"EstimateMs\":120}]}";
         cell.submit(&id, body)?;
         jobs.push(id);
         sleep(JOB_INTERVAL);
