Control: modules of the control process no longer import each other in a circle

Cause: seven files around engine.rs imported each other, most of them for a type alone (inputs, purposes of proposals, call origins, the time of day).

Change: input.rs holds the inputs of the event loop and what they carry, wall_clock.rs the time of day, settings.rs the settings, and session_table.rs the leader's methods on sessions. Behaviour, public names and messages are unchanged.

--- a/crates/guavavane_cell/src/control/advice.rs
+++ b/crates/guavavane_cell/src/control/advice.rs
@@ -9,28 +9,16 @@
 use tokio::sync::oneshot;
 
 use super::engine::ControlEngine;
-use super::engine::EngineInput;
+use super::input::AdviceReply;
+use super::input::EngineInput;
 use crate::metric;
 use crate::worker_api::AdviceRequest;
-use crate::worker_api::AdvisedWorker;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::plan::advice::reply_time_max;
 use guavavane_jobs::plan::advice::TicketRequest;
 use guavavane_jobs::plan::pass::AdviceStep;
-use guavavane_jobs::prelude::StepKey;
 use guavavane_model::prelude::BootClock;
 
-/// Reply of the advice service to one request, or its absence.
-#[derive(Debug)]
-pub(super) struct AdviceReply {
-    step: StepKey,
-    /// Workers named in the request.
-    asked_workers: Vec<(WorkerIndex, Arc<str>)>,
-    validity: Duration,
-    /// Workers that may run the step; none if no reply arrived.
-    allowed: Option<Vec<AdvisedWorker>>,
-}
-
 impl ControlEngine {
     /// Requests advice for the steps, first for those that have waited longest for their turn. A reply
     /// is awaited no longer than the tickets of all of them allow.
--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -1,12 +1,11 @@
 //! Handles the callers' requests that entries forward.
 
 use std::sync::Arc;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
-use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
-use super::session::SessionId;
+use super::input::CallOrigin;
+use super::input::CommitPurpose;
+use super::wall_clock::time_of_day_ms;
 use crate::message::CallerAction;
 use crate::message::CallerReply;
 use crate::message::CallerRequest;
@@ -22,13 +21,6 @@
 /// Retry delay that a refused caller is given if its queue needs an advice service and none exists.
 const NO_ADVICE_RETRY_MS: u64 = 5_000;
 
-/// Session and number of a request, to which its reply is addressed.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct CallOrigin {
-    pub(super) session: SessionId,
-    pub(super) call_id: u64,
-}
-
 /// Target that the path of a request names.
 enum CallTarget {
     Queue {
@@ -41,14 +33,6 @@
     },
 }
 
-/// The leader's time of day in milliseconds since 1970.
-pub(super) fn time_of_day_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    elapsed.map_or(0, |elapsed| {
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-    })
-}
-
 fn find_target(ledger: &JobLedger, host: &str, path: &str) -> Result<CallTarget, CallerReply> {
     if ledger.catalog_text().is_empty() {
         return Err(CallerReply::Unavailable);
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -5,17 +5,16 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use super::caller::CallOrigin;
 use super::engine::ControlEngine;
-use super::engine::EngineInput;
+use super::input::CallOrigin;
+use super::input::CommitPurpose;
+use super::input::CommitResult;
+use super::input::EngineInput;
+use super::input::OperatorReply;
 use super::operator::send_reply;
-use super::operator::OperatorReplySender;
-use super::session::SessionId;
-use super::OperatorReply;
 use crate::message::CallerReply;
 use crate::message::FromControl;
 use crate::message::StartTask;
-use crate::message::WorkerReport;
 use crate::metric;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::prelude::JobKey;
@@ -31,44 +30,6 @@
 use guavavane_model::prelude::BootClock;
 use guavavane_quorum::prelude::ProposeError;
 
-/// Reason of a proposal, which decides the action after its commit.
-#[derive(Debug)]
-pub(super) enum CommitPurpose {
-    Submit {
-        origin: CallOrigin,
-        key: JobKey,
-    },
-    Cancel {
-        origin: CallOrigin,
-        key: JobKey,
-    },
-    Operator(OperatorReplySender),
-    AddWorker {
-        session: SessionId,
-        report: Box<WorkerReport>,
-    },
-    NoteEnds {
-        worker: WorkerIndex,
-        completions: Vec<RunCompletion>,
-    },
-    Start(Vec<StartChoice>),
-    Lose {
-        worker: WorkerIndex,
-        /// Whether the incarnation never returns.
-        ended: bool,
-    },
-    Withdraw {
-        worker: WorkerIndex,
-        task: TaskKey,
-        run: RunNumber,
-    },
-    Release,
-    Forget(Vec<JobKey>),
-}
-
-/// Result of a proposal.
-pub(super) type CommitResult = Result<LedgerOutcome, ProposeError>;
-
 impl ControlEngine {
     /// Proposes a command; the engine receives the result together with its purpose.
     pub(super) fn propose(&mut self, command: LedgerCommand, purpose: CommitPurpose) {
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -9,17 +9,13 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use super::advice::AdviceReply;
-use super::caller::CallOrigin;
-use super::commit::CommitPurpose;
-use super::commit::CommitResult;
+use super::input::CallOrigin;
+use super::input::EngineInput;
 use super::leader_state::LeaderState;
-use super::operator::OperatorCall;
-use super::operator::OperatorReplySender;
 use super::session::LeaderSession;
 use super::session::SessionId;
 use super::session::SessionRole;
-use super::ControlSettings;
+use super::settings::ControlSettings;
 use crate::message::FromControl;
 use crate::message::ToControl;
 use crate::metric;
@@ -44,26 +40,6 @@
 /// Gauges that only the leader sets.
 const LEDGER_GAUGES: [&str; 3] = ["jobs", "waiting_tasks", "workers"];
 
-/// Inputs of the event loop.
-pub(super) enum EngineInput {
-    SessionMessage {
-        id: SessionId,
-        sender: StreamSender<FromControl>,
-        message: ToControl,
-    },
-    SessionClosed(SessionId),
-    Operator(OperatorCall, OperatorReplySender),
-    Committed {
-        tenure: u64,
-        purpose: CommitPurpose,
-        result: CommitResult,
-    },
-    AdviceReply {
-        term: u64,
-        reply: AdviceReply,
-    },
-}
-
 /// Result of a check of the leadership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LeadershipChange {
--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -9,11 +9,11 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use super::caller::time_of_day_ms;
 use super::open_completions::OpenCompletions;
 use super::session::LeaderSession;
 use super::session::SessionId;
 use super::session::SessionRole;
+use super::wall_clock::time_of_day_ms;
 use crate::message::FromControl;
 use crate::message::WorkerReport;
 use crate::timing::LeaseTiming;
--- a/crates/guavavane_cell/src/control/maintenance.rs
+++ b/crates/guavavane_cell/src/control/maintenance.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use super::caller::time_of_day_ms;
-use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
+use super::input::CommitPurpose;
+use super::wall_clock::time_of_day_ms;
 use crate::metric;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::LedgerCommand;
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod engine;
 mod group_report;
 mod incarnation;
+mod input;
 mod leader_state;
 mod loss_confirmation;
 mod maintenance;
@@ -23,11 +24,13 @@
 mod replica;
 mod scheduling;
 mod session;
+mod session_table;
+mod settings;
 mod stream;
+mod wall_clock;
 mod worker;
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 
 use flume::Sender;
@@ -35,11 +38,11 @@
 use tokio::sync::oneshot;
 
 use self::engine::ControlEngine;
-use self::engine::EngineInput;
-use self::operator::OperatorCall;
+use self::input::EngineInput;
+use self::input::OperatorCall;
+pub use self::input::OperatorReply;
+pub use self::settings::ControlSettings;
 use crate::seeds::SeedAddresses;
-use crate::timing::LeaseTiming;
-use crate::worker_api::AdviceRequest;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::QueueCatalog;
 use guavavane_model::prelude::BootClock;
@@ -53,45 +56,6 @@
 /// Maximum number of uncommitted proposals, for which a control VM has the memory.
 pub const UNCOMMITTED_PROPOSALS_MAX: u64 = 4_096;
 
-/// Settings of a control process.
-#[derive(Clone, Debug)]
-pub struct ControlSettings {
-    /// Name of the VM that the process runs on.
-    pub node: Arc<str>,
-    /// Address at which other processes of the cell reach this one.
-    pub address: SocketAddr,
-    /// Addresses of control processes to contact first; may include `address`.
-    pub seeds: Vec<SocketAddr>,
-    /// Whether the cell starts for the first time, with empty data folders.
-    pub bootstrap: bool,
-    /// Folder of the replicated log, its snapshots and the identity of the replica.
-    pub data: PathBuf,
-    /// Number of voters that the group maintains.
-    pub voters: usize,
-    /// Time for which the state of an ended job can still be queried, in milliseconds.
-    pub retention_ms: u64,
-    /// Durations of the leases of agents and workers.
-    pub timing: LeaseTiming,
-    /// Maximum number of proposals that are not committed; further ones are refused.
-    pub uncommitted_proposals_max: u64,
-    /// Channel to the advice service; none where the platform has no such service.
-    pub advice: Option<Sender<AdviceRequest>>,
-}
-
-/// Reply to a call of an operator.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum OperatorReply {
-    /// The change is committed or was already in force.
-    Done,
-    /// The configuration in force, in the text that the operator sent.
-    Catalog(Arc<str>),
-    /// This process is not the leader; the leader has this address.
-    Redirect(SocketAddr),
-    /// No leader is known, no configuration is in force yet, or the outcome of the change is
-    /// unknown.
-    Unavailable,
-}
-
 /// Handle to a running control process; clones share the process.
 #[derive(Clone)]
 pub struct ControlHandle {
--- a/crates/guavavane_cell/src/control/operator.rs
+++ b/crates/guavavane_cell/src/control/operator.rs
@@ -3,30 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use tokio::sync::oneshot;
-
-use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
-use super::OperatorReply;
+use super::input::CommitPurpose;
+use super::input::OperatorCall;
+use super::input::OperatorReply;
+use super::input::OperatorReplySender;
 use guavavane_jobs::prelude::LedgerCommand;
-use guavavane_jobs::prelude::QueueCatalog;
-
-/// Call of an operator.
-#[derive(Clone, Debug)]
-pub(super) enum OperatorCall {
-    PutCatalog {
-        catalog: Box<QueueCatalog>,
-        text: Arc<str>,
-    },
-    ReadCatalog,
-    SetExcluded {
-        data_centre: Arc<str>,
-        excluded: bool,
-    },
-}
-
-/// Channel for the reply to one call.
-pub(super) type OperatorReplySender = oneshot::Sender<OperatorReply>;
 
 impl ControlEngine {
     /// Reply that redirects to the leader, or says that none is known.
--- a/crates/guavavane_cell/src/control/repeat.rs
+++ b/crates/guavavane_cell/src/control/repeat.rs
@@ -4,8 +4,8 @@
 //! completion, a withdrawal or a loss once in a session, so the leader keeps what was refused and
 //! proposes it again in its maintenance.
 
-use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
+use super::input::CommitPurpose;
 use super::session::SessionId;
 use crate::message::WorkerReport;
 use guavavane_jobs::ledger::WorkerIndex;
--- a/crates/guavavane_cell/src/control/replica.rs
+++ b/crates/guavavane_cell/src/control/replica.rs
@@ -12,7 +12,7 @@
 use flume::Sender;
 use tokio::time::sleep;
 
-use super::ControlSettings;
+use super::settings::ControlSettings;
 use crate::message::FromControl;
 use crate::message::ToControl;
 use crate::seeds::SeedAddresses;
--- a/crates/guavavane_cell/src/control/scheduling.rs
+++ b/crates/guavavane_cell/src/control/scheduling.rs
@@ -6,11 +6,11 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use super::caller::time_of_day_ms;
 use super::command_size::starts_of_one_command;
-use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
+use super::input::CommitPurpose;
 use super::leader_state::LeaderState;
+use super::wall_clock::time_of_day_ms;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::plan::capacity_table::CapacityTable;
 use guavavane_jobs::plan::obstacle::count_obstacles;
--- a/crates/guavavane_cell/src/control/stream.rs
+++ b/crates/guavavane_cell/src/control/stream.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
-use super::engine::EngineInput;
+use super::input::EngineInput;
 use super::session::SessionId;
 use crate::message::FromControl;
 use crate::message::ToControl;
