Entry: hold submissions back from a late leader, and refuse them in a long absence

A call counted as possibly accepted once it was written to a session, and a session was taken to be alive for 1,000 ms without a message. During an outage of all control processes, the submissions of that second ended as 504 although no process had received them.

The decision about a call is now the state machine LeaderContact, without I/O. It is fed with the times of sent pings and calls and of their answers. While the first unanswered message has waited for markedly longer than pings usually take (100 to 500 ms), calls are held back unsent. They are sent when the leader answers, or refused as not sent. From an absence of 1,600 ms on, calls are refused at once. A ping behind a call that has waited for 40 ms tells a slow commit from a late leader. The retry delay of Unavailable is half the absence, 1 to 3 s; it was 1 s.

--- a/crates/guavavane_cell/src/agent/agent_loop.rs
+++ b/crates/guavavane_cell/src/agent/agent_loop.rs
@@ -357,6 +357,7 @@
                 self.fencing_token = self.fencing_token.max(term);
                 self.report_worker();
             }
+            SessionEvent::PingSent { .. } => {}
             SessionEvent::Message(message) => self.handle_message(message),
         }
     }
--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -3,7 +3,8 @@
 //! The leader makes every decision, including which queue a path belongs to, so an entry never
 //! acts on an outdated configuration. A request whose session closed without a reply is sent
 //! again to the next leader: jobs are idempotent by their identity. If no reply arrives in time,
-//! the entry's reply says whether the job may have been accepted.
+//! the entry's reply says whether the job may have been accepted. [`LeaderContact`] decides which
+//! requests are sent, held back or answered by the entry itself.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +17,10 @@
 
 use crate::leader_client::LeaderClient;
 use crate::leader_client::SessionEvent;
+use crate::leader_contact::CallDecision;
+use crate::leader_contact::CallFacts;
+use crate::leader_contact::CallKind;
+use crate::leader_contact::LeaderContact;
 use crate::message::CallerAction;
 use crate::message::CallerReply;
 pub use crate::message::CallerRequest;
@@ -27,22 +32,16 @@
 use guavavane_model::prelude::BootTime;
 use guavavane_transport::prelude::StreamSender;
 
-/// Longest wait of a request other than a new submission while no leader is known; an election
-/// takes about as long.
-const LEADERLESS_WAIT_MAX: Duration = Duration::from_millis(1_300);
-/// Longest wait of a new submission while no leader is known: an election is usually over by
-/// then, and during a longer outage the caller does better to retry.
-const LEADERLESS_SUBMIT_WAIT_MAX: Duration = Duration::from_millis(600);
-/// Largest part of a caller's own wait that may pass without a leader, in percent.
-const LEADERLESS_MAX_PERCENT: u32 = 40;
 /// Time before a caller's deadline at which its reply is due.
 const REPLY_MARGIN: Duration = Duration::from_millis(60);
-/// Time between two checks for expired calls while calls are pending.
-const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time between two checks of the pending calls.
+const CALL_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Longest time between two checks while no call is pending.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Capacity for pending calls; further ones are rejected at once.
 const PENDING_CALLS_MAX: usize = 4_096;
+/// Retry delay of a call that the entry has no room for.
+const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
 /// Settings of an entry.
 #[derive(Clone, Debug)]
@@ -53,12 +52,21 @@
     pub seeds: Vec<SocketAddr>,
 }
 
+/// Reply to a caller, and what the entry itself knows about a retry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryReply {
+    /// Reply of the leader, or of the entry in its place.
+    pub reply: CallerReply,
+    /// Delay before a retry after [`CallerReply::Unavailable`].
+    pub retry_delay: Duration,
+}
+
 /// Inputs of the event loop.
 enum EntryInput {
     Call {
         request: CallerRequest,
         deadline: BootTime,
-        reply: oneshot::Sender<CallerReply>,
+        reply: oneshot::Sender<EntryReply>,
     },
     ReadinessQuery(oneshot::Sender<bool>),
 }
@@ -78,6 +86,16 @@
 
     /// Forwards a request to the leader and returns its reply, within `wait`.
     pub async fn call(&self, request: CallerRequest, wait: Duration) -> CallerReply {
+        self.call_with_retry_delay(request, wait).await.reply
+    }
+
+    /// Forwards a request to the leader and returns its reply, within `wait`, with the delay after which
+    /// the caller may retry.
+    pub async fn call_with_retry_delay(
+        &self,
+        request: CallerRequest,
+        wait: Duration,
+    ) -> EntryReply {
         let (reply, answer) = oneshot::channel();
         let wait = wait.saturating_sub(REPLY_MARGIN);
         let input = EntryInput::Call {
@@ -86,9 +104,15 @@
             reply,
         };
         if self.inputs.try_send(input).is_err() {
-            return CallerReply::Unavailable;
+            return EntryReply {
+                reply: CallerReply::Unavailable,
+                retry_delay: OVERLOAD_RETRY_DELAY,
+            };
         }
-        answer.await.unwrap_or(CallerReply::Unknown)
+        answer.await.unwrap_or(EntryReply {
+            reply: CallerReply::Unknown,
+            retry_delay: OVERLOAD_RETRY_DELAY,
+        })
     }
 
     /// Whether the entry has a session with a leader.
@@ -106,53 +130,58 @@
     request: CallerRequest,
     arrived_at: BootTime,
     deadline: BootTime,
-    reply: oneshot::Sender<CallerReply>,
-    /// Whether the call was sent on the current session.
-    is_sent: bool,
+    reply: oneshot::Sender<EntryReply>,
+    /// Time at which the call was sent on the current session.
+    sent_at: Option<BootTime>,
     /// Whether the call was sent on a session that closed without a reply.
     maybe_accepted: bool,
 }
 
 impl PendingCall {
-    fn is_submission(&self) -> bool {
-        matches!(self.request.action, CallerAction::Submit(_))
-    }
-
-    /// Longest wait while no leader is known. A caller with a short wait of its own gets its reply
-    /// early enough to retry.
-    fn leaderless_wait(&self) -> Duration {
-        let wait_max = if self.is_submission() && !self.maybe_accepted {
-            LEADERLESS_SUBMIT_WAIT_MAX
-        } else {
-            LEADERLESS_WAIT_MAX
-        };
-        let caller_wait = self.deadline.saturating_since(self.arrived_at);
-        wait_max.min(caller_wait * LEADERLESS_MAX_PERCENT / 100)
+    fn facts(&self) -> CallFacts {
+        CallFacts {
+            kind: match self.request.action {
+                CallerAction::Submit(_) => CallKind::Submission,
+                CallerAction::Query => CallKind::Query,
+                CallerAction::Cancel => CallKind::Cancellation,
+            },
+            arrived_at: self.arrived_at,
+            deadline: self.deadline,
+            is_sent: self.sent_at.is_some(),
+            was_sent_before: self.maybe_accepted,
+        }
     }
 
-    /// Sends the reply. A rejection becomes `Unknown` if the job may have been accepted.
-    fn answer(self, reply: CallerReply) {
+    /// Sends the reply. A rejection becomes `Unknown` if the job may have been accepted on an earlier
+    /// session.
+    fn answer(self, reply: CallerReply, contact: &LeaderContact, now: BootTime) {
+        let is_submission = matches!(self.request.action, CallerAction::Submit(_));
         let is_rejection = matches!(
             reply,
             CallerReply::Unavailable | CallerReply::Refused { .. }
         );
-        let reply = if is_rejection && self.maybe_accepted && self.is_submission() {
+        let reply = if is_rejection && self.maybe_accepted && is_submission {
             CallerReply::Unknown
         } else {
             reply
         };
+        let waited = now.saturating_since(self.arrived_at);
+        let retry_delay = contact.retry_delay(now);
+        let action = action_name(&self.request.action);
         tracing::info!(
             event = "call_answered",
             path = %self.request.path,
-            action = action_name(&self.request.action),
+            action,
             ?reply,
-            waited_ms = BootClock.now().saturating_since(self.arrived_at).as_millis() as u64,
+            waited_ms = waited.as_millis() as u64,
+            sent = self.sent_at.is_some() || self.maybe_accepted,
+            contact = contact.phase().name(),
+            absent_ms = contact.absence(now).as_millis() as u64,
         );
-        let action = action_name(&self.request.action);
         metric::count_event(action, reply.name());
-        metric::observe_duration(action, BootClock.now().saturating_since(self.arrived_at));
+        metric::observe_duration(action, waited);
         // Sending fails only if the caller has disconnected.
-        let _ = self.reply.send(reply);
+        let _ = self.reply.send(EntryReply { reply, retry_delay });
     }
 }
 
@@ -167,9 +196,11 @@
 /// Event loop of an entry.
 struct EntryLoop {
     session: Option<StreamSender<ToControl>>,
-    session_lost_at: BootTime,
+    contact: LeaderContact,
     pending_calls: IndexMap<u64, PendingCall>,
     next_call_id: u64,
+    /// Time from which all pending calls are checked again.
+    next_check: BootTime,
 }
 
 /// Starts an entry on the current runtime.
@@ -180,12 +211,15 @@
         node: settings.node,
     };
     let seeds = SeedAddresses::new(settings.seeds);
-    tokio::spawn(LeaderClient::new(hello, seeds.clone(), events).run());
+    let client = LeaderClient::new(hello, seeds.clone(), events);
+    tokio::spawn(client.with_ping_events().run());
+    let now = BootClock.now();
     let entry = EntryLoop {
         session: None,
-        session_lost_at: BootClock.now(),
+        contact: LeaderContact::new(now),
         pending_calls: IndexMap::new(),
         next_call_id: 1,
+        next_check: now,
     };
     tokio::spawn(entry.run(queue, session_events));
     EntryHandle { inputs, seeds }
@@ -197,20 +231,22 @@
             let wait = if self.pending_calls.is_empty() {
                 IDLE_CHECK_INTERVAL
             } else {
-                EXPIRY_CHECK_INTERVAL
+                CALL_CHECK_INTERVAL
             };
             tokio::select! {
-                input = queue.recv_async() => match input {
-                    Ok(input) => self.handle_input(input),
-                    Err(_) => return,
-                },
+                // Answers that have arrived are read before it is decided about further calls.
+                biased;
                 event = session_events.recv_async() => match event {
                     Ok(event) => self.handle_session_event(event),
                     Err(_) => return,
                 },
+                input = queue.recv_async() => match input {
+                    Ok(input) => self.handle_input(input),
+                    Err(_) => return,
+                },
                 () = tokio::time::sleep(wait) => {}
             }
-            self.expire_calls();
+            self.advance_calls();
         }
     }
 
@@ -227,84 +263,122 @@
             } => {
                 let call_id = self.next_call_id;
                 self.next_call_id += 1;
-                let mut call = PendingCall {
+                let now = BootClock.now();
+                let call = PendingCall {
                     request,
-                    arrived_at: BootClock.now(),
+                    arrived_at: now,
                     deadline,
                     reply,
-                    is_sent: false,
+                    sent_at: None,
                     maybe_accepted: false,
                 };
                 if self.pending_calls.len() >= PENDING_CALLS_MAX {
-                    return call.answer(CallerReply::Unavailable);
-                }
-                if let Some(session) = &self.session {
-                    send_call(session, call_id, &mut call);
+                    return call.answer(CallerReply::Unavailable, &self.contact, now);
                 }
                 self.pending_calls.insert(call_id, call);
+                self.observe_contact(now);
+                self.advance_call(call_id, now);
             }
         }
     }
 
     fn handle_session_event(&mut self, event: SessionEvent) {
+        let now = BootClock.now();
         match event {
             SessionEvent::Opened(session) => {
-                for (call_id, call) in &mut self.pending_calls {
-                    send_call(&session, *call_id, call);
-                }
+                let absent_ms = self.contact.absence(now).as_millis() as u64;
+                self.contact.record_opened(now);
                 self.session = Some(session);
+                self.report_contact(absent_ms);
             }
             SessionEvent::Closed => {
                 self.session = None;
-                self.session_lost_at = BootClock.now();
+                self.contact.record_closed(now);
                 for call in self.pending_calls.values_mut() {
-                    call.maybe_accepted |= call.is_sent;
-                    call.is_sent = false;
+                    call.maybe_accepted |= call.sent_at.take().is_some();
                 }
+                self.report_contact(self.contact.absence(now).as_millis() as u64);
             }
+            SessionEvent::PingSent { sent_at } => self.contact.record_sent(sent_at),
+            SessionEvent::Pong { sent_at, .. } => self.contact.record_pong(sent_at, now),
             SessionEvent::Message(FromControl::Reply { call_id, reply }) => {
                 if let Some(call) = self.pending_calls.swap_remove(&call_id) {
-                    call.answer(reply);
+                    if let Some(sent_at) = call.sent_at {
+                        self.contact.record_reply(sent_at);
+                    }
+                    call.answer(reply, &self.contact, now);
                 }
             }
-            SessionEvent::Pong { .. } | SessionEvent::Message(_) => {}
+            SessionEvent::Message(_) => {}
+        }
+    }
+
+    /// Updates the contact with the leader and logs a change.
+    fn observe_contact(&mut self, now: BootTime) {
+        let absent_ms = self.contact.absence(now).as_millis() as u64;
+        if self.contact.observe(now) {
+            let absent_ms = absent_ms.max(self.contact.absence(now).as_millis() as u64);
+            self.report_contact(absent_ms);
         }
     }
 
-    /// Answers the calls whose deadline or longest wait without a leader has passed.
-    fn expire_calls(&mut self) {
+    /// Logs a change of the contact with the leader, and has all calls checked.
+    fn report_contact(&mut self, absent_ms: u64) {
+        let phase = self.contact.phase().name();
+        metric::count_event("leader_contact", phase);
+        tracing::info!(
+            event = "leader_contact",
+            phase,
+            absent_ms,
+            threshold_ms = self.contact.late_threshold().as_millis() as u64,
+            pending_calls = self.pending_calls.len(),
+        );
+        self.next_check = BootTime::default();
+    }
+
+    /// Decides about all pending calls, if the contact has changed or the latest check is long ago.
+    fn advance_calls(&mut self) {
         let now = BootClock.now();
-        let leaderless = self.session.is_none();
-        let lost_at = self.session_lost_at;
-        let is_expired = |call: &PendingCall| {
-            let since = call.arrived_at.max(lost_at);
-            let waited = now.saturating_since(since);
-            now >= call.deadline || leaderless && waited >= call.leaderless_wait()
-        };
-        let expired_calls: Vec<u64> = self
-            .pending_calls
-            .iter()
-            .filter(|(_, call)| is_expired(call))
-            .map(|(call_id, _)| *call_id)
-            .collect();
-        for call_id in expired_calls {
-            let Some(call) = self.pending_calls.swap_remove(&call_id) else {
-                continue;
-            };
-            let is_unknown = call.is_sent || call.maybe_accepted;
-            call.answer(if is_unknown {
-                CallerReply::Unknown
-            } else {
-                CallerReply::Unavailable
-            });
+        self.observe_contact(now);
+        if now < self.next_check {
+            return;
+        }
+        self.next_check = now + CALL_CHECK_INTERVAL;
+        let call_ids: Vec<u64> = self.pending_calls.keys().copied().collect();
+        for call_id in call_ids {
+            self.advance_call(call_id, now);
+        }
+        if let Some(session) = &self.session {
+            if self.contact.is_probe_due(now) && session.send(ToControl::Ping { sent_at: now }) {
+                self.contact.record_probe(now);
+            }
         }
     }
-}
 
-fn send_call(session: &StreamSender<ToControl>, call_id: u64, call: &mut PendingCall) {
-    let message = ToControl::Call {
-        call_id,
-        request: call.request.clone(),
-    };
-    call.is_sent = session.send(message);
+    /// Sends a call, keeps it or answers it, as [`LeaderContact::decide`] says.
+    fn advance_call(&mut self, call_id: u64, now: BootTime) {
+        let Some(call) = self.pending_calls.get_mut(&call_id) else {
+            return;
+        };
+        let reply = match self.contact.decide(&call.facts(), now) {
+            CallDecision::Hold => return,
+            CallDecision::Send => {
+                let message = ToControl::Call {
+                    call_id,
+                    request: call.request.clone(),
+                };
+                let session = self.session.as_ref();
+                if session.is_some_and(|session| session.send(message)) {
+                    call.sent_at = Some(now);
+                    self.contact.record_sent(now);
+                }
+                return;
+            }
+            CallDecision::Refuse => CallerReply::Unavailable,
+            CallDecision::Unknown => CallerReply::Unknown,
+        };
+        if let Some(call) = self.pending_calls.swap_remove(&call_id) {
+            call.answer(reply, &self.contact, now);
+        }
+    }
 }
--- a/crates/guavavane_cell/src/leader_client.rs
+++ b/crates/guavavane_cell/src/leader_client.rs
@@ -38,6 +38,11 @@
 pub enum SessionEvent {
     /// The first answer to a ping has arrived: the peer leads and the session is open.
     Opened(StreamSender<ToControl>),
+    /// A ping was sent on the open session; only clients [`LeaderClient::with_ping_events`] say so.
+    PingSent {
+        /// Time at which the ping was sent, on this process's clock.
+        sent_at: BootTime,
+    },
     /// The leader answered a ping.
     Pong {
         /// Time at which the ping was sent, on this process's clock.
@@ -64,6 +69,8 @@
     pub redirect: Option<SocketAddr>,
     /// Channel to the owner; the client stops when its receiver is dropped.
     pub events: Sender<SessionEvent>,
+    /// Whether the owner is told of each ping that is sent on the open session.
+    pub reports_pings: bool,
 }
 
 impl LeaderClient {
@@ -75,9 +82,18 @@
             seeds,
             redirect: None,
             events,
+            reports_pings: false,
         }
     }
 
+    /// Has the owner told of each ping that is sent on the open session. Agents don't need to know, and
+    /// each event wakes their loop.
+    #[must_use]
+    pub fn with_ping_events(mut self) -> Self {
+        self.reports_pings = true;
+        self
+    }
+
     /// Runs until the owner drops its receiver.
     pub async fn run(mut self) {
         metric::set_gauge(FOUND_GAUGE, 0);
@@ -132,6 +148,9 @@
             let now = BootClock.now();
             if now >= next_ping {
                 sender.send(ToControl::Ping { sent_at: now });
+                if led && self.reports_pings {
+                    self.emit(SessionEvent::PingSent { sent_at: now });
+                }
                 next_ping = now + PING_INTERVAL;
             }
             if now.saturating_since(last_heard_at) > SILENCE_TIMEOUT {
--- a/crates/guavavane_cell/src/lib.rs
+++ b/crates/guavavane_cell/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod control;
 pub mod entry;
 pub mod leader_client;
+pub mod leader_contact;
 pub mod message;
 pub mod metric;
 pub mod seeds;
@@ -35,6 +36,7 @@
     pub use crate::control::UNCOMMITTED_PROPOSALS_MAX;
     pub use crate::entry::start_entry;
     pub use crate::entry::EntryHandle;
+    pub use crate::entry::EntryReply;
     pub use crate::entry::EntrySettings;
     pub use crate::message::CallerAction;
     pub use crate::message::CallerReply;
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub(crate) mod fake_leader;
 pub(crate) mod group;
 pub(crate) mod odd_worker;
 
