Intake: pure bounds of what a process holds for its peers

Cause: callers that stop just short of the end of a request, or send nothing, took a process from 6 MB to 814 MB.

Change: guavavane_transport::intake. limits derives the bounds from memory and descriptors, table charges bytes as they arrive and chooses the connections to close, log_limiter bounds log lines, gate applies the table to the tasks of the process.

--- /dev/null
+++ b/crates/guavavane_transport/src/intake/table.rs
@@ -0,0 +1,324 @@
+//! Connections of a process with their phases and charged bytes, and the choice of what to close.
+//!
+//! Bytes are charged as they arrive, never as announced. When a bound is reached, the half-received
+//! request that has gone longest without progress is closed; complete requests are never closed. A
+//! connection makes progress with each [`PROGRESS_BYTES`], so that single bytes do not keep it from
+//! being chosen.
+//!
+//! A connection is closed for another one in this order: half-received or unused ones that have
+//! stalled; then the oldest of the larger group, half-received and unused ones or idle ones, so that a
+//! crowd of new connections does not drive out all idle connections of ordinary callers.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use super::limits::IntakeLimits;
+
+/// Bytes after which a half-received request has made progress.
+const PROGRESS_BYTES: usize = 512;
+/// Time without progress after which a connection has stalled: longer than a round trip and a delay
+/// of the process.
+const STALL_TIME: Duration = Duration::from_millis(500);
+
+/// Number of a connection; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// What a connection is used for at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionPhase {
+    /// No request has been received yet.
+    Unused,
+    /// A part of a request has been received.
+    Partial,
+    /// A complete request is served, or the connection is a stream in use; it is not closed.
+    Busy,
+    /// A request has been served, and no next one has begun.
+    Idle,
+}
+
+/// Bound that a connection is closed for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IntakeBound {
+    /// Bytes of requests.
+    BufferedBytes,
+    /// Connections.
+    Connections,
+    /// Half-received requests.
+    PartialRequests,
+    /// Descriptors of the process.
+    Descriptors,
+}
+
+impl IntakeBound {
+    /// Name for log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BufferedBytes => "buffered_bytes",
+            Self::Connections => "connections",
+            Self::PartialRequests => "partial_requests",
+            Self::Descriptors => "descriptors",
+        }
+    }
+}
+
+/// Connection that is to be closed. It no longer counts, and its bytes are no longer charged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClosedConnection {
+    /// Number of the connection.
+    pub id: ConnectionId,
+    /// Bound that it is closed for.
+    pub bound: IntakeBound,
+    /// Phase that it was in.
+    pub phase: ConnectionPhase,
+    /// Time since its last progress.
+    pub stalled: Duration,
+    /// Bytes that were charged for it.
+    pub bytes: usize,
+}
+
+/// A bound is reached, and no connection may be closed for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BoundReached(pub IntakeBound);
+
+#[derive(Debug)]
+struct ConnectionEntry {
+    phase: ConnectionPhase,
+    /// Last progress, or the start of the phase.
+    since: Instant,
+    /// Bytes received since the last progress.
+    pending_bytes: usize,
+    /// Bytes that are charged.
+    bytes: usize,
+}
+
+/// Connections in the order of their last progress.
+type AgeOrder = BTreeSet<(Instant, ConnectionId)>;
+
+/// Connections of a process, within its bounds.
+#[derive(Debug)]
+pub struct IntakeTable {
+    limits: IntakeLimits,
+    connections: IndexMap<ConnectionId, ConnectionEntry>,
+    unused: AgeOrder,
+    partial: AgeOrder,
+    idle: AgeOrder,
+    buffered_bytes: usize,
+    last_id: u64,
+}
+
+impl IntakeTable {
+    /// Creates a table without connections.
+    pub fn new(limits: IntakeLimits) -> Self {
+        Self {
+            limits,
+            connections: IndexMap::new(),
+            unused: AgeOrder::new(),
+            partial: AgeOrder::new(),
+            idle: AgeOrder::new(),
+            buffered_bytes: 0,
+            last_id: 0,
+        }
+    }
+
+    /// Bounds in force.
+    pub fn limits(&self) -> IntakeLimits {
+        self.limits
+    }
+
+    /// Replaces the bounds; they apply to what comes next.
+    pub fn replace_limits(&mut self, limits: IntakeLimits) {
+        self.limits = limits;
+    }
+
+    /// Whether a connection is neither closed nor removed.
+    pub fn contains(&self, id: ConnectionId) -> bool {
+        self.connections.contains_key(&id)
+    }
+
+    /// Number of connections.
+    pub fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Number of connections with a half-received request.
+    pub fn partial_requests(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Bytes that are charged.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered_bytes
+    }
+
+    /// Adds a connection, in place of another one if there are as many as allowed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if all connections are busy.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+    ) -> Result<(ConnectionId, Option<ClosedConnection>), BoundReached> {
+        let mut closed = None;
+        if self.connections.len() >= self.limits.connections {
+            let bound = IntakeBound::Connections;
+            closed = Some(self.close_one(bound, now).ok_or(BoundReached(bound))?);
+        }
+        self.last_id += 1;
+        let id = ConnectionId(self.last_id);
+        let entry = ConnectionEntry {
+            phase: ConnectionPhase::Unused,
+            since: now,
+            pending_bytes: 0,
+            bytes: 0,
+        };
+        self.connections.insert(id, entry);
+        self.unused.insert((now, id));
+        Ok((id, closed))
+    }
+
+    /// Closes a connection for the sake of a descriptor; none if all are busy.
+    pub fn close_for_descriptor(&mut self, now: Instant) -> Option<ClosedConnection> {
+        self.close_one(IntakeBound::Descriptors, now)
+    }
+
+    /// Changes the phase of a connection. One that becomes partial may close another one.
+    pub fn enter(
+        &mut self,
+        id: ConnectionId,
+        phase: ConnectionPhase,
+        now: Instant,
+    ) -> Option<ClosedConnection> {
+        self.set_progress(id, phase, now);
+        let is_over = self.partial.len() > self.limits.partial_requests;
+        if phase != ConnectionPhase::Partial || !is_over {
+            return None;
+        }
+        let oldest = self.oldest_partial_but(id)?;
+        self.close(oldest, IntakeBound::PartialRequests, now)
+    }
+
+    /// Notes bytes that have arrived for a half-received request.
+    pub fn note_received(&mut self, id: ConnectionId, bytes: usize, now: Instant) {
+        let Some(entry) = self.connections.get_mut(&id) else {
+            return;
+        };
+        entry.pending_bytes = entry.pending_bytes.saturating_add(bytes);
+        if entry.pending_bytes >= PROGRESS_BYTES {
+            let phase = entry.phase;
+            self.set_progress(id, phase, now);
+        }
+    }
+
+    /// Charges bytes to a connection and adds the connections to close for them to `closed`.
+    ///
+    /// # Errors
+    ///
+    /// Fails, without a charge, if the bytes do not fit even so.
+    pub fn charge(
+        &mut self,
+        id: ConnectionId,
+        bytes: usize,
+        now: Instant,
+        closed: &mut Vec<ClosedConnection>,
+    ) -> Result<(), BoundReached> {
+        let bound = IntakeBound::BufferedBytes;
+        while self.buffered_bytes.saturating_add(bytes) > self.limits.buffered_bytes {
+            let oldest = self.oldest_partial_but(id).ok_or(BoundReached(bound))?;
+            closed.extend(self.close(oldest, bound, now));
+        }
+        let entry = self.connections.get_mut(&id).ok_or(BoundReached(bound))?;
+        entry.bytes += bytes;
+        self.buffered_bytes += bytes;
+        Ok(())
+    }
+
+    /// Takes back the charge of a connection down to `kept` bytes.
+    pub fn release(&mut self, id: ConnectionId, kept: usize) {
+        if let Some(entry) = self.connections.get_mut(&id) {
+            let released = entry.bytes.saturating_sub(kept);
+            entry.bytes -= released;
+            self.buffered_bytes -= released;
+        }
+    }
+
+    /// Removes a connection that has ended.
+    pub fn remove(&mut self, id: ConnectionId) {
+        self.take(id);
+    }
+
+    fn take(&mut self, id: ConnectionId) -> Option<ConnectionEntry> {
+        let entry = self.connections.swap_remove(&id)?;
+        if let Some(order) = self.order(entry.phase) {
+            order.remove(&(entry.since, id));
+        }
+        self.buffered_bytes -= entry.bytes;
+        Some(entry)
+    }
+
+    fn order(&mut self, phase: ConnectionPhase) -> Option<&mut AgeOrder> {
+        match phase {
+            ConnectionPhase::Unused => Some(&mut self.unused),
+            ConnectionPhase::Partial => Some(&mut self.partial),
+            ConnectionPhase::Idle => Some(&mut self.idle),
+            ConnectionPhase::Busy => None,
+        }
+    }
+
+    fn set_progress(&mut self, id: ConnectionId, phase: ConnectionPhase, now: Instant) {
+        let Some(entry) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let (old_phase, old_since) = (entry.phase, entry.since);
+        entry.phase = phase;
+        entry.since = now;
+        entry.pending_bytes = 0;
+        if let Some(order) = self.order(old_phase) {
+            order.remove(&(old_since, id));
+        }
+        if let Some(order) = self.order(phase) {
+            order.insert((now, id));
+        }
+    }
+
+    fn oldest_partial_but(&self, id: ConnectionId) -> Option<ConnectionId> {
+        let mut ids = self.partial.iter().map(|(_, other)| *other);
+        ids.find(|other| *other != id)
+    }
+
+    fn close(
+        &mut self,
+        id: ConnectionId,
+        bound: IntakeBound,
+        now: Instant,
+    ) -> Option<ClosedConnection> {
+        let entry = self.take(id)?;
+        Some(ClosedConnection {
+            id,
+            bound,
+            phase: entry.phase,
+            stalled: now.saturating_duration_since(entry.since),
+            bytes: entry.bytes,
+        })
+    }
+
+    fn close_one(&mut self, bound: IntakeBound, now: Instant) -> Option<ClosedConnection> {
+        let (partial, unused) = (self.partial.first(), self.unused.first());
+        let begun = partial.into_iter().chain(unused).min().copied();
+        let idle = self.idle.first().copied();
+        let has_stalled = |(since, _): &(Instant, ConnectionId)| {
+            now.saturating_duration_since(*since) >= STALL_TIME
+        };
+        let begun_group = self.partial.len() + self.unused.len();
+        let (_, id) = if begun.as_ref().is_some_and(has_stalled) || begun_group > self.idle.len() {
+            begun.or(idle)?
+        } else {
+            idle.or(begun)?
+        };
+        self.close(id, bound, now)
+    }
+}
--- a/crates/guavavane_transport/src/lib.rs
+++ b/crates/guavavane_transport/src/lib.rs
@@ -8,10 +8,11 @@
 //! and counts as "not run".
 //!
 //! [`stream`] offers long-lived bidirectional streams with an async interface, for programs that
-//! have a tokio runtime of their own.
+//! have a tokio runtime of their own. [`intake`] bounds what a process holds for its peers.
 
 pub mod client;
 pub mod codec;
+pub mod intake;
 mod ping;
 pub mod proxy;
 mod runtime;
@@ -24,6 +25,14 @@
     pub use crate::client::CallError;
     pub use crate::codec::CodecError;
     pub use crate::codec::FrameIdentity;
+    pub use crate::intake::gate::ConnectionTicket;
+    pub use crate::intake::gate::IntakeEvent;
+    pub use crate::intake::gate::IntakeGate;
+    pub use crate::intake::limits::IntakeLimits;
+    pub use crate::intake::log_limiter::LogLimiter;
+    pub use crate::intake::table::ConnectionPhase;
+    pub use crate::intake::table::IntakeBound;
+    pub use crate::intake::table::IntakeTable;
     pub use crate::proxy::CallerProxy;
     pub use crate::proxy::InFlightRequests;
     pub use crate::proxy::ProxyLimits;
