Entry: apply the limits of the configuration to callers' requests

The limits on request heads, bodies and timeouts in the configuration were not read. An entry now asks the leader of each session with a query for an empty host and path, which an older leader answers with NoQueue. The leader answers with the new last variant CallerReply::Limits, and again after each change. Only sessions that have asked get it, so an older entry never has to decode it.

--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -96,6 +96,9 @@
     }
 
     pub(super) fn serve_call(&mut self, origin: CallOrigin, request: CallerRequest) {
+        if request.is_for_limits() {
+            return self.serve_limits_query(origin);
+        }
         let target = self
             .quorum
             .read_local(|ledger| find_target(ledger, &request.host, &request.path));
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -113,6 +113,7 @@
         match (purpose, result) {
             (CommitPurpose::Operator(reply_sender), Ok(_)) => {
                 send_reply(reply_sender, OperatorReply::Done);
+                self.publish_changed_limits();
                 self.request_pass();
             }
             (CommitPurpose::Operator(reply_sender), Err(error)) => {
--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -14,6 +14,7 @@
 use super::session::LeaderSession;
 use super::session::SessionId;
 use super::session::SessionRole;
+use crate::limits_feed::LimitsFeed;
 use crate::message::FromControl;
 use crate::message::WorkerReport;
 use crate::timing::LeaseTiming;
@@ -141,6 +142,8 @@
     pub(super) interference: InterferenceModel,
     /// Times at which jobs were seen to have ended.
     pub(super) ended_at: IndexMap<JobKey, BootTime>,
+    /// Limits on callers' requests and the entries that have asked for them.
+    pub(super) limits_feed: LimitsFeed<SessionId>,
     /// Whether another scheduling pass was requested since the latest proposal of starts.
     pub(super) pass_requested: bool,
 }
@@ -184,6 +187,7 @@
             ordered_at: IndexMap::new(),
             interference: InterferenceModel::default(),
             ended_at,
+            limits_feed: LimitsFeed::default(),
             pass_requested: false,
         }
     }
--- a/crates/guavavane_cell/src/control/maintenance.rs
+++ b/crates/guavavane_cell/src/control/maintenance.rs
@@ -24,6 +24,7 @@
         self.next_maintenance = now + MAINTENANCE_INTERVAL;
         self.repeat_refused();
         self.expire_agent_leases();
+        self.publish_changed_limits();
         self.update_gauges();
         self.report_waiting_steps(now);
         self.release_due_occurrences();
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod group_report;
 mod incarnation;
 mod leader_state;
+mod limits_query;
 mod loss_confirmation;
 mod maintenance;
 mod open_completions;
@@ -37,6 +38,7 @@
 use self::engine::ControlEngine;
 use self::engine::EngineInput;
 use self::operator::OperatorCall;
+use crate::limits_feed::LimitsReader;
 use crate::seeds::SeedAddresses;
 use crate::timing::LeaseTiming;
 use crate::worker_api::AdviceRequest;
@@ -76,6 +78,9 @@
     pub uncommitted_proposals_max: u64,
     /// Channel to the advice service; none where the platform has no such service.
     pub advice: Option<Sender<AdviceRequest>>,
+    /// Derives the limits on callers' requests from the text of the configuration; none if entries get
+    /// no limits.
+    pub read_limits: Option<LimitsReader>,
 }
 
 /// Reply to a call of an operator.
--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -14,6 +14,7 @@
 use flume::Sender;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::leader_client::LeaderClient;
 use crate::leader_client::SessionEvent;
@@ -25,6 +26,7 @@
 use crate::message::CallerReply;
 pub use crate::message::CallerRequest;
 use crate::message::FromControl;
+use crate::message::RequestLimits;
 use crate::message::ToControl;
 use crate::metric;
 use crate::seeds::SeedAddresses;
@@ -76,6 +78,7 @@
 pub struct EntryHandle {
     inputs: Sender<EntryInput>,
     seeds: SeedAddresses,
+    limits: watch::Receiver<Option<RequestLimits>>,
 }
 
 impl EntryHandle {
@@ -115,6 +118,12 @@
         })
     }
 
+    /// Limits on callers' requests that the latest leader has named, and their changes; none before the
+    /// first configuration.
+    pub fn limits(&self) -> watch::Receiver<Option<RequestLimits>> {
+        self.limits.clone()
+    }
+
     /// Whether the entry has a session with a leader.
     pub async fn is_ready(&self) -> bool {
         let (reply, answer) = oneshot::channel();
@@ -201,6 +210,9 @@
     next_call_id: u64,
     /// Time from which all pending calls are checked again.
     next_check: BootTime,
+    limits: watch::Sender<Option<RequestLimits>>,
+    /// Number of the request with which the entry has asked the current leader for the limits.
+    limits_call: Option<u64>,
 }
 
 /// Starts an entry on the current runtime.
@@ -213,6 +225,7 @@
     let seeds = SeedAddresses::new(settings.seeds);
     let client = LeaderClient::new(hello, seeds.clone(), events);
     tokio::spawn(client.with_ping_events().run());
+    let (limits_sender, limits) = watch::channel(None);
     let now = BootClock.now();
     let entry = EntryLoop {
         session: None,
@@ -220,9 +233,15 @@
         pending_calls: IndexMap::new(),
         next_call_id: 1,
         next_check: now,
+        limits: limits_sender,
+        limits_call: None,
     };
     tokio::spawn(entry.run(queue, session_events));
-    EntryHandle { inputs, seeds }
+    EntryHandle {
+        inputs,
+        seeds,
+        limits,
+    }
 }
 
 impl EntryLoop {
@@ -272,6 +291,10 @@
                     sent_at: None,
                     maybe_accepted: false,
                 };
+                if call.request.is_for_limits() {
+                    // Only the entry itself asks for the limits, never a caller.
+                    return call.answer(CallerReply::NoQueue, &self.contact, now);
+                }
                 if self.pending_calls.len() >= PENDING_CALLS_MAX {
                     return call.answer(CallerReply::Unavailable, &self.contact, now);
                 }
@@ -288,6 +311,7 @@
             SessionEvent::Opened(session) => {
                 let absent_ms = self.contact.absence(now).as_millis() as u64;
                 self.contact.record_opened(now);
+                self.ask_for_limits(&session);
                 self.session = Some(session);
                 self.report_contact(absent_ms);
             }
@@ -301,6 +325,11 @@
             }
             SessionEvent::PingSent { sent_at } => self.contact.record_sent(sent_at),
             SessionEvent::Pong { sent_at, .. } => self.contact.record_pong(sent_at, now),
+            SessionEvent::Message(FromControl::Reply { call_id, reply })
+                if self.limits_call == Some(call_id) =>
+            {
+                self.apply_limits(&reply);
+            }
             SessionEvent::Message(FromControl::Reply { call_id, reply }) => {
                 if let Some(call) = self.pending_calls.swap_remove(&call_id) {
                     if let Some(sent_at) = call.sent_at {
@@ -313,6 +342,36 @@
         }
     }
 
+    /// Asks the leader of a new session for the limits on callers' requests. An older leader answers that
+    /// it knows no such queue.
+    fn ask_for_limits(&mut self, session: &StreamSender<ToControl>) {
+        let call_id = self.next_call_id;
+        self.next_call_id += 1;
+        self.limits_call = Some(call_id);
+        // Without a session the limits in force stay, and the next leader is asked.
+        session.send(ToControl::Call {
+            call_id,
+            request: CallerRequest::for_limits(),
+        });
+    }
+
+    /// Applies the limits of the leader. Any other reply means that it knows none, now or at all, so those
+    /// in force stay.
+    fn apply_limits(&self, reply: &CallerReply) {
+        let CallerReply::Limits(limits) = *reply else {
+            tracing::info!(event = "limits_not_known", reply = reply.name());
+            return;
+        };
+        let has_changed = self.limits.send_if_modified(|current| {
+            let has_changed = *current != Some(limits);
+            *current = Some(limits);
+            has_changed
+        });
+        if has_changed {
+            tracing::info!(event = "limits_changed", ?limits);
+        }
+    }
+
     /// Updates the contact with the leader and logs a change.
     fn observe_contact(&mut self, now: BootTime) {
         let absent_ms = self.contact.absence(now).as_millis() as u64;
--- a/crates/guavavane_cell/src/lib.rs
+++ b/crates/guavavane_cell/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod entry;
 pub mod leader_client;
 pub mod leader_contact;
+pub mod limits_feed;
 pub mod message;
 pub mod metric;
 pub mod seeds;
@@ -41,6 +42,7 @@
     pub use crate::message::CallerAction;
     pub use crate::message::CallerReply;
     pub use crate::message::JobState;
+    pub use crate::message::RequestLimits;
     pub use crate::timing::LeaseTiming;
     pub use crate::worker_api::AdviceRequest;
     pub use crate::worker_api::AdvisedWorker;
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -44,6 +44,36 @@
     pub action: CallerAction,
 }
 
+impl CallerRequest {
+    /// Query with which an entry asks for the limits on callers' requests. No caller can send it, since
+    /// the path of a request isn't empty.
+    pub fn for_limits() -> Self {
+        Self {
+            host: String::new(),
+            path: String::new(),
+            action: CallerAction::Query,
+        }
+    }
+
+    /// Whether the request names neither a host nor a path, as [`Self::for_limits`] does.
+    pub fn is_for_limits(&self) -> bool {
+        self.host.is_empty() && self.path.is_empty()
+    }
+}
+
+/// Limits on callers' requests that the configuration sets, within the bounds of the adapter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestLimits {
+    /// Maximum size of a request head in bytes.
+    pub max_header_bytes: u64,
+    /// Maximum size of a request body in bytes.
+    pub max_body_bytes: u64,
+    /// Maximum time from the first byte of a request head to its last, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Maximum time between two requests on an open connection, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobState {
@@ -85,6 +115,9 @@
     Unavailable,
     /// The outcome is unknown: the job may have been accepted.
     Unknown,
+    /// Limits on callers' requests. Only a session that has sent [`CallerRequest::for_limits`] gets this
+    /// reply, for the first time when it asks and again after each change.
+    Limits(RequestLimits),
 }
 
 impl CallerReply {
@@ -101,6 +134,7 @@
             Self::Cancelled => "cancelled",
             Self::Unavailable => "unavailable",
             Self::Unknown => "unknown",
+            Self::Limits(_) => "limits",
         }
     }
 }
--- a/crates/guavavane_cell/tests/group_report.rs
+++ b/crates/guavavane_cell/tests/group_report.rs
@@ -37,6 +37,7 @@
         },
         uncommitted_proposals_max: UNCOMMITTED_PROPOSALS_MAX,
         advice: None,
+        read_limits: None,
     }
 }
 
--- a/crates/guavavane_cell/tests/support/group.rs
+++ b/crates/guavavane_cell/tests/support/group.rs
@@ -41,6 +41,7 @@
         timing: timing(),
         uncommitted_proposals_max: UNCOMMITTED_PROPOSALS_MAX,
         advice: None,
+        read_limits: None,
     }
 }
 
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -149,7 +149,7 @@
         Self::start_with(0, Duration::ZERO, settings, data).await
     }
 
-    async fn start_with(
+    pub(crate) async fn start_with(
         workers: usize,
         work: Duration,
         settings: ControlSettings,
@@ -274,6 +274,7 @@
         timing: timing(),
         uncommitted_proposals_max: UNCOMMITTED_PROPOSALS_MAX,
         advice: None,
+        read_limits: None,
     }
 }
 
