--- a/crates/guavavane_cell/src/leader_contact.rs
+++ b/crates/guavavane_cell/src/leader_contact.rs
@@ -46,6 +46,10 @@
 const LEADERLESS_SUBMIT_WAIT_MAX: Duration = Duration::from_millis(600);
 /// Largest part of a caller's own wait that may pass without a leader, in percent.
 const LEADERLESS_MAX_PERCENT: u32 = 40;
+/// Largest part of a caller's own wait for which a call is held back from a late leader, in percent.
+/// It is longer than without a leader: the session answers or closes within a second, and callers with
+/// short waits would be refused for a leader that is late for a moment.
+const LATE_MAX_PERCENT: u32 = 75;
 /// Absence of the leader from which calls are refused at once: the longest hand-over, and the time to
 /// find the next leader.
 const REFUSAL_AGE: Duration = Duration::from_millis(1_600);
@@ -118,10 +122,9 @@
         (self.is_sent || self.was_sent_before) && self.kind != CallKind::Query
     }
 
-    /// Part of the caller's own wait that may pass without a leader: the caller gets its reply early
-    /// enough to retry.
-    fn leaderless_share(&self) -> Duration {
-        self.deadline.saturating_since(self.arrived_at) * LEADERLESS_MAX_PERCENT / 100
+    /// Part of the caller's own wait: with the rest of it, the caller can retry.
+    fn share_of_wait(&self, percent: u32) -> Duration {
+        self.deadline.saturating_since(self.arrived_at) * percent / 100
     }
 
     /// Decision for a call that waits no longer.
@@ -302,7 +305,9 @@
             ContactPhase::Answering => return CallDecision::Send,
             // The session either answers or closes within a second.
             ContactPhase::Late { .. } if call.is_sent || may_have_effect => false,
-            ContactPhase::Late { .. } => is_long_absence || held_for >= call.leaderless_share(),
+            ContactPhase::Late { .. } => {
+                is_long_absence || held_for >= call.share_of_wait(LATE_MAX_PERCENT)
+            }
             ContactPhase::Absent { closed_at, .. } => {
                 let waited = now.saturating_since(call.arrived_at.max(closed_at));
                 let is_new_submission = call.kind == CallKind::Submission && !may_have_effect;
@@ -311,7 +316,7 @@
                 } else {
                     LEADERLESS_WAIT_MAX
                 };
-                let share = call.leaderless_share();
+                let share = call.share_of_wait(LEADERLESS_MAX_PERCENT);
                 let is_overdue = waited >= wait_max.min(share);
                 is_overdue || !may_have_effect && (is_long_absence || held_for >= share)
             }
--- a/crates/guavavane_cell/tests/leader_contact.rs
+++ b/crates/guavavane_cell/tests/leader_contact.rs
@@ -377,6 +377,28 @@
     assert_eq!(contact.decide(&call, at(3_555)), CallDecision::Send);
 }
 
+// Guards against refusals of callers with short waits for a leader that is late for a moment, and
+// against waits that leave such a caller no time to retry once the leader is known to be gone.
+#[test]
+fn a_short_wait_is_used_for_a_late_leader_rather_than_for_none() {
+    let at = BootTime::from_millis;
+    let mut contact = LeaderContact::new(at(0));
+    contact.record_opened(at(100));
+    contact.record_sent(at(200));
+    contact.observe(at(350));
+    let call = CallFacts {
+        kind: CallKind::Submission,
+        arrived_at: at(350),
+        deadline: at(850),
+        is_sent: false,
+        was_sent_before: false,
+    };
+    assert_eq!(contact.decide(&call, at(700)), CallDecision::Hold);
+    assert_eq!(contact.decide(&call, at(730)), CallDecision::Refuse);
+    contact.record_closed(at(600));
+    assert_eq!(contact.decide(&call, at(600)), CallDecision::Refuse);
+}
+
 // Guards against a cancellation that was sent and is said not to have been carried out, and against
 // queries, which have no effect, whose outcome is said to be unknown.
 #[test]
