--- a/crates/guavavane_transport/src/intake/gate.rs
+++ b/crates/guavavane_transport/src/intake/gate.rs
@@ -14,6 +14,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use rustix::io::Errno;
 use tokio::task::yield_now;
 use tokio::task::AbortHandle;
 
@@ -218,14 +219,17 @@
         }
     }
 
-    /// Reports a failed accept, which mostly means a lack of descriptors, and closes a connection.
+    /// Reports a failed accept, and closes a connection if it failed for lack of descriptors.
     pub fn note_accept_error(&self, error: &io::Error) {
         let mut state = self.lock();
         if let Some(suppressed) = state.limiter.admit_line(Instant::now()) {
             tracing::warn!(event = "accept_failed", %error, suppressed);
         }
-        if let Some(closed) = state.table.close_for_descriptor(Instant::now()) {
-            state.close(closed);
+        let errno = Errno::from_io_error(error);
+        if matches!(errno, Some(Errno::MFILE | Errno::NFILE)) {
+            if let Some(closed) = state.table.close_for_descriptor(Instant::now()) {
+                state.close(closed);
+            }
         }
     }
 
