Streams: bounds on accepted streams and half-received messages

Cause: accepted streams had no cap, each could buffer a message of 4 MiB, and the buffer of a stream kept the size of its largest message.

Change: accept_streams uses the gate of the process. Handshakes and open streams count as connections; the bytes of a half-received message are charged as they arrive; a stream may be closed for a bound until its first message has arrived and while a message is half received. The head of the request that opens a stream is bounded at 16 KiB (16 MiB before), and the buffer of a large message is given back.

--- a/crates/guavavane_transport/src/stream.rs
+++ b/crates/guavavane_transport/src/stream.rs
@@ -8,6 +8,10 @@
 //!
 //! The interface is async, for programs that run on one thread. A stream does not detect a
 //! silent peer: its users send heartbeats of their own.
+//!
+//! Accepted streams share the bounds of the process ([`crate::intake`]): the bytes of a half-received
+//! message are charged as they arrive, and a stream may be closed for a bound until its first message
+//! has arrived or while a message is half received.
 
 use std::future::poll_fn;
 use std::io;
@@ -37,6 +41,9 @@
 use tokio::time::timeout;
 
 use crate::codec;
+use crate::intake::gate::ConnectionTicket;
+use crate::intake::gate::IntakeGate;
+use crate::intake::table::ConnectionPhase;
 use crate::server::WINDOW_BYTES;
 use guavavane_protocol::call::FRAME_MAX_BYTES;
 
@@ -48,6 +55,10 @@
 const QUEUE_CAPACITY: usize = 8_192;
 /// Maximum time for the HTTP/2 handshake and the first request on an accepted connection.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Maximum size of the head of the request that opens a stream, in bytes.
+const HEADER_LIST_BYTES_MAX: u32 = 16 << 10;
+/// Size up to which an empty receive buffer is kept for the next message, in bytes.
+const KEPT_BUFFER_BYTES: usize = 64 << 10;
 /// Backoff after a failed accept, which is mostly a lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -99,6 +110,10 @@
     buffer: BytesMut,
     /// Task that polls the connection; the connection closes when it is aborted.
     driver: JoinHandle<()>,
+    /// Place of an accepted stream; a stream that this process has opened needs none.
+    ticket: Option<ConnectionTicket>,
+    /// Whether the ticket says that a message is half received.
+    is_partial: bool,
     message: PhantomData<fn() -> M>,
 }
 
@@ -113,15 +128,50 @@
     pub async fn receive(&mut self) -> Option<M> {
         loop {
             if let Some(message) = self.decode_buffered_message()? {
+                self.note_message();
                 return Some(message);
             }
+            self.note_partial();
             let chunk = self.stream.data().await?.ok()?;
+            self.charge(chunk.len())?;
             self.buffer.extend_from_slice(&chunk);
             // Fails only if the stream is closed, which the next read reports.
             let _ = self.stream.flow_control().release_capacity(chunk.len());
         }
     }
 
+    /// Charges bytes that have arrived; `None` if there is no memory for them.
+    fn charge(&mut self, bytes: usize) -> Option<()> {
+        let Some(ticket) = &self.ticket else {
+            return Some(());
+        };
+        ticket.charge(bytes).ok()?;
+        ticket.note_received(bytes);
+        Some(())
+    }
+
+    /// Notes that the buffer ends with a part of a message, if it is not empty.
+    fn note_partial(&mut self) {
+        if let Some(ticket) = self.ticket.as_ref().filter(|_| !self.is_partial) {
+            if !self.buffer.is_empty() {
+                ticket.enter(ConnectionPhase::Partial);
+                self.is_partial = true;
+            }
+        }
+    }
+
+    /// Notes that a message was taken from the buffer, and gives back the memory of a large one.
+    fn note_message(&mut self) {
+        if self.buffer.is_empty() && self.buffer.capacity() > KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+        }
+        if let Some(ticket) = &self.ticket {
+            ticket.release(self.buffer.len());
+            ticket.enter(ConnectionPhase::Busy);
+            self.is_partial = false;
+        }
+    }
+
     /// Decodes the next message of the buffer.
     ///
     /// `Some(None)` means that the buffer holds only a part of it, and `None` that the data is
@@ -205,7 +255,7 @@
             return Err(error);
         }
     };
-    Ok(start_stream(sender, stream, driver))
+    Ok(start_stream(sender, stream, driver, None))
 }
 
 async fn request_stream(
@@ -230,6 +280,7 @@
     sender: SendStream<Bytes>,
     stream: RecvStream,
     driver: JoinHandle<()>,
+    ticket: Option<ConnectionTicket>,
 ) -> MessageStream<S, R>
 where
     S: Serialize + Send + 'static,
@@ -241,6 +292,8 @@
         stream,
         buffer: BytesMut::new(),
         driver,
+        ticket,
+        is_partial: false,
         message: PhantomData,
     };
     (StreamSender { queue, overflowed }, receiver)
@@ -309,43 +362,56 @@
     R: DeserializeOwned + 'static,
     F: Fn(SocketAddr, MessageStream<S, R>) + Clone + Send + 'static,
 {
+    let gate = IntakeGate::of_process();
+    gate.limit_receive_buffers(&listener);
     loop {
         match listener.accept().await {
             Ok((socket, remote)) => {
-                tokio::spawn(accept_stream(socket, remote, serve.clone()));
+                let serve = serve.clone();
+                let accepting = |ticket| accept_stream(socket, remote, ticket, serve);
+                gate.spawn_connection(accepting).await;
             }
             Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
+                gate.note_accept_error(&error);
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
         }
     }
 }
 
-async fn accept_stream<S, R, F>(socket: TcpStream, remote: SocketAddr, serve: F)
-where
+async fn accept_stream<S, R, F>(
+    socket: TcpStream,
+    remote: SocketAddr,
+    ticket: ConnectionTicket,
+    serve: F,
+) where
     S: Serialize + Send + 'static,
     R: DeserializeOwned,
     F: Fn(SocketAddr, MessageStream<S, R>),
 {
-    match timeout(ACCEPT_TIMEOUT, accept_handshake(socket)).await {
+    match timeout(ACCEPT_TIMEOUT, accept_handshake(socket, ticket)).await {
         Ok(Ok(halves)) => serve(remote, halves),
         Ok(Err(error)) => tracing::debug!(event = "stream_refused", %remote, %error),
         Err(_) => tracing::debug!(event = "stream_refused", %remote, error = "timed out"),
     }
 }
 
-async fn accept_handshake<S, R>(socket: TcpStream) -> io::Result<MessageStream<S, R>>
+async fn accept_handshake<S, R>(
+    socket: TcpStream,
+    ticket: ConnectionTicket,
+) -> io::Result<MessageStream<S, R>>
 where
     S: Serialize + Send + 'static,
     R: DeserializeOwned,
 {
     // Nagle's algorithm would delay small messages.
     socket.set_nodelay(true)?;
+    let window_bytes = ticket.gate().limits().window_bytes.unwrap_or(WINDOW_BYTES);
     let mut connection = h2::server::Builder::new()
-        .initial_window_size(WINDOW_BYTES)
-        .initial_connection_window_size(WINDOW_BYTES)
+        .initial_window_size(window_bytes)
+        .initial_connection_window_size(window_bytes)
         .max_concurrent_streams(1)
+        .max_header_list_size(HEADER_LIST_BYTES_MAX)
         .handshake::<_, Bytes>(socket)
         .await
         .map_err(connection_aborted)?;
@@ -360,5 +426,7 @@
         // Polling for further requests drives the connection; any such request is dropped.
         while let Some(Ok(_)) = connection.accept().await {}
     });
-    Ok(start_stream(sender, request.into_body(), driver))
+    ticket.replace_task(driver.abort_handle());
+    let stream = request.into_body();
+    Ok(start_stream(sender, stream, driver, Some(ticket)))
 }
