--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod incarnation;
 mod input;
 mod leader_state;
+mod limits_query;
 mod loss_confirmation;
 mod maintenance;
 mod open_completions;
--- a/crates/guavavane_cell/src/control/settings.rs
+++ b/crates/guavavane_cell/src/control/settings.rs
@@ -6,6 +6,7 @@
 
 use flume::Sender;
 
+use crate::limits_feed::LimitsReader;
 use crate::timing::LeaseTiming;
 use crate::worker_api::AdviceRequest;
 
@@ -32,4 +33,7 @@
     pub uncommitted_proposals_max: u64,
     /// Channel to the advice service; none where the platform has no such service.
     pub advice: Option<Sender<AdviceRequest>>,
+    /// Derives the limits on callers' requests from the text of the configuration; none if entries get
+    /// no limits.
+    pub read_limits: Option<LimitsReader>,
 }
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub(crate) mod fake_leader;
 pub(crate) mod group;
 pub(crate) mod odd_worker;
 
@@ -148,7 +149,7 @@
         Self::start_with(0, Duration::ZERO, settings, data).await
     }
 
-    async fn start_with(
+    pub(crate) async fn start_with(
         workers: usize,
         work: Duration,
         settings: ControlSettings,
@@ -273,6 +274,7 @@
         timing: timing(),
         uncommitted_proposals_max: UNCOMMITTED_PROPOSALS_MAX,
         advice: None,
+        read_limits: None,
     }
 }
 
