Intake: charge unread responses; tests that fail when a rule is taken out

Cause: a large response (a configuration, metrics) to a peer that does not read it was held without a charge. Charging a connection that had just been closed closed others in vain. Lines about broken streams were not bounded.

The replays check the cap on half-received requests, trickled bytes and unread responses.

--- a/crates/guavavane_transport/src/intake/table.rs
+++ b/crates/guavavane_transport/src/intake/table.rs
@@ -1,7 +1,8 @@
 //! Connections of a process with their phases and charged bytes, and the choice of what to close.
 //!
 //! Bytes are charged as they arrive, never as announced. When a bound is reached, the half-received
-//! request that has gone longest without progress is closed; complete requests are never closed. A
+//! request that has gone longest without progress is closed, then the connection whose response has
+//! been unread for longest; requests that are served are never closed. A
 //! connection makes progress with each [`PROGRESS_BYTES`], so that single bytes do not keep it from
 //! being chosen.
 //!
@@ -227,8 +228,14 @@
         closed: &mut Vec<ClosedConnection>,
     ) -> Result<(), BoundReached> {
         let bound = IntakeBound::BufferedBytes;
+        if !self.contains(id) {
+            // The connection was closed, and its task has not ended yet.
+            return Err(BoundReached(bound));
+        }
         while self.buffered_bytes.saturating_add(bytes) > self.limits.buffered_bytes {
-            let oldest = self.oldest_partial_but(id).ok_or(BoundReached(bound))?;
+            let oldest = self.oldest_partial_but(id);
+            let oldest = oldest.or_else(|| self.oldest_unread_but(id));
+            let oldest = oldest.ok_or(BoundReached(bound))?;
             closed.extend(self.close(oldest, bound, now));
         }
         let entry = self.connections.get_mut(&id).ok_or(BoundReached(bound))?;
@@ -290,6 +297,12 @@
         ids.find(|other| *other != id)
     }
 
+    /// Oldest idle connection that is charged for a response which its peer does not read.
+    fn oldest_unread_but(&self, id: ConnectionId) -> Option<ConnectionId> {
+        let mut ids = self.idle.iter().map(|(_, other)| *other);
+        ids.find(|other| *other != id && self.connections[other].bytes > 0)
+    }
+
     fn close(
         &mut self,
         id: ConnectionId,
--- a/crates/guavavane_transport/src/stream.rs
+++ b/crates/guavavane_transport/src/stream.rs
@@ -112,8 +112,8 @@
     driver: JoinHandle<()>,
     /// Place of an accepted stream; a stream that this process has opened needs none.
     ticket: Option<ConnectionTicket>,
-    /// Whether the ticket says that a message is half received.
-    is_partial: bool,
+    /// Phase that the ticket was last told.
+    phase: ConnectionPhase,
     message: PhantomData<fn() -> M>,
 }
 
@@ -152,11 +152,8 @@
 
     /// Notes that the buffer ends with a part of a message, if it is not empty.
     fn note_partial(&mut self) {
-        if let Some(ticket) = self.ticket.as_ref().filter(|_| !self.is_partial) {
-            if !self.buffer.is_empty() {
-                ticket.enter(ConnectionPhase::Partial);
-                self.is_partial = true;
-            }
+        if !self.buffer.is_empty() {
+            self.enter(ConnectionPhase::Partial);
         }
     }
 
@@ -167,8 +164,21 @@
         }
         if let Some(ticket) = &self.ticket {
             ticket.release(self.buffer.len());
-            ticket.enter(ConnectionPhase::Busy);
-            self.is_partial = false;
+        }
+        self.enter(ConnectionPhase::Busy);
+    }
+
+    fn enter(&mut self, phase: ConnectionPhase) {
+        if let Some(ticket) = self.ticket.as_ref().filter(|_| self.phase != phase) {
+            ticket.enter(phase);
+            self.phase = phase;
+        }
+    }
+
+    /// Logs why the stream ends, if a line may be written now.
+    fn log_broken(&self, reason: &str, length: usize) {
+        if let Some(suppressed) = IntakeGate::of_process().admit_log_line() {
+            tracing::warn!(event = "stream_broken", reason, length, suppressed);
         }
     }
 
@@ -185,7 +195,7 @@
             .map(u32::from_le_bytes);
         let length = length.map_or(usize::MAX, |length| length as usize);
         if length > FRAME_MAX_BYTES {
-            tracing::warn!(event = "stream_broken", reason = "oversized", length);
+            self.log_broken("oversized", length);
             return None;
         }
         if self.buffer.len() < LENGTH_PREFIX_BYTES + length {
@@ -196,7 +206,7 @@
         match codec::decode_message(&bytes) {
             Ok(message) => Some(Some(message)),
             Err(error) => {
-                tracing::warn!(event = "stream_broken", reason = "malformed", %error);
+                self.log_broken(&format!("malformed: {error}"), length);
                 None
             }
         }
@@ -293,7 +303,7 @@
         buffer: BytesMut::new(),
         driver,
         ticket,
-        is_partial: false,
+        phase: ConnectionPhase::Unused,
         message: PhantomData,
     };
     (StreamSender { queue, overflowed }, receiver)
--- a/crates/guavavane_transport/tests/intake.rs
+++ b/crates/guavavane_transport/tests/intake.rs
@@ -58,6 +58,8 @@
     fn enter(&mut self, id: ConnectionId, phase: ConnectionPhase) {
         let now = self.tick();
         self.table.enter(id, phase, now);
+        let limits = self.table.limits();
+        assert!(self.table.partial_requests() <= limits.partial_requests);
     }
 
     /// Receives a piece of a request; returns whether it is held and checks the bounds.
@@ -68,7 +70,6 @@
         let charged = self.table.charge(id, bytes, now, &mut closed).is_ok();
         let limits = self.table.limits();
         assert!(self.table.buffered_bytes() <= limits.buffered_bytes);
-        assert!(self.table.partial_requests() <= limits.partial_requests);
         assert!(self.table.connections() <= limits.connections);
         charged
     }
@@ -106,26 +107,23 @@
 #[test]
 fn the_request_longest_without_progress_is_closed_first() {
     let mut replay = Replay::entry();
-    let stopped = replay.begin();
-    let trickling = replay.begin();
-    let progressing = replay.begin();
-    let rounds = replay.table.limits().buffered_bytes / PIECE_BYTES;
+    let [stopped, trickling, slow, fast] = [(); 4].map(|()| replay.begin());
     replay.receive(stopped, PIECE_BYTES);
-    replay.receive(trickling, PIECE_BYTES);
+    let rounds = 2 * replay.table.limits().buffered_bytes / PIECE_BYTES;
     let mut order = Vec::new();
     for _ in 0..rounds {
-        if replay.table.contains(trickling) {
-            replay.receive(trickling, 1);
-        }
-        replay.receive(progressing, PIECE_BYTES);
-        for id in [stopped, trickling] {
+        replay.receive(fast, PIECE_BYTES);
+        // The single byte arrives last, so only its size makes this request older than the slow one.
+        replay.receive(slow, PIECE_BYTES / 64);
+        replay.receive(trickling, 1);
+        for id in [stopped, trickling, slow] {
             if !replay.table.contains(id) && !order.contains(&id) {
                 order.push(id);
             }
         }
     }
-    assert_eq!(order, [stopped, trickling]);
-    assert!(replay.table.contains(progressing));
+    assert_eq!(order, [stopped, trickling, slow]);
+    assert!(replay.table.contains(fast));
 }
 
 #[test]
@@ -137,7 +135,7 @@
     replay.enter(idle, ConnectionPhase::Idle);
     for number in 0..2 * DESCRIPTORS {
         let id = replay.admit();
-        if number % 2 == 0 {
+        if number % 3 != 0 {
             replay.enter(id, ConnectionPhase::Partial);
         }
     }
@@ -166,6 +164,22 @@
     assert_eq!(replay.table.buffered_bytes(), 0);
 }
 
+#[test]
+fn responses_that_nobody_reads_leave_memory_for_requests() {
+    let mut replay = Replay::entry();
+    for _ in 0..SENDERS {
+        let id = replay.begin();
+        replay.enter(id, ConnectionPhase::Busy);
+        assert!(
+            replay.receive(id, BODY_BYTES / 4),
+            "no memory for a response"
+        );
+        replay.enter(id, ConnectionPhase::Idle);
+    }
+    let caller = replay.begin();
+    assert!(replay.receive(caller, BODY_BYTES));
+}
+
 #[test]
 fn a_full_process_refuses_connections_until_one_ends() {
     let mut replay = Replay::entry();
