Ledger: a task may have a copy of its run

A run that takes long could not get a second run, because a task had one run at most.

LedgerCommand::StartCopies commits the starts of copies. The copy is recorded beside the task with a number above all earlier ones. The first run to end `done` ends the task; one that ends otherwise leaves the other as the only run. The number of a copy that has ended is kept until the task waits again. A copy needs two attempts that are left, so that both runs may fail and the job has at most MaxAttempts failed runs of a task.

--- a/crates/guavavane_jobs/src/ledger/apply.rs
+++ b/crates/guavavane_jobs/src/ledger/apply.rs
@@ -10,6 +10,7 @@
 use super::command::RunCompletion;
 use super::command::RunOutcome;
 use super::command::StartChoice;
+use super::copies::EndedRun;
 use super::record::JobPhase;
 use super::record::JobRecord;
 use super::record::OccurrenceRecord;
@@ -71,6 +72,10 @@
                     started.map(|(choice, is_complete)| is_complete && self.start_run(choice));
                 LedgerOutcome::Started(started.collect())
             }
+            LedgerCommand::StartCopies { choices } => {
+                let started = choices.iter().map(|choice| self.start_copy(choice));
+                LedgerOutcome::Started(started.collect())
+            }
             LedgerCommand::NoteEnds {
                 worker,
                 completions,
@@ -189,6 +194,7 @@
         job.spec = None;
         job.occurrences.clear();
         self.ready_steps.retain(|step, _| step.job != key);
+        self.remove_copies_of(key);
         self.index.disturb_job(key);
     }
 
@@ -294,7 +300,7 @@
         }
     }
 
-    fn step_mut(&mut self, key: StepKey) -> Option<&mut StepRecord> {
+    pub(super) fn step_mut(&mut self, key: StepKey) -> Option<&mut StepRecord> {
         let occurrence = self
             .jobs
             .get_mut(&key.job)?
@@ -356,6 +362,17 @@
         LedgerOutcome::Done
     }
 
+    /// Which current run of a task has ended; none if the completion is of another run.
+    fn ended_run(&self, worker: WorkerIndex, completion: &RunCompletion) -> Option<EndedRun> {
+        let task = self.task(completion.task)?;
+        let is_first = task.phase == TaskPhase::Assigned(worker) && task.run == completion.run;
+        if is_first {
+            return Some(EndedRun::First);
+        }
+        let is_copy = self.is_active_copy(completion.task, completion.run, worker);
+        is_copy.then_some(EndedRun::Copy)
+    }
+
     /// Applies the completion of a run to its task; returns whether the job ended with it.
     fn apply_completion(&mut self, worker: WorkerIndex, completion: &RunCompletion) -> bool {
         let key = completion.task.step;
@@ -366,15 +383,16 @@
             return false;
         };
         let index = completion.task.index as usize;
+        let ended = self.ended_run(worker, completion);
         let Some(step) = self.step_mut(key) else {
             return false;
         };
         let Some(task) = step.tasks.get_mut(index) else {
             return false;
         };
-        if task.phase != TaskPhase::Assigned(worker) || task.run != completion.run {
+        let Some(ended) = ended else {
             return false;
-        }
+        };
         if !completion.checkpoint.is_empty() {
             task.checkpoint = Arc::clone(&completion.checkpoint);
         }
@@ -383,6 +401,7 @@
             if !step_spec.gang {
                 task.phase = TaskPhase::Done;
                 step.done += 1;
+                self.remove_copy(completion.task);
                 return self.complete_step(key, &spec);
             }
             if step.tasks.iter().all(|member| member.run == completion.run) {
@@ -391,10 +410,6 @@
                 return self.complete_step(key, &spec);
             }
         }
-        let Some(task) = step.tasks.get_mut(index) else {
-            return false;
-        };
-        task.phase = TaskPhase::Waiting;
         // A run of a gang counts as one failure, however many of its members fail and whichever of
         // their ends arrives first.
         let counts_as_failure = completion.outcome == RunOutcome::Failed
@@ -405,7 +420,7 @@
                 step.last_failed_run = completion.run;
                 step.tasks.iter_mut().for_each(|task| task.failures += 1);
             } else {
-                task.failures += 1;
+                step.tasks[index].failures += 1;
             }
         }
         let failures = step.tasks[index].failures;
@@ -413,7 +428,9 @@
             step.last_broken_run = step.last_broken_run.max(completion.run);
             self.index.disturb_job(key.job);
         }
-        *self.ready_steps.entry(key).or_insert(0) += 1;
+        if self.end_unsuccessful_run(completion.task, ended) {
+            *self.ready_steps.entry(key).or_insert(0) += 1;
+        }
         let attempts_max = self.jobs.get(&key.job).map_or(0, |job| job.attempts_max);
         if !is_long_running && failures >= attempts_max {
             self.end_job(key.job, JobPhase::Failed);
--- a/crates/guavavane_jobs/src/ledger/command.rs
+++ b/crates/guavavane_jobs/src/ledger/command.rs
@@ -157,6 +157,12 @@
         /// Jobs to remove; active ones are kept.
         jobs: Vec<JobKey>,
     },
+    /// Commits the starts of copies of runs that take long, before their orders are sent. Replicas of
+    /// commit b041a08 and earlier can't decode it and stop.
+    StartCopies {
+        /// Starts, each of which is accepted or refused.
+        choices: Vec<StartChoice>,
+    },
 }
 
 /// Reply to a command.
--- a/crates/guavavane_jobs/src/ledger/record.rs
+++ b/crates/guavavane_jobs/src/ledger/record.rs
@@ -139,6 +139,15 @@
     pub checkpoint: Arc<str>,
 }
 
+/// Copy of a task's run, which [`TaskRecord`] holds: started because that run takes long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyRecord {
+    /// Number of the copy's run; the next run of the task has a higher one.
+    pub run: RunNumber,
+    /// Worker of the copy; none after the copy has ended without success.
+    pub worker: Option<WorkerIndex>,
+}
+
 /// Run that holds capacity of a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunRecord {
