plan: choose runs that get a copy

Module plan::speculation keeps run times by queue and step, orders the runs by the time at which they pass their threshold, and places copies on another VM and rack within a budget. None starts while a step waits that the pool could run.

--- a/crates/guavavane_jobs/src/job.rs
+++ b/crates/guavavane_jobs/src/job.rs
@@ -141,7 +141,7 @@
     pub data_rack: Option<Arc<str>>,
     /// Most tasks of the step on one worker.
     pub per_worker_max: Option<u32>,
-    /// Whether several copies of a task may run in parallel; scheduling doesn't use it.
+    /// Whether several copies of a task may run in parallel, the first to succeed counts.
     pub speculative: bool,
     /// Image that the tasks run.
     pub image: Arc<str>,
--- a/crates/guavavane_jobs/src/ledger.rs
+++ b/crates/guavavane_jobs/src/ledger.rs
@@ -28,6 +28,7 @@
 pub use self::command::RunCompletion;
 pub use self::command::RunOutcome;
 pub use self::command::StartChoice;
+pub(crate) use self::copies::allows_copies;
 use self::index::LedgerIndex;
 pub use self::record::CopyRecord;
 pub use self::record::JobPhase;
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -5,7 +5,8 @@
 //! (`placement`) by the capacity of each worker ([`capacity`]), which [`capacity_table`] keeps up to
 //! date. A worker on which runs keep failing is on probation ([`probation`]). [`obstacle`] tells
 //! why a step waits. [`advice`] holds the
-//! tickets of the external advice service that some queues need.
+//! tickets of the external advice service that some queues need. [`speculation`] chooses the runs that
+//! get a copy because they take long.
 //!
 //! The agent of each worker throttles best-effort tasks that slow down latency-critical ones
 //! ([`throttle`]): a CPU share is the part of its CPU demand that a best-effort run may use.
@@ -26,4 +27,5 @@
 mod refused_demand;
 pub mod share_tracker;
 pub mod slack;
+pub mod speculation;
 pub mod throttle;
--- a/crates/guavavane_jobs/tests/copies.rs
+++ b/crates/guavavane_jobs/tests/copies.rs
@@ -31,6 +31,19 @@
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_quorum::prelude::StateMachine;
 
+/// Snapshot that a process of commit b041a08 wrote: a job with a running task and a waiting one that
+/// allow copies, and two workers.
+const EARLIER_SNAPSHOT: &str = concat!(
+    "01010d71756575652e6578616d706c65010574616c6c79072f74616c6c792ffa0004706f6f6c0300",
+    "0000000000004000010574616c6c790574616c6c79072f74616c6c792ffa0004706f6f6c03000000",
+    "0000000040000104706f6f6c0976657273696f6e20310001010574616c6c7904706f6f6c01077061",
+    "796c6f61640102fbe803fbe80300fbe8030000000000000000010000000000000003fbe903010001",
+    "0201000100000000000000000000010101000001020008776f726b65722d310104766d2d3104706f",
+    "6f6c06636178696173fb803efb00fa00020161067261636b2d3000010100000001fbe803fbe80300",
+    "fbe803000000000108776f726b65722d320104766d2d3204706f6f6c06636178696173fb803efb00",
+    "fa00020161067261636b2d30000002",
+);
+
 /// Job whose first task has a run and a copy of it.
 struct Copied {
     ledger: JobLedger,
@@ -347,6 +360,26 @@
     assert!(decode_as_earlier(&snapshot).is_ok());
 }
 
+// Guards against stored data of commit b041a08 that this version can't read or writes differently.
+#[test]
+fn a_snapshot_of_an_earlier_process_is_read_and_written_unchanged() {
+    let digits = EARLIER_SNAPSHOT.as_bytes().chunks(2);
+    let bytes = digits.map(|pair| std::str::from_utf8(pair).unwrap());
+    let bytes: Vec<u8> = bytes
+        .map(|pair| u8::from_str_radix(pair, 16).unwrap())
+        .collect();
+    let mut copied = Copied::running(RawStep {
+        speculative: true,
+        ..raw_step(2)
+    });
+    let mut restored = JobLedger::default();
+    restored.restore(&bytes).unwrap();
+    assert_eq!(restored, copied.ledger);
+    assert_eq!(restored.snapshot(), bytes);
+    copied.ledger = restored;
+    assert!(copied.start_copy(2, copied.second));
+}
+
 // Guards against a damaged or later snapshot that is read as one without copies.
 #[test]
 fn a_snapshot_with_an_unknown_format_of_copies_is_refused() {
