plan: run times of stopped stragglers count as lower bounds

A straggler whose copy succeeds is stopped, so its run time is not known. The expected remaining time is now the Kaplan-Meier estimate.

--- a/crates/guavavane_jobs/src/plan/speculation.rs
+++ b/crates/guavavane_jobs/src/plan/speculation.rs
@@ -81,14 +81,18 @@
 /// Histogram of run times with buckets of a constant relative width.
 #[derive(Clone, Debug)]
 struct RunTimeHistogram {
-    weights: Vec<f64>,
+    /// Runs that succeeded.
+    succeeded: Vec<f64>,
+    /// Runs that were stopped because their copies succeeded: they would have taken longer.
+    stopped: Vec<f64>,
     total: f64,
 }
 
 impl RunTimeHistogram {
     fn new() -> Self {
         Self {
-            weights: vec![0.0; BUCKETS],
+            succeeded: vec![0.0; BUCKETS],
+            stopped: vec![0.0; BUCKETS],
             total: 0.0,
         }
     }
@@ -103,24 +107,35 @@
         ((bucket + 1) as f64 / BUCKETS_PER_DOUBLING).exp2()
     }
 
-    /// Run time in the middle of a bucket.
-    fn middle_ms(bucket: usize) -> f64 {
-        ((bucket as f64 + 0.5) / BUCKETS_PER_DOUBLING).exp2()
+    /// Run time at the lower end of a bucket.
+    fn lower_ms(bucket: usize) -> f64 {
+        (bucket as f64 / BUCKETS_PER_DOUBLING).exp2()
     }
 
-    fn learn(&mut self, run_time_ms: f64) {
-        self.weights[Self::bucket(run_time_ms)] += 1.0;
+    fn learn(&mut self, run_time_ms: f64, has_succeeded: bool) {
+        let weights = if has_succeeded {
+            &mut self.succeeded
+        } else {
+            &mut self.stopped
+        };
+        weights[Self::bucket(run_time_ms)] += 1.0;
         self.total += 1.0;
         if self.total >= WEIGHT_MAX {
-            self.weights.iter_mut().for_each(|weight| *weight /= 2.0);
+            let weights = self.succeeded.iter_mut().chain(&mut self.stopped);
+            weights.for_each(|weight| *weight /= 2.0);
             self.total /= 2.0;
         }
     }
 
+    fn weights(&self) -> impl DoubleEndedIterator<Item = f64> + ExactSizeIterator + '_ {
+        let weights = self.succeeded.iter().zip(&self.stopped);
+        weights.map(|(succeeded, stopped)| succeeded + stopped)
+    }
+
     /// Upper bound of the run times of this fraction of the runs.
     fn quantile_ms(&self, fraction: f64) -> f64 {
         let mut remaining = self.total * fraction;
-        let position = self.weights.iter().position(|weight| {
+        let position = self.weights().position(|weight| {
             remaining -= weight;
             remaining <= 0.0
         });
@@ -128,22 +143,33 @@
     }
 
     fn mean_ms(&self) -> f64 {
-        let weights = self.weights.iter().enumerate();
+        let weights = self.weights().enumerate();
         let sum: f64 = weights
-            .map(|(bucket, weight)| weight * Self::middle_ms(bucket))
+            .map(|(bucket, weight)| weight * Self::lower_ms(bucket))
             .sum();
         sum / self.total
     }
 
-    /// Mean time that runs which have taken this long still take; none if there were too few.
+    /// Mean time that runs which have taken this long still take; none if there were too few. It
+    /// follows from the fraction of the runs still in progress that ended in each bucket
+    /// (Kaplan-Meier), since those that were stopped don't tell their run time. Where all were
+    /// stopped, they are taken to last as long again.
     fn mean_remaining_ms(&self, elapsed_ms: f64) -> Option<f64> {
-        let longer = self.weights.iter().enumerate();
-        let longer = longer.filter(|(bucket, _)| Self::middle_ms(*bucket) > elapsed_ms);
-        let (weight, sum) = longer.fold((0.0, 0.0), |(weight, sum), (bucket, of_bucket)| {
-            let remaining_ms = Self::middle_ms(bucket) - elapsed_ms;
-            (weight + of_bucket, sum + of_bucket * remaining_ms)
-        });
-        (weight >= TAIL_WEIGHT_MIN).then(|| sum / weight)
+        let first = Self::bucket(elapsed_ms) + 1;
+        let mut in_progress: f64 = self.weights().skip(first).sum();
+        if in_progress < TAIL_WEIGHT_MIN {
+            return None;
+        }
+        let (mut surviving, mut remaining_ms) = (1.0, 0.0);
+        for bucket in first..BUCKETS {
+            if in_progress < TAIL_WEIGHT_MIN {
+                return Some(remaining_ms + surviving * Self::lower_ms(bucket));
+            }
+            remaining_ms += surviving * (Self::upper_ms(bucket) - Self::lower_ms(bucket));
+            surviving *= 1.0 - self.succeeded[bucket] / in_progress;
+            in_progress -= self.succeeded[bucket] + self.stopped[bucket];
+        }
+        Some(remaining_ms)
     }
 
     /// Time after which a run gets a copy; none if too little is known or copies don't pay.
@@ -166,14 +192,15 @@
 }
 
 impl StepRunTimes {
-    /// Records the run time of a run that succeeded, or that was stopped because its copy did.
-    pub fn learn(&mut self, queue: &Arc<str>, step: u16, run_time: Duration) {
+    /// Records the run time of a run that succeeded, or the time after which it was stopped because
+    /// the other run of its task did.
+    pub fn learn(&mut self, queue: &Arc<str>, step: u16, run_time: Duration, has_succeeded: bool) {
         if step >= STEPS_MAX {
             return;
         }
         let steps = self.queues.entry(Arc::clone(queue)).or_default();
         let histogram = steps.entry(step).or_insert_with(RunTimeHistogram::new);
-        histogram.learn(run_time.as_secs_f64() * 1_000.0);
+        histogram.learn(run_time.as_secs_f64() * 1_000.0, has_succeeded);
     }
 
     /// Time after which a run of a step gets a copy; none if too little is known or copies don't pay.
@@ -225,8 +252,8 @@
     }
 
     /// Records a run time, see [`StepRunTimes::learn`].
-    pub fn learn(&mut self, queue: &Arc<str>, step: u16, run_time: Duration) {
-        self.run_times.learn(queue, step, run_time);
+    pub fn learn(&mut self, queue: &Arc<str>, step: u16, run_time: Duration, has_succeeded: bool) {
+        self.run_times.learn(queue, step, run_time, has_succeeded);
     }
 
     /// Watches a run that was ordered, if its step allows copies.
--- a/crates/guavavane_jobs/tests/speculation.rs
+++ b/crates/guavavane_jobs/tests/speculation.rs
@@ -84,7 +84,12 @@
     let mut run_times = StepRunTimes::default();
     for number in 0..200 {
         let factor = if number % 33 == 0 { 7 } else { 1 };
-        run_times.learn(&queue(), 0, Duration::from_millis(RUN_TIME_MS * factor));
+        run_times.learn(
+            &queue(),
+            0,
+            Duration::from_millis(RUN_TIME_MS * factor),
+            true,
+        );
     }
     run_times
 }
@@ -94,7 +99,7 @@
 fn a_threshold_needs_observed_run_times() {
     let mut run_times = StepRunTimes::default();
     for _ in 0..20 {
-        run_times.learn(&queue(), 0, Duration::from_millis(RUN_TIME_MS));
+        run_times.learn(&queue(), 0, Duration::from_millis(RUN_TIME_MS), true);
     }
     assert_eq!(run_times.copy_delay("tally", 0), None);
     let delay = tailed_run_times().copy_delay("tally", 0).unwrap();
@@ -112,11 +117,25 @@
         // Quantiles of an exponential distribution.
         let fraction = (f64::from(number) - 0.5) / 200.0;
         let run_time = Duration::from_secs_f64(-(1.0 - fraction).ln());
-        run_times.learn(&queue(), 0, run_time);
+        run_times.learn(&queue(), 0, run_time, true);
     }
     assert_eq!(run_times.copy_delay("tally", 0), None);
 }
 
+// Guards against copies that end because nobody sees a long run time any more: each straggler is
+// stopped soon after its copy has started.
+#[test]
+fn stopped_runs_keep_copies_worth_their_cost() {
+    let mut run_times = StepRunTimes::default();
+    for number in 0..2_000 {
+        let is_slow = number % 33 == 0;
+        let factor = if is_slow { 2.5 } else { 1.0 };
+        let run_time = Duration::from_millis(RUN_TIME_MS).mul_f64(factor);
+        run_times.learn(&queue(), 0, run_time, !is_slow);
+    }
+    assert!(run_times.copy_delay("tally", 0).is_some());
+}
+
 /// Cell with one run of a job, which has passed its threshold.
 struct Overdue {
     ledger: JobLedger,
@@ -268,7 +287,7 @@
     assert!(!watch.is_due(at(500)));
     assert_eq!(watch.take_overdue(at(5_000), &overdue.ledger), []);
     for _ in 0..100 {
-        watch.learn(&queue(), 0, Duration::from_millis(RUN_TIME_MS));
+        watch.learn(&queue(), 0, Duration::from_millis(RUN_TIME_MS), true);
     }
     let taken = watch.take_overdue(at(10_000), &overdue.ledger);
     assert_eq!(taken.len(), 1);
@@ -344,7 +363,7 @@
             .collect();
         for run_time in run_times {
             self.watch
-                .learn(&queue(), 0, Duration::from_millis(run_time));
+                .learn(&queue(), 0, Duration::from_millis(run_time), true);
         }
         self.replay.complete_finished_runs();
         let ledger = &self.replay.ledger;
@@ -356,7 +375,7 @@
         for run in undesired {
             let run_time = self.replay.view.now_ms - run.started_ms;
             self.watch
-                .learn(&queue(), 0, Duration::from_millis(run_time));
+                .learn(&queue(), 0, Duration::from_millis(run_time), false);
             self.replay.end_run(&run, RunOutcome::Stopped);
         }
     }
