Control: start copies of runs that take long

The leader considers overdue runs in its passes, after the starts of waiting tasks, at most each 100 ms, and proposes StartCopies. The order of a copy is sent after its commit, like that of any start. When one run succeeds, the other one is stopped. Checkpoints are kept from both runs.

Replicas answer the pings of their peers with the log format that they read, in a field that was 0, and the leader starts copies only while all other members have named format 1.

--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -52,6 +52,7 @@
         completions: Vec<RunCompletion>,
     },
     Start(Vec<StartChoice>),
+    StartCopies(Vec<StartChoice>),
     Lose {
         worker: WorkerIndex,
         /// Whether the incarnation never returns.
@@ -66,6 +67,13 @@
     Forget(Vec<JobKey>),
 }
 
+impl CommitPurpose {
+    /// Whether the proposal takes capacity that the ledger shows as free until it is committed.
+    fn reserves_capacity(&self) -> bool {
+        matches!(self, Self::Start(_) | Self::StartCopies(_))
+    }
+}
+
 /// Result of a proposal.
 pub(super) type CommitResult = Result<LedgerOutcome, ProposeError>;
 
@@ -73,7 +81,7 @@
     /// Proposes a command; the engine receives the result together with its purpose.
     pub(super) fn propose(&mut self, command: LedgerCommand, purpose: CommitPurpose) {
         let tenure = self.leader_state.as_ref().map_or(0, |state| state.tenure);
-        if matches!(purpose, CommitPurpose::Start(_)) {
+        if purpose.reserves_capacity() {
             self.starts_in_flight += 1;
         }
         let proposed_at = BootClock.now();
@@ -107,7 +115,7 @@
             .leader_state
             .as_ref()
             .is_some_and(|state| state.tenure == tenure);
-        if matches!(purpose, CommitPurpose::Start(_)) {
+        if purpose.reserves_capacity() {
             self.starts_in_flight -= 1;
         }
         match (purpose, result) {
@@ -188,6 +196,10 @@
                 let committed: Vec<&StartChoice> = committed.map(|(choice, _)| choice).collect();
                 self.order_committed_starts(&committed);
             }
+            (CommitPurpose::StartCopies(choices), LedgerOutcome::Started(started)) => {
+                let committed = self.record_copies(&choices, &started);
+                self.order_committed_starts(&committed);
+            }
             (CommitPurpose::Lose { worker, ended }, _) => self.end_pending_loss(worker, ended),
             (CommitPurpose::Withdraw { .. } | CommitPurpose::Release, _) => self.request_pass(),
             _ => {}
@@ -198,7 +210,14 @@
     /// the start, so its agent is told to stop the run instead, which withdraws it.
     fn order_committed_starts(&mut self, committed: &[&StartChoice]) {
         if let Some(state) = &mut self.leader_state {
-            state.record_starts(BootClock.now(), committed);
+            let now = BootClock.now();
+            state.record_starts(now, committed);
+            self.quorum.read_local(|ledger| {
+                for choice in committed {
+                    let (task, run) = (choice.task, choice.run);
+                    state.speculation.record_start(now, ledger, task, run);
+                }
+            });
         }
         // An agent throttles a task of an image that it knows nothing of as one that interferes
         // strongly, so the estimates go first.
@@ -237,6 +256,7 @@
             tracing::info!(event = "run_ended", task = %completion.task, run = %completion.run, ending = ?completion.outcome, worker = worker.0);
         }
         self.acknowledge_completions(worker);
+        self.stop_losing_runs(worker, completions);
         // If a member of a gang ended without success, its other members must stop.
         let broken = completions
             .iter()
@@ -291,7 +311,10 @@
     }
 
     /// Orders the state that the ledger asks for, see [`Self::send_run_order`].
-    fn send_run_orders(&self, runs: impl IntoIterator<Item = (WorkerIndex, TaskKey, RunNumber)>) {
+    pub(super) fn send_run_orders(
+        &self,
+        runs: impl IntoIterator<Item = (WorkerIndex, TaskKey, RunNumber)>,
+    ) {
         let mut ranks = IndexMap::new();
         for (worker, task, run) in runs {
             self.send_ranked_order(worker, task, run, &mut ranks);
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -16,6 +16,7 @@
 use super::leader_state::LeaderState;
 use super::operator::OperatorCall;
 use super::operator::OperatorReplySender;
+use super::peer_format::PeerFormats;
 use super::session::LeaderSession;
 use super::session::SessionId;
 use super::session::SessionRole;
@@ -42,7 +43,7 @@
 const BATCH_TIME_MAX: Duration = Duration::from_millis(5);
 
 /// Gauges that only the leader sets.
-const LEDGER_GAUGES: [&str; 3] = ["jobs", "waiting_tasks", "workers"];
+const LEDGER_GAUGES: [&str; 4] = ["jobs", "waiting_tasks", "workers", "copies"];
 
 /// Inputs of the event loop.
 pub(super) enum EngineInput {
@@ -78,6 +79,7 @@
     pub(super) settings: ControlSettings,
     pub(super) quorum: QuorumHandle<JobLedger>,
     pub(super) inputs: Sender<EngineInput>,
+    pub(super) peer_formats: PeerFormats,
     /// Volatile leader state; none while this process is not the leader.
     pub(super) leader_state: Option<LeaderState>,
     /// Number of leader states that this process has built.
@@ -92,11 +94,13 @@
         settings: ControlSettings,
         quorum: QuorumHandle<JobLedger>,
         inputs: Sender<EngineInput>,
+        peer_formats: PeerFormats,
     ) -> Self {
         Self {
             settings,
             quorum,
             inputs,
+            peer_formats,
             leader_state: None,
             tenures: 0,
             starts_in_flight: 0,
--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -14,6 +14,8 @@
 use super::session::LeaderSession;
 use super::session::SessionId;
 use super::session::SessionRole;
+use super::speculation::is_losing_run;
+use super::speculation::CopiedRuns;
 use crate::message::FromControl;
 use crate::message::WorkerReport;
 use crate::timing::LeaseTiming;
@@ -30,6 +32,7 @@
 use guavavane_jobs::plan::probation::JobFailures;
 use guavavane_jobs::plan::probation::WorkerProbation;
 use guavavane_jobs::plan::slack::RunTimes;
+use guavavane_jobs::plan::speculation::SpeculationWatch;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::JobPhase;
@@ -134,6 +137,10 @@
     pub(super) job_failures: IndexMap<JobKey, JobFailures>,
     /// Run times observed in this term.
     pub(super) run_times: RunTimes,
+    /// Runs that may need a copy, and the run times by which this is decided.
+    pub(super) speculation: SpeculationWatch,
+    /// Both runs of the tasks with copies.
+    pub(super) copied_runs: CopiedRuns,
     /// Times at which the runs that have not ended were ordered.
     pub(super) ordered_at: IndexMap<(TaskKey, RunNumber), BootTime>,
     /// Interference model: the estimates that agents still hold from earlier terms, and what is
@@ -181,6 +188,8 @@
             waits_reported_at: now,
             job_failures: IndexMap::new(),
             run_times: RunTimes::default(),
+            speculation: SpeculationWatch::new(now, ledger),
+            copied_runs: CopiedRuns::new(now, ledger),
             ordered_at: IndexMap::new(),
             interference: InterferenceModel::default(),
             ended_at,
@@ -288,10 +297,17 @@
                 .swap_remove(&(completion.task, completion.run));
             let job = ledger.job(completion.task.step.job);
             let queue = job.map(|job| Arc::clone(&job.queue));
-            if let (Some(at), Some(queue), RunOutcome::Done) =
-                (ordered_at, queue, completion.outcome)
-            {
-                self.run_times.learn(&queue, now.saturating_since(at));
+            if let (Some(at), Some(queue)) = (ordered_at, queue) {
+                let run_time = now.saturating_since(at);
+                let has_succeeded = completion.outcome == RunOutcome::Done;
+                if has_succeeded {
+                    self.run_times.learn(&queue, run_time);
+                }
+                if has_succeeded || is_losing_run(ledger, completion) {
+                    let step = completion.task.step.step;
+                    self.speculation
+                        .learn(&queue, step, run_time, has_succeeded);
+                }
             }
             self.record_job_outcome(now, completion.task.step.job, completion.outcome);
             self.record_worker_outcome(now, index, completion.outcome);
--- a/crates/guavavane_cell/src/control/maintenance.rs
+++ b/crates/guavavane_cell/src/control/maintenance.rs
@@ -18,6 +18,7 @@
     /// Runs the periodic work of the leader.
     pub(super) fn run_maintenance(&mut self) {
         let now = BootClock.now();
+        self.request_copies(now);
         if self.leader_state.is_none() || now < self.next_maintenance {
             return;
         }
@@ -50,6 +51,10 @@
         metric::set_gauge("jobs", jobs);
         metric::set_gauge("waiting_tasks", waiting);
         metric::set_gauge("workers", workers);
+        let copies = self
+            .quorum
+            .read_local(|ledger| ledger.active_copies().count());
+        metric::set_gauge("copies", copies);
         let states = self
             .leader_state
             .iter()
@@ -85,6 +90,8 @@
         };
         self.quorum
             .read_local(|ledger| state.advice.remove_ended_steps(ledger));
+        self.quorum
+            .read_local(|ledger| state.copied_runs.remove_ended(ledger));
         state
             .job_failures
             .retain(|_, failures| !failures.is_forgotten(now));
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! `replica` bootstraps or joins the Raft group, `group_report` reports its state, `peer` sends
 //! messages to other replicas, `stream` accepts connections, and `engine` is the loop that answers
-//! requests and sends orders to agents. `scheduling` runs the scheduling passes and `maintenance` the
-//! periodic work. `leader_state` holds the leader's volatile state, which each tenure builds anew, and
+//! requests and sends orders to agents. `scheduling` runs the scheduling passes, `speculation` starts
+//! copies of runs that take long, and `maintenance` does the periodic work. `peer_format` knows which
+//! log entries the other replicas read. `leader_state` holds the leader's volatile state, which each tenure builds anew, and
 //! `repeat` proposes again what was refused.
 
 mod advice;
@@ -19,10 +20,12 @@
 mod open_completions;
 mod operator;
 mod peer;
+mod peer_format;
 mod repeat;
 mod replica;
 mod scheduling;
 mod session;
+mod speculation;
 mod stream;
 mod worker;
 
@@ -37,6 +40,7 @@
 use self::engine::ControlEngine;
 use self::engine::EngineInput;
 use self::operator::OperatorCall;
+use self::peer_format::PeerFormats;
 use crate::seeds::SeedAddresses;
 use crate::timing::LeaseTiming;
 use crate::worker_api::AdviceRequest;
@@ -159,7 +163,8 @@
     let (outbox, outgoing) = flume::bounded(OUTBOX_MAX_MESSAGES);
     let quorum = replica::start_replica(&settings, inbox, outbox)?;
     let (inputs, queue) = flume::unbounded();
-    tokio::spawn(peer::send_messages(outgoing));
+    let formats = PeerFormats::default();
+    tokio::spawn(peer::send_messages(outgoing, formats.clone()));
     let seeds = SeedAddresses::new(settings.seeds.clone());
     tokio::spawn(replica::maintain_membership(
         quorum.clone(),
@@ -172,7 +177,7 @@
         inbox_sender,
         inputs.clone(),
     ));
-    let engine = ControlEngine::new(settings, quorum.clone(), inputs.clone());
+    let engine = ControlEngine::new(settings, quorum.clone(), inputs.clone(), formats);
     tokio::spawn(engine.run(queue));
     Ok(ControlHandle {
         inputs,
--- a/crates/guavavane_cell/src/control/peer.rs
+++ b/crates/guavavane_cell/src/control/peer.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 use tokio::time::timeout;
 
+use super::peer_format::PeerFormats;
 use crate::message::FromControl;
 use crate::message::ToControl;
 use guavavane_model::prelude::BootClock;
@@ -31,12 +32,12 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Forwards each message to the task of its peer until the replica stops.
-pub(super) async fn send_messages(outgoing: Receiver<OutgoingMessage>) {
+pub(super) async fn send_messages(outgoing: Receiver<OutgoingMessage>, formats: PeerFormats) {
     let mut peers: IndexMap<SocketAddr, Sender<PeerMessage>> = IndexMap::new();
     while let Ok(message) = outgoing.recv_async().await {
         let queue = peers.entry(message.address).or_insert_with(|| {
             let (sender, queue) = flume::bounded(PEER_QUEUE_MAX_MESSAGES);
-            tokio::spawn(run_peer(message.address, queue));
+            tokio::spawn(run_peer(message.address, queue, formats.clone()));
             sender
         });
         // A full queue is taken for an unreachable peer.
@@ -44,13 +45,14 @@
     }
 }
 
-async fn run_peer(peer: SocketAddr, queue: Receiver<PeerMessage>) {
+async fn run_peer(peer: SocketAddr, queue: Receiver<PeerMessage>, formats: PeerFormats) {
     while let Ok(first_message) = queue.recv_async().await {
         match open_stream(peer, OPEN_TIMEOUT).await {
             Ok((sender, receiver)) => {
                 tracing::info!(event = "peer_connected", %peer);
+                formats.forget(peer);
                 sender.send(ToControl::Peer(Box::new(first_message)));
-                serve_stream(peer, &queue, &sender, receiver).await;
+                serve_stream(peer, &queue, &sender, receiver, &formats).await;
             }
             Err(error) => {
                 tracing::debug!(event = "peer_unreachable", %peer, %error);
@@ -65,6 +67,7 @@
     queue: &Receiver<PeerMessage>,
     sender: &StreamSender<ToControl>,
     mut receiver: StreamReceiver<FromControl>,
+    formats: &PeerFormats,
 ) {
     let mut last_heard_at = BootClock.now();
     let mut last_pinged_at = last_heard_at;
@@ -89,7 +92,12 @@
                 Err(_) => return,
             },
             received = timeout(PING_INTERVAL, receiver.receive()) => match received {
-                Ok(Some(_)) => last_heard_at = BootClock.now(),
+                Ok(Some(message)) => {
+                    last_heard_at = BootClock.now();
+                    if let FromControl::Pong { term: format, .. } = message {
+                        formats.record(peer, format);
+                    }
+                }
                 Ok(None) => {
                     tracing::warn!(event = "peer_lost", %peer, reason = "closed");
                     return;
--- a/crates/guavavane_cell/src/control/repeat.rs
+++ b/crates/guavavane_cell/src/control/repeat.rs
@@ -44,6 +44,8 @@
             }
             // The maintenance runs a pass and releases the due occurrences anyway.
             CommitPurpose::Start(_) | CommitPurpose::Release => {}
+            // The run goes on without a copy, and is considered again later.
+            CommitPurpose::StartCopies(_) => {}
             // Their callers have got a reply.
             CommitPurpose::Submit { .. }
             | CommitPurpose::Cancel { .. }
--- a/crates/guavavane_cell/src/control/scheduling.rs
+++ b/crates/guavavane_cell/src/control/scheduling.rs
@@ -18,6 +18,8 @@
 use guavavane_jobs::plan::pass::choose_movable_tasks;
 use guavavane_jobs::plan::pass::choose_starts;
 use guavavane_jobs::plan::pass::steps_needing_advice;
+use guavavane_jobs::plan::speculation::choose_copies;
+use guavavane_jobs::plan::speculation::CopyPlan;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunNumber;
@@ -51,23 +53,30 @@
         }
         state.pass_requested = false;
         let has_advice_service = self.settings.advice.is_some();
-        let (choices, advice_steps) = self.quorum.read_local(|ledger| {
+        let (choices, copies, advice_steps) = self.quorum.read_local(|ledger| {
             state.record_waiting_steps(ledger);
-            if state.waiting_since.is_empty() {
-                return (Vec::new(), Vec::new());
+            let overdue = state.take_overdue_runs(ledger);
+            if state.waiting_since.is_empty() && overdue.is_empty() {
+                return (Vec::new(), CopyPlan::default(), Vec::new());
             }
             let steps = waiting_steps(ledger, &state.run_times, time_of_day_ms());
             state.with_capacities(ledger, |state, table| {
-                let advice_steps = if has_advice_service {
+                let mut advice_steps = if has_advice_service {
                     steps_needing_advice(ledger, table, state, &steps)
                 } else {
                     Vec::new()
                 };
                 let choices = choose_starts(ledger, table, state, &steps);
-                (starts_of_one_command(ledger, choices), advice_steps)
+                let mut copies = choose_copies(ledger, table, state, &choices, overdue);
+                if has_advice_service {
+                    advice_steps.append(&mut copies.advice_steps);
+                }
+                copies.choices = starts_of_one_command(ledger, copies.choices);
+                (starts_of_one_command(ledger, choices), copies, advice_steps)
             })
         });
         self.request_advice(advice_steps);
+        self.propose_copies(copies);
         if choices.is_empty() {
             return;
         }
--- /dev/null
+++ b/crates/guavavane_cell/src/control/speculation.rs
@@ -0,0 +1,227 @@
+//! Copies of runs that take long: the leader's side of [`guavavane_jobs::plan::speculation`].
+//!
+//! Overdue runs are considered in the scheduling passes, after the starts of waiting tasks, so that
+//! both reserve capacity in the same table. A copy is ordered like any start, after its commit. Once
+//! one run of a task has succeeded, the other is stopped. A copy that can't be placed or committed is
+//! left out, and its run considered again later.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::commit::CommitPurpose;
+use super::engine::ControlEngine;
+use super::leader_state::LeaderState;
+use super::peer_format::COPIES_FORMAT;
+use crate::metric;
+use guavavane_jobs::ledger::TaskPhase;
+use guavavane_jobs::ledger::WorkerIndex;
+use guavavane_jobs::plan::speculation::CopyObstacle;
+use guavavane_jobs::plan::speculation::CopyPlan;
+use guavavane_jobs::plan::speculation::OverdueRun;
+use guavavane_jobs::prelude::JobLedger;
+use guavavane_jobs::prelude::JobPhase;
+use guavavane_jobs::prelude::LedgerCommand;
+use guavavane_jobs::prelude::RunCompletion;
+use guavavane_jobs::prelude::RunNumber;
+use guavavane_jobs::prelude::RunOutcome;
+use guavavane_jobs::prelude::StartChoice;
+use guavavane_jobs::prelude::TaskKey;
+use guavavane_model::prelude::BootClock;
+use guavavane_model::prelude::BootTime;
+
+/// Time between two checks for overdue runs; each judges all workers for a few of them.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two log lines about runs that get no copy.
+const REPORT_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Both runs of each task with a copy, so that the other one is found when one succeeds.
+#[derive(Clone, Debug)]
+pub(super) struct CopiedRuns {
+    runs: IndexMap<TaskKey, [(WorkerIndex, RunNumber); 2]>,
+    next_check: BootTime,
+    next_report: BootTime,
+    /// Whether the present check may start copies.
+    is_checking: bool,
+}
+
+impl CopiedRuns {
+    /// Takes over the copies of a ledger.
+    pub(super) fn new(now: BootTime, ledger: &JobLedger) -> Self {
+        let mut copied = Self {
+            runs: IndexMap::new(),
+            next_check: now,
+            next_report: now,
+            is_checking: false,
+        };
+        for (task, run, worker) in ledger.active_copies() {
+            copied.record(ledger, task, (worker, run));
+        }
+        copied
+    }
+
+    /// Forgets the copies that have ended without a report, such as those of lost workers.
+    pub(super) fn remove_ended(&mut self, ledger: &JobLedger) {
+        self.runs.retain(|task, _| {
+            let copy = ledger.copy_of(*task);
+            copy.is_some_and(|copy| copy.worker.is_some())
+        });
+    }
+
+    fn record(&mut self, ledger: &JobLedger, task: TaskKey, copy: (WorkerIndex, RunNumber)) {
+        let Some(record) = ledger.task(task) else {
+            return;
+        };
+        if let TaskPhase::Assigned(first) = record.phase {
+            self.runs.insert(task, [(first, record.run), copy]);
+        }
+    }
+}
+
+/// Whether a run was stopped because the other run of its task had succeeded.
+pub(super) fn is_losing_run(ledger: &JobLedger, completion: &RunCompletion) -> bool {
+    if completion.outcome != RunOutcome::Stopped {
+        return false;
+    }
+    let job = ledger.job(completion.task.step.job);
+    let task = ledger.task(completion.task);
+    task.is_some_and(|task| task.phase == TaskPhase::Done)
+        || job.is_some_and(|job| job.phase == JobPhase::Completed)
+}
+
+impl LeaderState {
+    /// Runs that may get a copy in this pass; none unless a check was requested.
+    pub(super) fn take_overdue_runs(&mut self, ledger: &JobLedger) -> Vec<OverdueRun> {
+        if !std::mem::take(&mut self.copied_runs.is_checking) {
+            return Vec::new();
+        }
+        let now = BootClock.now();
+        let overdue = self.speculation.take_overdue(now, ledger);
+        for run in &overdue {
+            // The copy may be refused, not be committed, or end before its first run.
+            self.speculation.put_back(now, run);
+        }
+        overdue
+    }
+}
+
+impl ControlEngine {
+    /// Requests a pass that considers overdue runs, if there are any and all replicas read copies.
+    pub(super) fn request_copies(&mut self, now: BootTime) {
+        let Some(state) = &mut self.leader_state else {
+            return;
+        };
+        if now < state.copied_runs.next_check || !state.speculation.is_due(now) {
+            return;
+        }
+        state.copied_runs.next_check = now + CHECK_INTERVAL;
+        let view = self.quorum.leadership();
+        if self.peer_formats.are_all_known(&view, COPIES_FORMAT) {
+            state.copied_runs.is_checking = true;
+            state.pass_requested = true;
+        } else if now >= state.copied_runs.next_report {
+            state.copied_runs.next_report = now + REPORT_INTERVAL;
+            metric::count_event("copy", "earlier_replica");
+            tracing::info!(event = "copies_withheld", reason = "earlier_replica");
+        }
+    }
+
+    /// Proposes the chosen copies and reports why other runs get none.
+    pub(super) fn propose_copies(&mut self, plan: CopyPlan) {
+        self.report_refused_copies(&plan.refused);
+        if plan.choices.is_empty() {
+            return;
+        }
+        let choices = plan.choices;
+        let command = LedgerCommand::StartCopies {
+            choices: choices.clone(),
+        };
+        self.propose(command, CommitPurpose::StartCopies(choices));
+    }
+
+    fn report_refused_copies(&mut self, refused: &[(OverdueRun, CopyObstacle)]) {
+        for (_, obstacle) in refused {
+            metric::count_event("copy", obstacle.name());
+        }
+        let (Some(state), Some((run, obstacle))) = (&mut self.leader_state, refused.first()) else {
+            return;
+        };
+        let now = BootClock.now();
+        if now < state.copied_runs.next_report {
+            return;
+        }
+        state.copied_runs.next_report = now + REPORT_INTERVAL;
+        let elapsed_ms = now.saturating_since(run.started_at).as_millis();
+        let delay_ms = run.delay.as_millis();
+        tracing::info!(event = "copies_refused", runs = refused.len(), task = %run.task, run = %run.run, elapsed_ms, delay_ms, reason = obstacle.name());
+    }
+
+    /// Records the copies that were committed, and returns them.
+    pub(super) fn record_copies<'choices>(
+        &mut self,
+        choices: &'choices [StartChoice],
+        started: &[bool],
+    ) -> Vec<&'choices StartChoice> {
+        let Some(state) = &mut self.leader_state else {
+            return Vec::new();
+        };
+        let mut committed = Vec::new();
+        for (choice, started) in choices.iter().zip(started) {
+            let (task, run, worker) = (choice.task, choice.run, choice.worker);
+            if !started {
+                metric::count_event("copy", "not_started");
+                tracing::info!(event = "copy_not_started", %task, %run, worker = worker.0);
+                continue;
+            }
+            let copied = &mut state.copied_runs;
+            self.quorum
+                .read_local(|ledger| copied.record(ledger, task, (worker, run)));
+            let first = copied.runs.get(&task).map(|runs| runs[0]);
+            let started_at = first.and_then(|(_, first)| state.ordered_at.get(&(task, first)));
+            let elapsed_ms =
+                started_at.map(|at| BootClock.now().saturating_since(*at).as_millis() as u64);
+            metric::count_event("copy", "started");
+            tracing::info!(event = "copy_started", %task, %run, worker = worker.0, ?first, elapsed_ms);
+            committed.push(choice);
+        }
+        committed
+    }
+
+    /// Stops the other run of each task of which one run has succeeded.
+    pub(super) fn stop_losing_runs(&mut self, worker: WorkerIndex, completions: &[RunCompletion]) {
+        let Some(state) = &mut self.leader_state else {
+            return;
+        };
+        let mut losing = Vec::new();
+        for completion in completions {
+            let task = completion.task;
+            let runs = match completion.outcome {
+                RunOutcome::Done => state.copied_runs.runs.swap_remove(&task),
+                _ => None,
+            };
+            let Some([first, copy]) = runs else {
+                continue;
+            };
+            let is_copy = copy == (worker, completion.run);
+            metric::count_event("copy", if is_copy { "won" } else { "lost" });
+            let other = if is_copy { first } else { copy };
+            losing.push((other.0, task, other.1));
+        }
+        self.quorum.read_local(|ledger| {
+            // It may have ended, or another run may be in its place.
+            losing.retain(|(worker, task, run)| {
+                let record = ledger.worker(*worker);
+                let held = record.and_then(|record| record.runs.get(task));
+                held.is_some_and(|held| held.run == *run)
+            });
+            let copied = &mut state.copied_runs.runs;
+            for completion in completions {
+                let has_copy = ledger.copy_of(completion.task);
+                if has_copy.is_none_or(|copy| copy.worker.is_none()) {
+                    copied.swap_remove(&completion.task);
+                }
+            }
+        });
+        self.send_run_orders(losing);
+    }
+}
--- a/crates/guavavane_cell/src/control/stream.rs
+++ b/crates/guavavane_cell/src/control/stream.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::engine::EngineInput;
+use super::peer_format::OWN_FORMAT;
 use super::session::SessionId;
 use crate::message::FromControl;
 use crate::message::ToControl;
@@ -55,7 +56,7 @@
             ToControl::Ping { sent_at } if !in_session => {
                 let pong = FromControl::Pong {
                     sent_at,
-                    term: 0,
+                    term: OWN_FORMAT,
                     members: Vec::new(),
                 };
                 sender.send(pong);
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -18,7 +18,6 @@
 use super::session::SessionRole;
 use crate::message::FromControl;
 use crate::message::WorkerReport;
-use guavavane_jobs::ledger::TaskPhase;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::ledger::WorkerRecord;
 use guavavane_jobs::plan::interference::InterferenceModel;
@@ -259,10 +258,7 @@
             return;
         };
         self.quorum.read_local(|ledger| {
-            let is_assigned = |task: TaskKey| {
-                let task = ledger.task(task);
-                task.is_some_and(|task| task.phase == TaskPhase::Assigned(worker))
-            };
+            let is_assigned = |task: TaskKey| ledger.is_assigned_to(task, worker);
             checkpoints
                 .retain(|(task, checkpoint)| is_assigned(*task) && is_checkpoint_kept(checkpoint));
         });
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -277,7 +277,8 @@
     Pong {
         /// Time of sending that the ping carried.
         sent_at: BootTime,
-        /// Term of the leader, the fencing token of orders to workers; 0 outside a session.
+        /// Term of the leader, the fencing token of orders to workers. Outside a session, the format
+        /// of the log that the replica reads: 0 up to commit b041a08, 1 with copies of runs.
         term: u64,
         /// Addresses of all members of the group.
         members: Vec<SocketAddr>,
