plan: runs of a step share the judgement of workers for their copies

Judging 34,000 workers for each overdue run took 3.0 ms a run, 48 ms for the 16 runs of a check each 100 ms. Runs of one step now share a candidate queue, and a check judges at most 40,000 workers: 0.7 ms a run, 0.06 ms at 3,000 workers (examples/pass_rate, one run, busy machine). Watching and checking a run takes 2.4 to 3.6 us.

--- a/crates/guavavane_jobs/examples/pass_rate.rs
+++ b/crates/guavavane_jobs/examples/pass_rate.rs
@@ -3,8 +3,8 @@
 //! Each round ends some best-effort tasks, reports the utilisation of some workers, submits as many
 //! tasks as have ended, brings the capacities up to date, runs a pass and commits its starts. The tasks
 //! that end, the reports and the submissions of a round are the same at each size, so that a cost for
-//! each start that grows shows what follows the number of workers. Arguments are the numbers of
-//! workers.
+//! each start that grows shows what follows the number of workers. Then the copies of overdue runs are
+//! chosen, and all runs watched and checked once. Arguments are the numbers of workers.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +26,9 @@
 use guavavane_jobs::plan::pass::choose_starts;
 use guavavane_jobs::plan::pass::PassInput;
 use guavavane_jobs::plan::slack::RunTimes;
+use guavavane_jobs::plan::speculation::choose_copies;
+use guavavane_jobs::plan::speculation::OverdueRun;
+use guavavane_jobs::plan::speculation::SpeculationWatch;
 use guavavane_jobs::prelude::*;
 use guavavane_model::prelude::BootTime;
 use guavavane_model::prelude::ResourceVector;
@@ -268,6 +271,7 @@
             estimate_ms: 2_200,
             best_effort: true,
             image: image("batch", number).to_string(),
+            speculative: true,
             ..RawStep::default()
         });
     }
@@ -334,6 +338,46 @@
     }
 }
 
+impl CellBenchmark {
+    /// Time for each run of choosing the copies of `ROUND_TASKS` overdue runs, and their number.
+    fn choose_copies(&mut self) -> (Duration, usize) {
+        let conditions = &self.conditions;
+        self.table
+            .refresh(&self.ledger, &self.view.interference, |worker| {
+                conditions.get(&worker).cloned().unwrap_or_default()
+            });
+        let overdue = self.running.iter().rev().take(ROUND_TASKS);
+        let overdue = overdue.map(|(_, task, run)| OverdueRun {
+            task: *task,
+            run: *run,
+            started_at: BootTime::default(),
+            delay: Duration::ZERO,
+        });
+        let overdue: Vec<OverdueRun> = overdue.collect();
+        let begin = Instant::now();
+        let plan = choose_copies(&self.ledger, &mut self.table, &self.view, &[], overdue);
+        (begin.elapsed() / ROUND_TASKS as u32, plan.choices.len())
+    }
+
+    /// Time for each run of watching all runs and checking them once.
+    fn watch_runs(&self) -> Duration {
+        let begin = Instant::now();
+        let mut watch = SpeculationWatch::default();
+        for number in 0..64 {
+            let run_time = Duration::from_millis(100 + number);
+            watch.learn(&Arc::from(QUEUE), 0, run_time, true);
+        }
+        for (_, task, run) in &self.running {
+            watch.record_start(BootTime::default(), &self.ledger, *task, *run);
+        }
+        let now = BootTime::from_millis(60_000);
+        while watch.is_due(now) {
+            watch.take_overdue(now, &self.ledger);
+        }
+        begin.elapsed() / u32::try_from(self.running.len()).expect("there are fewer runs")
+    }
+}
+
 fn main() {
     let sizes: Vec<u32> = std::env::args()
         .skip(1)
@@ -367,5 +411,12 @@
             micros(pass),
             micros(commit)
         );
+        let (copy, copies) = benchmark.choose_copies();
+        let watched = benchmark.watch_runs();
+        println!(
+            "         copies of {copies} of {ROUND_TASKS} overdue runs: {:.1} us each; watched and checked: {:.2} us each",
+            copy.as_secs_f64() * 1e6,
+            watched.as_secs_f64() * 1e6
+        );
     }
 }
--- a/crates/guavavane_jobs/src/plan/speculation.rs
+++ b/crates/guavavane_jobs/src/plan/speculation.rs
@@ -66,8 +66,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Most runs whose threshold is checked at a time.
 const CHECKS_MAX: usize = 2_048;
-/// Most due runs that are considered at a time; each is judged on all workers.
+/// Most due runs that are considered at a time.
 const DUE_MAX: usize = 16;
+/// Most judgements of a worker at a time, unless one step needs more: each step is judged on all
+/// workers. 34,000 judgements take 3 ms.
+const JUDGED_MAX: usize = 40_000;
 /// Part of the running tasks of a pool that may be copies, in percent.
 const RUNNING_PERCENT: usize = 10;
 /// Part of the idle processor of a pool that copies may take, in percent.
@@ -376,6 +379,8 @@
     TooLittleIdle,
     /// No worker on another VM and rack is feasible.
     NoWorker,
+    /// Enough workers were judged in this check.
+    LaterCheck,
 }
 
 impl CopyObstacle {
@@ -387,6 +392,7 @@
             Self::TooManyCopies => "too_many_copies",
             Self::TooLittleIdle => "too_little_idle",
             Self::NoWorker => "no_worker",
+            Self::LaterCheck => "later_check",
         }
     }
 }
@@ -532,57 +538,90 @@
     }
     let mut loads = PoolLoads::new(ledger, table);
     let mut waits: IndexMap<&str, bool> = IndexMap::new();
+    let steps_max = (JUDGED_MAX / table.slots().count().max(1)).max(1);
+    let mut steps: IndexMap<StepKey, Vec<OverdueRun>> = IndexMap::new();
     for run in overdue {
-        let context = step_context(ledger, input, run.task.step, CPU_SHARE_WANTED);
-        let Some(mut context) = context.filter(|_| ledger.may_copy(run.task)) else {
-            plan.refused.push((run, CopyObstacle::Ended));
+        steps.entry(run.task.step).or_default().push(run);
+    }
+    for (number, (key, runs)) in steps.into_iter().enumerate() {
+        let refuse_all = |obstacle| runs.iter().map(move |run| (*run, obstacle));
+        let Some(mut context) = step_context(ledger, input, key, CPU_SHARE_WANTED) else {
+            plan.refused.extend(refuse_all(CopyObstacle::Ended));
             continue;
         };
         // A worker on probation is no remedy for a run that takes long.
         context.allows_trials = false;
-        let pool_waits = waits.entry(context.pool);
-        let pool_waits = *pool_waits
+        let pool_waits = waits
+            .entry(context.pool)
             .or_insert_with(|| has_waiting_steps(ledger, table, input, &starting, context.pool));
-        let obstacle = if pool_waits {
+        let obstacle = if *pool_waits {
             Some(CopyObstacle::StepsWait)
+        } else if number >= steps_max {
+            Some(CopyObstacle::LaterCheck)
         } else {
             loads.find_obstacle(&context)
         };
         if let Some(obstacle) = obstacle {
-            plan.refused.push((run, obstacle));
+            plan.refused.extend(refuse_all(obstacle));
             continue;
         }
-        match choose_copy(ledger, table, input, &context, run.task) {
-            Some(choice) => {
-                let record = RunRecord::new(choice.run, context.spec);
-                table.reserve(choice.worker, choice.task, &record, context.interference);
-                loads.add_copy(&context);
-                plan.choices.push(choice);
-            }
-            None => {
-                plan.refused.push((run, CopyObstacle::NoWorker));
-                let advice_step = advice_step(ledger, table, context, run.task);
-                plan.advice_steps.extend(advice_step);
+        let refused_before = plan.refused.len();
+        let mut candidates = CandidateQueue::new(&context, table);
+        for run in runs {
+            let obstacle = loads.find_obstacle(&context);
+            let choice = match obstacle {
+                None => choose_copy(ledger, table, input, &context, &mut candidates, run.task),
+                Some(obstacle) => Err(obstacle),
+            };
+            match choice {
+                Ok(choice) => {
+                    let record = RunRecord::new(choice.run, context.spec);
+                    table.reserve(choice.worker, choice.task, &record, context.interference);
+                    candidates.push(&context, table, choice.worker);
+                    loads.add_copy(&context);
+                    plan.choices.push(choice);
+                }
+                Err(obstacle) => plan.refused.push((run, obstacle)),
             }
         }
+        let mut refused = plan.refused[refused_before..].iter();
+        let without_worker = refused.find(|(_, obstacle)| *obstacle == CopyObstacle::NoWorker);
+        if let Some((run, _)) = without_worker {
+            let advice_step = advice_step(ledger, table, context, run.task);
+            plan.advice_steps.extend(advice_step);
+        }
     }
     plan
 }
 
-/// Start of a copy on the best worker; none if no worker is feasible.
+/// Start of a copy on the best worker, or the reason why there is none.
 fn choose_copy<I: PassInput>(
     ledger: &JobLedger,
     table: &CapacityTable,
     input: &I,
     context: &PlacementContext<'_>,
+    candidates: &mut CandidateQueue,
     task: TaskKey,
-) -> Option<StartChoice> {
-    let record = ledger.task(task)?;
-    let site = FirstSite::find(ledger, table, context, task)?;
-    let mut candidates = CandidateQueue::new(context, table);
-    let worker = std::iter::from_fn(|| candidates.pop())
-        .find(|worker| site.allows(ledger, table, *worker, task))?;
-    Some(StartChoice {
+) -> Result<StartChoice, CopyObstacle> {
+    let record = ledger.task(task).filter(|_| ledger.may_copy(task));
+    let site = FirstSite::find(ledger, table, context, task);
+    let (Some(record), Some(site)) = (record, site) else {
+        return Err(CopyObstacle::Ended);
+    };
+    let mut unsuitable = Vec::new();
+    let mut chosen = None;
+    while let Some(worker) = candidates.pop() {
+        if site.allows(ledger, table, worker, task) {
+            chosen = Some(worker);
+            break;
+        }
+        unsuitable.push(worker);
+    }
+    for worker in unsuitable {
+        candidates.push(context, table, worker);
+    }
+    let worker = chosen.ok_or(CopyObstacle::NoWorker)?;
+    Ok(StartChoice {
         task,
         run: ledger.latest_run(task).next(),
         worker,
