--- a/crates/guavavane_cell/tests/copies.rs
+++ b/crates/guavavane_cell/tests/copies.rs
@@ -44,6 +44,7 @@
 use guavavane_jobs::prelude::RawStep;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::RunOutcome;
+use guavavane_model::prelude::ResourceVector;
 use guavavane_quorum::prelude::ReplicaId;
 use guavavane_standin::simulated_worker::RecordedRun;
 use guavavane_standin::simulated_worker::RunHistory;
@@ -158,6 +159,26 @@
         .all(|run| run.outcome == Some(RunOutcome::Stopped)));
 }
 
+// Guards against a run that goes on beside a job whose later steps keep it active.
+#[tokio::test]
+async fn the_losing_run_is_stopped_while_its_job_goes_on() {
+    let mut cell = TestCell::start(3, RUN_TIME).await;
+    add_worker(&mut cell, SLOW_RUN_TIME).await;
+    let impossible = RawStep {
+        demand: ResourceVector::new(1_000_000, 1_000, 0),
+        ..step(1, vec![0])
+    };
+    let accepted = cell.submit(1, vec![speculative_step(TASKS), impossible]);
+    assert_eq!(accepted.await, CallerReply::Accepted);
+    wait_for_runs(&cell.history, 1, |runs| {
+        let succeeded = |run: &&RecordedRun| run.outcome == Some(RunOutcome::Done);
+        let done = runs.iter().filter(succeeded).count() as u64;
+        done == TASKS && runs.len() > done as usize && have_ended(runs)
+    })
+    .await;
+    cell.wait_for_state(1, JobState::Running, LIMIT).await;
+}
+
 // Guards against copies of a step that doesn't allow them.
 #[tokio::test]
 async fn a_step_without_the_permission_gets_no_copy() {
