--- a/crates/guavavane_jobs/src/job.rs
+++ b/crates/guavavane_jobs/src/job.rs
@@ -49,7 +49,7 @@
     pub data_rack: String,
     /// Most tasks of the step on one worker; 0 for no bound.
     pub per_worker_max: u64,
-    /// Whether several copies of a task may run in parallel; scheduling doesn't use it.
+    /// Whether several copies of a task may run in parallel, the first to succeed counts.
     pub speculative: bool,
     /// Whether the tasks run until the job is cancelled.
     pub long_running: bool,
