--- a/crates/guavavane_cell/src/control/stream.rs
+++ b/crates/guavavane_cell/src/control/stream.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
-use super::engine::EngineInput;
+use super::input::EngineInput;
 use super::peer_format::OWN_FORMAT;
 use super::session::SessionId;
 use crate::message::FromControl;
