--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -34,7 +34,7 @@
     /// Proposes a command; the engine receives the result together with its purpose.
     pub(super) fn propose(&mut self, command: LedgerCommand, purpose: CommitPurpose) {
         let tenure = self.leader_state.as_ref().map_or(0, |state| state.tenure);
-        if matches!(purpose, CommitPurpose::Start(_)) {
+        if purpose.reserves_capacity() {
             self.starts_in_flight += 1;
         }
         let proposed_at = BootClock.now();
@@ -68,7 +68,7 @@
             .leader_state
             .as_ref()
             .is_some_and(|state| state.tenure == tenure);
-        if matches!(purpose, CommitPurpose::Start(_)) {
+        if purpose.reserves_capacity() {
             self.starts_in_flight -= 1;
         }
         match (purpose, result) {
@@ -150,6 +150,10 @@
                 let committed: Vec<&StartChoice> = committed.map(|(choice, _)| choice).collect();
                 self.order_committed_starts(&committed);
             }
+            (CommitPurpose::StartCopies(choices), LedgerOutcome::Started(started)) => {
+                let committed = self.record_copies(&choices, &started);
+                self.order_committed_starts(&committed);
+            }
             (CommitPurpose::Lose { worker, ended }, _) => self.end_pending_loss(worker, ended),
             (CommitPurpose::Withdraw { .. } | CommitPurpose::Release, _) => self.request_pass(),
             _ => {}
@@ -160,7 +164,14 @@
     /// the start, so its agent is told to stop the run instead, which withdraws it.
     fn order_committed_starts(&mut self, committed: &[&StartChoice]) {
         if let Some(state) = &mut self.leader_state {
-            state.record_starts(BootClock.now(), committed);
+            let now = BootClock.now();
+            state.record_starts(now, committed);
+            self.quorum.read_local(|ledger| {
+                for choice in committed {
+                    let (task, run) = (choice.task, choice.run);
+                    state.speculation.record_start(now, ledger, task, run);
+                }
+            });
         }
         // An agent throttles a task of an image that it knows nothing of as one that interferes
         // strongly, so the estimates go first.
@@ -199,6 +210,7 @@
             tracing::info!(event = "run_ended", task = %completion.task, run = %completion.run, ending = ?completion.outcome, worker = worker.0);
         }
         self.acknowledge_completions(worker);
+        self.stop_losing_runs(worker, completions);
         // If a member of a gang ended without success, its other members must stop.
         let broken = completions
             .iter()
@@ -253,7 +265,10 @@
     }
 
     /// Orders the state that the ledger asks for, see [`Self::send_run_order`].
-    fn send_run_orders(&self, runs: impl IntoIterator<Item = (WorkerIndex, TaskKey, RunNumber)>) {
+    pub(super) fn send_run_orders(
+        &self,
+        runs: impl IntoIterator<Item = (WorkerIndex, TaskKey, RunNumber)>,
+    ) {
         let mut ranks = IndexMap::new();
         for (worker, task, run) in runs {
             self.send_ranked_order(worker, task, run, &mut ranks);
--- a/crates/guavavane_cell/src/control/input.rs
+++ b/crates/guavavane_cell/src/control/input.rs
@@ -116,6 +116,7 @@
         completions: Vec<RunCompletion>,
     },
     Start(Vec<StartChoice>),
+    StartCopies(Vec<StartChoice>),
     Lose {
         worker: WorkerIndex,
         /// Whether the incarnation never returns.
@@ -130,5 +131,12 @@
     Forget(Vec<JobKey>),
 }
 
+impl CommitPurpose {
+    /// Whether the proposal takes capacity that the ledger shows as free until it is committed.
+    pub(super) fn reserves_capacity(&self) -> bool {
+        matches!(self, Self::Start(_) | Self::StartCopies(_))
+    }
+}
+
 /// Result of a proposal.
 pub(super) type CommitResult = Result<LedgerOutcome, ProposeError>;
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -2,14 +2,17 @@
 //!
 //! `replica` bootstraps or joins the Raft group, `group_report` reports its state, `peer` sends
 //! messages to other replicas, `stream` accepts connections, and `engine` is the loop that answers
-//! requests and sends orders to agents. `scheduling` runs the scheduling passes and `maintenance` the
-//! periodic work. `leader_state` holds the leader's volatile state, which each tenure builds anew, and
-//! `repeat` proposes again what was refused.
+//! requests and sends orders to agents. `scheduling` runs the scheduling passes, `speculation` starts
+//! copies of runs that take long (`copied_runs` keeps both runs), and `maintenance` does the periodic
+//! work. `peer_format` knows which log entries the other replicas read. `leader_state` holds the
+//! leader's volatile state, which each tenure builds anew, and `repeat` proposes again what was
+//! refused.
 
 mod advice;
 mod caller;
 mod command_size;
 mod commit;
+mod copied_runs;
 mod engine;
 mod group_report;
 mod incarnation;
@@ -21,12 +24,14 @@
 mod open_completions;
 mod operator;
 mod peer;
+mod peer_format;
 mod repeat;
 mod replica;
 mod scheduling;
 mod session;
 mod session_table;
 mod settings;
+mod speculation;
 mod stream;
 mod wall_clock;
 mod worker;
@@ -42,6 +47,7 @@
 use self::input::EngineInput;
 use self::input::OperatorCall;
 pub use self::input::OperatorReply;
+use self::peer_format::PeerFormats;
 pub use self::settings::ControlSettings;
 use crate::seeds::SeedAddresses;
 use guavavane_jobs::prelude::JobLedger;
@@ -124,7 +130,8 @@
     let (outbox, outgoing) = flume::bounded(OUTBOX_MAX_MESSAGES);
     let quorum = replica::start_replica(&settings, inbox, outbox)?;
     let (inputs, queue) = flume::unbounded();
-    tokio::spawn(peer::send_messages(outgoing));
+    let formats = PeerFormats::default();
+    tokio::spawn(peer::send_messages(outgoing, formats.clone()));
     let seeds = SeedAddresses::new(settings.seeds.clone());
     tokio::spawn(replica::maintain_membership(
         quorum.clone(),
@@ -137,7 +144,7 @@
         inbox_sender,
         inputs.clone(),
     ));
-    let engine = ControlEngine::new(settings, quorum.clone(), inputs.clone());
+    let engine = ControlEngine::new(settings, quorum.clone(), inputs.clone(), formats);
     tokio::spawn(engine.run(queue));
     Ok(ControlHandle {
         inputs,
