--- a/crates/guavavane_cell/src/control/limits_query.rs
+++ b/crates/guavavane_cell/src/control/limits_query.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use super::input::CallOrigin;
 use super::engine::ControlEngine;
+use super::input::CallOrigin;
 use super::session::SessionId;
 use crate::message::CallerReply;
 
