--- a/crates/guavavane_transport/src/intake/table.rs
+++ b/crates/guavavane_transport/src/intake/table.rs
@@ -3,7 +3,7 @@
 //! Bytes are charged as they arrive, never as announced. When a bound is reached, the half-received
 //! request that has gone longest without progress is closed, then the connection whose response has
 //! been unread for longest; requests that are served are never closed. A
-//! connection makes progress with each [`PROGRESS_BYTES`], so that single bytes do not keep it from
+//! connection makes progress with each `PROGRESS_BYTES`, so that single bytes do not keep it from
 //! being chosen.
 //!
 //! A connection is closed for another one in this order: half-received or unused ones that have
