Control: bound the watch while copies are withheld; fixes from a review

Cause: runs that end leave the speculation watch only when it is checked, and nothing checked it while copies were withheld, so it grew with each start for as long as a member was of an earlier version or unreachable. copies_withheld was also logged when no run was overdue. A late success of a run that is not one of the two current ones removed their entry and was counted as lost. The checkpoint that a copy saved at its end was hidden by an older one from a heartbeat. Steps refused without judging workers used up the number of steps that a check judges.

Change: overdue runs are taken and put back while copies are withheld; only current runs end an entry; a copy's final checkpoint supersedes the reported one; only judged steps are counted. Comments are reworded, and the lower end of the last bucket is corrected to 62 minutes (2^(131/6) ms).

--- a/crates/guavavane_cell/src/control/copied_runs.rs
+++ b/crates/guavavane_cell/src/control/copied_runs.rs
@@ -16,9 +16,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct CopiedRuns {
     pub(super) runs: IndexMap<TaskKey, [(WorkerIndex, RunNumber); 2]>,
+    /// Earliest time of the next check for overdue runs.
     pub(super) next_check: BootTime,
+    /// Earliest time of the next log line about runs that get no copy.
     pub(super) next_report: BootTime,
-    /// Whether the present check may start copies.
+    /// Whether the next scheduling pass considers overdue runs.
     pub(super) is_checking: bool,
 }
 
--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -388,12 +388,16 @@
 }
 
 /// Whether a recorded completion makes the checkpoint that agents reported for its task needless: the
-/// task is over, or the ledger has the later checkpoint of its latest run.
+/// task is over, or the ledger has the later checkpoint of its latest run or of the copy of that run.
 fn supersedes_checkpoint(ledger: &JobLedger, completion: &RunCompletion) -> bool {
     match ledger.task(completion.task) {
         None => true,
         Some(task) if task.phase == TaskPhase::Done => true,
-        Some(task) => task.run == completion.run && !completion.checkpoint.is_empty(),
+        Some(task) => {
+            let copy = ledger.copy_of(completion.task);
+            let is_copy = copy.is_some_and(|copy| copy.run == completion.run);
+            (is_copy || task.run == completion.run) && !completion.checkpoint.is_empty()
+        }
     }
 }
 
--- a/crates/guavavane_cell/src/control/speculation.rs
+++ b/crates/guavavane_cell/src/control/speculation.rs
@@ -59,7 +59,18 @@
         if self.peer_formats.are_all_known(&view, COPIES_FORMAT) {
             state.copied_runs.is_checking = true;
             state.pass_requested = true;
-        } else if now >= state.copied_runs.next_report {
+            return;
+        }
+        // Removes the runs that have ended; otherwise the watch would grow with each start for as long
+        // as copies are withheld.
+        let is_any_overdue = self.quorum.read_local(|ledger| {
+            let overdue = state.speculation.take_overdue(now, ledger);
+            for run in &overdue {
+                state.speculation.put_back(now, run);
+            }
+            !overdue.is_empty()
+        });
+        if is_any_overdue && now >= state.copied_runs.next_report {
             state.copied_runs.next_report = now + REPORT_INTERVAL;
             metric::count_event("copy", "earlier_replica");
             tracing::info!(event = "copies_withheld", reason = "earlier_replica");
@@ -135,14 +146,16 @@
         let mut losing = Vec::new();
         for completion in completions {
             let task = completion.task;
-            let runs = match completion.outcome {
-                RunOutcome::Done => state.copied_runs.runs.swap_remove(&task),
-                _ => None,
-            };
+            let ended = (worker, completion.run);
+            // A run that lapsed may still report its success, which ends nothing.
+            let runs = state.copied_runs.runs.get(&task).copied();
+            let runs =
+                runs.filter(|runs| completion.outcome == RunOutcome::Done && runs.contains(&ended));
             let Some([first, copy]) = runs else {
                 continue;
             };
-            let is_copy = copy == (worker, completion.run);
+            state.copied_runs.runs.swap_remove(&task);
+            let is_copy = copy == ended;
             metric::count_event("copy", if is_copy { "won" } else { "lost" });
             let other = if is_copy { first } else { copy };
             losing.push((other.0, task, other.1));
--- a/crates/guavavane_cell/tests/copies.rs
+++ b/crates/guavavane_cell/tests/copies.rs
@@ -62,7 +62,7 @@
 const TASKS: u64 = 40;
 /// Longest wait for what nothing delays on an idle machine; the machine may be busy.
 const LIMIT: Duration = Duration::from_secs(20);
-/// Time in which an earlier test would have seen a copy: several checks of the leader.
+/// Time in which a copy would have started if one were allowed: several checks of the leader.
 const QUIET_PERIOD: Duration = Duration::from_millis(1_500);
 /// Time between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
--- a/crates/guavavane_jobs/src/ledger/record.rs
+++ b/crates/guavavane_jobs/src/ledger/record.rs
@@ -139,7 +139,7 @@
     pub checkpoint: Arc<str>,
 }
 
-/// Copy of a task's run, which [`TaskRecord`] holds: started because that run takes long.
+/// Second run of a task, started because the run in its [`TaskRecord`] takes long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyRecord {
     /// Number of the copy's run; the next run of the task has a higher one.
--- a/crates/guavavane_jobs/src/plan/speculation.rs
+++ b/crates/guavavane_jobs/src/plan/speculation.rs
@@ -56,11 +56,11 @@
 const TAIL_WEIGHT_MIN: f64 = 0.5;
 /// Buckets for each doubling of the run time; each is 12 percent wide.
 const BUCKETS_PER_DOUBLING: f64 = 6.0;
-/// Number of buckets; the last holds all run times from 70 minutes on.
+/// Number of buckets; the last holds all run times from 62 minutes on.
 const BUCKETS: usize = 132;
 /// Steps of a queue whose run times are kept, by number; bounds the memory that a caller can claim.
 const STEPS_MAX: u16 = 64;
-/// Time after which it is checked again whether a run is due while its threshold is unknown.
+/// Time after which a run is checked again while its threshold is unknown or its task has two runs.
 const UNKNOWN_DELAY: Duration = Duration::from_secs(1);
 /// Time after which a due run that got no copy is considered again; shorter than the validity of the
 /// tickets that were requested for the copy.
@@ -544,20 +544,21 @@
     for run in overdue {
         steps.entry(run.task.step).or_default().push(run);
     }
-    for (number, (key, runs)) in steps.into_iter().enumerate() {
+    let mut judged_steps = 0;
+    for (key, runs) in steps {
         let refuse_all = |obstacle| runs.iter().map(move |run| (*run, obstacle));
         let Some(mut context) = step_context(ledger, input, key, CPU_SHARE_WANTED) else {
             plan.refused.extend(refuse_all(CopyObstacle::Ended));
             continue;
         };
-        // A worker on probation is no remedy for a run that takes long.
+        // Runs keep failing on a worker on probation, so a copy there would not end sooner.
         context.allows_trials = false;
         let pool_waits = waits
             .entry(context.pool)
             .or_insert_with(|| has_waiting_steps(ledger, table, input, &starting, context.pool));
         let obstacle = if *pool_waits {
             Some(CopyObstacle::StepsWait)
-        } else if number >= steps_max {
+        } else if judged_steps >= steps_max {
             Some(CopyObstacle::LaterCheck)
         } else {
             loads.find_obstacle(&context)
@@ -566,6 +567,7 @@
             plan.refused.extend(refuse_all(obstacle));
             continue;
         }
+        judged_steps += 1;
         let refused_before = plan.refused.len();
         let mut candidates = CandidateQueue::new(&context, table);
         for run in runs {
