--- a/crates/guavavane_cell/src/control/maintenance.rs
+++ b/crates/guavavane_cell/src/control/maintenance.rs
@@ -52,9 +52,7 @@
         metric::set_gauge("jobs", jobs);
         metric::set_gauge("waiting_tasks", waiting);
         metric::set_gauge("workers", workers);
-        let copies = self
-            .quorum
-            .read_local(|ledger| ledger.active_copies().count());
+        let copies = self.quorum.read_local(|ledger| ledger.recorded_copies());
         metric::set_gauge("copies", copies);
         let states = self
             .leader_state
--- a/crates/guavavane_jobs/src/ledger/copies.rs
+++ b/crates/guavavane_jobs/src/ledger/copies.rs
@@ -39,6 +39,12 @@
         copies.filter_map(|(task, copy)| Some((*task, copy.run, copy.worker?)))
     }
 
+    /// Number of tasks with a recorded copy, active or ended. While there are any, a snapshot has a format
+    /// that replicas of commit b041a08 refuse.
+    pub fn recorded_copies(&self) -> usize {
+        self.copies.len()
+    }
+
     /// Copy of the current run of a task, active or ended without success.
     pub fn copy_of(&self, task: TaskKey) -> Option<&CopyRecord> {
         self.copies.get(&task)
