--- a/crates/guavavane_jobs/tests/copies.rs
+++ b/crates/guavavane_jobs/tests/copies.rs
@@ -361,6 +361,19 @@
     assert!(decode_as_earlier(&snapshot).is_ok());
 }
 
+// Guards against a count of 0 that tells an operator that an earlier process could read the snapshot.
+#[test]
+fn an_ended_copy_counts_as_recorded_until_the_first_run_ends() {
+    let mut copied = Copied::new(1);
+    copied.end(copied.second, &[(2, RunOutcome::Stopped)]);
+    assert_eq!(copied.ledger.active_copies().count(), 0);
+    assert_eq!(copied.ledger.recorded_copies(), 1);
+    assert_eq!(copied.ledger.snapshot()[0], 0xff);
+    copied.end(copied.first, &[(1, RunOutcome::Stopped)]);
+    assert_eq!(copied.ledger.recorded_copies(), 0);
+    assert_ne!(copied.ledger.snapshot()[0], 0xff);
+}
+
 // Guards against stored data of commit b041a08 that this version can't read or writes differently.
 #[test]
 fn a_snapshot_of_an_earlier_process_is_read_and_written_unchanged() {
