Entry: cancellations after a rejection, samples over a pause; wording

A cancellation that was sent on a session that closed without a reply, and that the next leader rejected with Unavailable, was answered with 503 although it may have been carried out; CALLERS.md promises 503 only for cancellations that reached no leader. It now ends as unknown, like a submission. Test: a_rejection_after_an_unanswered_session_is_no_proof.

If the entry's loop ran before the client after a pause of the process, the late pong was learned as an answer time of the leader, and the threshold for a late leader stayed at its maximum of 500 ms. Samples whose ping was sent before the end of the pause are now left out. Test: a_pause_of_the_entry_counts_as_no_absence.

Comments and pages: pronouns without a noun, figures of speech and inaccurate statements (state kept across sessions, pauses without a session, older entries that forward a request without host and path). Tests: DarkControl is UnreachableControl, Conduct is StreamBehaviour.

--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -118,8 +118,8 @@
         })
     }
 
-    /// Limits on callers' requests that the latest leader has named, and their changes; none before the
-    /// first configuration.
+    /// Limits on callers' requests that a leader has sent most recently, and their changes; none until a
+    /// leader with a configuration has sent them.
     pub fn limits(&self) -> watch::Receiver<Option<RequestLimits>> {
         self.limits.clone()
     }
@@ -161,15 +161,15 @@
         }
     }
 
-    /// Sends the reply. A rejection becomes `Unknown` if the job may have been accepted on an earlier
-    /// session.
+    /// Sends the reply. A rejection becomes `Unknown` if the call was sent on an earlier session and may
+    /// have had its effect there.
     fn answer(self, reply: CallerReply, contact: &LeaderContact, now: BootTime) {
-        let is_submission = matches!(self.request.action, CallerAction::Submit(_));
+        let has_effect = self.facts().kind != CallKind::Query;
         let is_rejection = matches!(
             reply,
             CallerReply::Unavailable | CallerReply::Refused { .. }
         );
-        let reply = if is_rejection && self.maybe_accepted && is_submission {
+        let reply = if is_rejection && self.maybe_accepted && has_effect {
             CallerReply::Unknown
         } else {
             reply
@@ -253,7 +253,7 @@
                 CALL_CHECK_INTERVAL
             };
             tokio::select! {
-                // Answers that have arrived are read before it is decided about further calls.
+                // Session events come first, so that decisions about calls use the latest answers.
                 biased;
                 event = session_events.recv_async() => match event {
                     Ok(event) => self.handle_session_event(event),
@@ -348,15 +348,15 @@
         let call_id = self.next_call_id;
         self.next_call_id += 1;
         self.limits_call = Some(call_id);
-        // Without a session the limits in force stay, and the next leader is asked.
+        // If the session is already closed, the limits in force stay and the next leader is asked.
         session.send(ToControl::Call {
             call_id,
             request: CallerRequest::for_limits(),
         });
     }
 
-    /// Applies the limits of the leader. Any other reply means that it knows none, now or at all, so those
-    /// in force stay.
+    /// Applies the limits of the leader. Any other reply means that the leader has no configuration yet or
+    /// is of an earlier version, so the limits in force stay.
     fn apply_limits(&self, reply: &CallerReply) {
         let CallerReply::Limits(limits) = *reply else {
             tracing::info!(event = "limits_not_known", reply = reply.name());
@@ -381,7 +381,7 @@
         }
     }
 
-    /// Logs a change of the contact with the leader, and has all calls checked.
+    /// Logs a change of the contact with the leader, and makes the check of all pending calls due.
     fn report_contact(&mut self, absent_ms: u64) {
         let phase = self.contact.phase().name();
         metric::count_event("leader_contact", phase);
@@ -395,7 +395,7 @@
         self.next_check = BootTime::default();
     }
 
-    /// Decides about all pending calls, if the contact has changed or the latest check is long ago.
+    /// Decides about all pending calls, if the contact has changed or [`CALL_CHECK_INTERVAL`] has passed.
     fn advance_calls(&mut self) {
         let now = BootClock.now();
         self.observe_contact(now);
--- a/crates/guavavane_cell/src/leader_client.rs
+++ b/crates/guavavane_cell/src/leader_client.rs
@@ -38,7 +38,7 @@
 pub enum SessionEvent {
     /// The first answer to a ping has arrived: the peer leads and the session is open.
     Opened(StreamSender<ToControl>),
-    /// A ping was sent on the open session; only clients [`LeaderClient::with_ping_events`] say so.
+    /// A ping was sent on the open session; emitted only by [`LeaderClient::with_ping_events`] clients.
     PingSent {
         /// Time at which the ping was sent, on this process's clock.
         sent_at: BootTime,
@@ -69,7 +69,7 @@
     pub redirect: Option<SocketAddr>,
     /// Channel to the owner; the client stops when its receiver is dropped.
     pub events: Sender<SessionEvent>,
-    /// Whether the owner is told of each ping that is sent on the open session.
+    /// Whether [`SessionEvent::PingSent`] is emitted.
     pub reports_pings: bool,
 }
 
@@ -86,8 +86,8 @@
         }
     }
 
-    /// Has the owner told of each ping that is sent on the open session. Agents don't need to know, and
-    /// each event wakes their loop.
+    /// Emits [`SessionEvent::PingSent`] for each ping on the open session. It is off for agents: they don't
+    /// use the event, and each event wakes their loop.
     #[must_use]
     pub fn with_ping_events(mut self) -> Self {
         self.reports_pings = true;
--- a/crates/guavavane_cell/src/leader_contact.rs
+++ b/crates/guavavane_cell/src/leader_contact.rs
@@ -1,17 +1,17 @@
 //! What an entry does with a call while its leader answers, is late, or is gone.
 //!
 //! The load is an outage: all control VMs are unreachable for up to 9.5 s while callers go on to submit,
-//! or one leader hands over to the next, which takes 0.1 to 1.3 s. No reset reports an outage. Until the
-//! silence is noticed, each call that is written to the session may have reached the leader, so its
-//! caller can't be told that the job will never run. A caller needs that answer early, and needs it to
-//! be true: after it, the caller may take the job elsewhere.
+//! or one leader hands over to the next, which takes 0.1 to 1.3 s. No connection reset reports an
+//! outage. Until the missing answers are noticed, each call that is written to the session may have
+//! reached the leader, so its caller can't be told that the job will never run. A caller needs that
+//! answer early, and needs it to be true: after it, the caller may submit the job elsewhere.
 //!
 //! The stream of a session keeps its order. An answer to something that was sent at one time therefore
 //! shows that the leader has received all that was sent earlier, also calls whose commit is still open.
 //! The leader is late if the first thing that was sent since has waited for markedly longer than pings
 //! usually take. From then on calls are held back: they are certain not to have been sent. Holding back
 //! is cheap, because a late leader would have read them late as well, so the threshold is low. Refusing
-//! is not, so calls are refused only after a time in which most hand-overs are over.
+//! costs the caller a retry, so calls are refused only after the time that most hand-overs take.
 //!
 //! Nothing here does I/O: the owner reports what it has sent and received, and asks for a decision.
 
@@ -27,16 +27,18 @@
 const LATE_THRESHOLD_MAX: Duration = Duration::from_millis(500);
 /// Weight of the deviation in the threshold, as in the retransmission timeout of TCP (RFC 6298).
 const DEVIATION_FACTOR: u32 = 4;
-/// Divisors of the weights with which a new sample enters the mean and the deviation (RFC 6298).
+/// A new sample enters the mean with a weight of one eighth (RFC 6298).
 const MEAN_DIVISOR: u32 = 8;
+/// A new difference from the mean enters the deviation with a weight of one quarter (RFC 6298).
 const DEVIATION_DIVISOR: u32 = 4;
 /// Age of the first unanswered call at which a ping is sent after it. A commit usually takes less.
 const PROBE_AGE: Duration = Duration::from_millis(40);
 /// Shortest time between two such pings. Together with the time to the next check it stays below the
 /// shortest threshold.
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
-/// Time between two reports after which this process itself was stopped, so that answers may have
-/// arrived which it has not read. A session is reported on at each ping, every 300 ms.
+/// Time between two calls of [`LeaderContact::observe`] from which this process counts as paused:
+/// answers may have arrived that it has not read. With a session open, the owner observes at each ping,
+/// every 300 ms.
 const OWN_PAUSE_MIN: Duration = Duration::from_millis(500);
 /// Longest wait of a call other than a new submission while no leader is known; an election takes
 /// about as long.
@@ -47,13 +49,14 @@
 /// Largest part of a caller's own wait that may pass without a leader, in percent.
 const LEADERLESS_MAX_PERCENT: u32 = 40;
 /// Largest part of a caller's own wait for which a call is held back from a late leader, in percent.
-/// It is longer than without a leader: the session answers or closes within a second, and callers with
-/// short waits would be refused for a leader that is late for a moment.
+/// The part is larger than without a leader: the session answers or closes within a second, and with a
+/// smaller part, callers with short waits would be refused for a brief delay of the leader.
 const LATE_MAX_PERCENT: u32 = 75;
 /// Absence of the leader from which calls are refused at once: the longest hand-over, and the time to
 /// find the next leader.
 const REFUSAL_AGE: Duration = Duration::from_millis(1_600);
-/// Divisor of the absence so far that gives the retry delay: a long outage goes on for longer.
+/// Divisor of the absence so far that gives the retry delay: the longer an outage has lasted, the longer
+/// it is expected to go on.
 const RETRY_DIVISOR: u32 = 2;
 /// Shortest retry delay: the length of an election.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(1_000);
@@ -159,11 +162,11 @@
     unanswered: VecDeque<BootTime>,
     /// Mean time until the answer to a ping.
     answer_time: Duration,
-    /// Mean deviation from it.
+    /// Mean deviation from `answer_time`.
     deviation: Duration,
     probed_at: BootTime,
     observed_at: BootTime,
-    /// Time at which this process has last gone on after a pause.
+    /// Time at which this process was first observed to run again after its latest pause.
     resumed_at: BootTime,
 }
 
@@ -212,10 +215,12 @@
         self.unanswered.push_back(sent_at);
     }
 
-    /// Records the answer to a ping.
+    /// Records the answer to a ping. Its time is not learned if this process was paused meanwhile.
     pub fn record_pong(&mut self, sent_at: BootTime, now: BootTime) {
         self.record_reply(sent_at);
-        if now.saturating_since(self.observed_at) < OWN_PAUSE_MIN {
+        let was_paused =
+            sent_at < self.resumed_at || now.saturating_since(self.observed_at) >= OWN_PAUSE_MIN;
+        if !was_paused {
             let sample = now.saturating_since(sent_at);
             let difference = sample.abs_diff(self.answer_time);
             self.deviation =
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -45,8 +45,8 @@
 }
 
 impl CallerRequest {
-    /// Query with which an entry asks for the limits on callers' requests. No caller can send it, since
-    /// the path of a request isn't empty.
+    /// Query with which an entry asks for the limits on callers' requests. Entries don't forward such a
+    /// request of a caller, except those of b041a08.
     pub fn for_limits() -> Self {
         Self {
             host: String::new(),
--- a/crates/guavavane_cell/tests/leader_contact.rs
+++ b/crates/guavavane_cell/tests/leader_contact.rs
@@ -73,7 +73,7 @@
     }
 }
 
-/// Replays a day of submissions against a leader, with the rules of the entry's loop.
+/// Replays submissions until `END_MS` against a leader, with the rules of the entry's loop.
 fn replay(leader: &impl LeaderModel) -> Vec<ReplayedCall> {
     let at = BootTime::from_millis;
     let mut contact = LeaderContact::new(at(0));
@@ -168,22 +168,23 @@
 }
 
 /// All control processes are unreachable from `BEGIN_MS` on, for `outage_ms`.
-struct DarkControl {
+struct UnreachableControl {
     outage_ms: u64,
 }
 
-impl LeaderModel for DarkControl {
+impl LeaderModel for UnreachableControl {
     fn answer_at(&self, sent_ms: u64, work_ms: u64) -> Option<u64> {
-        (!self.is_dark(sent_ms) && !self.is_dark(sent_ms + work_ms)).then_some(sent_ms + work_ms)
+        (!self.is_unreachable(sent_ms) && !self.is_unreachable(sent_ms + work_ms))
+            .then_some(sent_ms + work_ms)
     }
 
     fn opens(&self, now_ms: u64) -> bool {
-        !self.is_dark(now_ms)
+        !self.is_unreachable(now_ms)
     }
 }
 
-impl DarkControl {
-    fn is_dark(&self, now_ms: u64) -> bool {
+impl UnreachableControl {
+    fn is_unreachable(&self, now_ms: u64) -> bool {
         (BEGIN_MS..BEGIN_MS + self.outage_ms).contains(&now_ms)
     }
 }
@@ -191,7 +192,7 @@
 #[test]
 fn submissions_during_an_outage_are_refused_as_not_sent() {
     let outage_ms = 9_500;
-    let calls = replay(&DarkControl { outage_ms });
+    let calls = replay(&UnreachableControl { outage_ms });
     let end_ms = BEGIN_MS + outage_ms;
     let unknown: Vec<_> = calls
         .iter()
@@ -375,6 +376,8 @@
     contact.record_pong(at(400), at(3_555));
     contact.observe(at(3_555));
     assert_eq!(contact.decide(&call, at(3_555)), CallDecision::Send);
+    // The pause is no sample of the answer time, which would raise the threshold to its maximum.
+    assert_eq!(contact.late_threshold(), Duration::from_millis(100));
 }
 
 // Guards against refusals of callers with short waits for a leader that is late for a moment, and
--- a/crates/guavavane_cell/tests/silent_leader.rs
+++ b/crates/guavavane_cell/tests/silent_leader.rs
@@ -32,7 +32,7 @@
     let accepted = entry.call(submission(1), CALLER_WAIT).await;
     assert_eq!(accepted, CallerReply::Accepted);
     leader.stop_answering();
-    // The outcome of one that is written just now is not known.
+    // The leader receives this submission but doesn't answer it, so its outcome is unknown.
     let written = tokio::spawn({
         let entry = entry.clone();
         async move { entry.call(submission(2), CALLER_WAIT).await }
@@ -45,7 +45,7 @@
     assert_eq!(held.reply, CallerReply::Unavailable);
     assert_eq!(written.await.unwrap(), CallerReply::Unknown);
     tokio::time::sleep(LONG_ABSENCE).await;
-    // The fake still opens streams, but never leads one.
+    // The fake leader still accepts streams, but answers no ping on them.
     let started_at = Instant::now();
     let refused = entry
         .call_with_retry_delay(submission(4), CALLER_WAIT)
@@ -104,3 +104,45 @@
         assert_eq!(reply, CallerReply::Accepted, "the fake accepts all");
     }
 }
+
+// Guards against a submission or a cancellation that an earlier leader may have carried out, and that is
+// answered as not carried out because the next leader rejects it.
+#[tokio::test]
+async fn a_rejection_after_an_unanswered_session_is_no_proof() {
+    let leader = FakeLeader::start_with(|request| {
+        if request.is_for_limits() {
+            CallerReply::NoQueue
+        } else {
+            CallerReply::Unavailable
+        }
+    })
+    .await;
+    let entry = start_entry_of(&leader).await;
+    leader.stop_answering();
+    let cancellation = CallerRequest {
+        action: CallerAction::Cancel,
+        ..submission(2)
+    };
+    let query = CallerRequest {
+        action: CallerAction::Query,
+        ..submission(3)
+    };
+    let mut calls = Vec::new();
+    for (request, expected) in [
+        (submission(1), CallerReply::Unknown),
+        (cancellation, CallerReply::Unknown),
+        (query, CallerReply::Unavailable),
+    ] {
+        let entry = entry.clone();
+        let call = async move { entry.call(request, Duration::from_secs(6)).await };
+        calls.push((tokio::spawn(call), expected));
+    }
+    for number in 1..=3 {
+        leader.wait_for_path(&submission(number).path).await;
+    }
+    leader.close_streams();
+    leader.resume_answering();
+    for (call, expected) in calls {
+        assert_eq!(call.await.unwrap(), expected);
+    }
+}
--- a/crates/guavavane_cell/tests/support/fake_leader.rs
+++ b/crates/guavavane_cell/tests/support/fake_leader.rs
@@ -1,4 +1,4 @@
-//! A leader that a test plays for an entry: it accepts all calls, and may stop answering.
+//! Stand-in for the leader of an entry: accepts all calls by default, and stops answering on request.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,9 +25,9 @@
 /// Time between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// What the leader does with its streams.
+/// How the leader treats its streams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Conduct {
+struct StreamBehaviour {
     answers: bool,
     /// Streams of an earlier generation are closed.
     generation: u64,
@@ -36,7 +36,7 @@
 /// Running leader.
 pub(crate) struct FakeLeader {
     pub(crate) address: SocketAddr,
-    conduct: watch::Sender<Conduct>,
+    behaviour: watch::Sender<StreamBehaviour>,
     requests: Arc<Mutex<Vec<CallerRequest>>>,
 }
 
@@ -72,7 +72,7 @@
     pub(crate) async fn start_with(reply: fn(&CallerRequest) -> CallerReply) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let (conduct, watched) = watch::channel(Conduct {
+        let (behaviour, watched) = watch::channel(StreamBehaviour {
             answers: true,
             generation: 0,
         });
@@ -89,21 +89,24 @@
         tokio::spawn(accept_streams(listener, serve));
         Self {
             address,
-            conduct,
+            behaviour,
             requests,
         }
     }
 
     pub(crate) fn stop_answering(&self) {
-        self.conduct.send_modify(|conduct| conduct.answers = false);
+        self.behaviour
+            .send_modify(|behaviour| behaviour.answers = false);
     }
 
     pub(crate) fn resume_answering(&self) {
-        self.conduct.send_modify(|conduct| conduct.answers = true);
+        self.behaviour
+            .send_modify(|behaviour| behaviour.answers = true);
     }
 
     pub(crate) fn close_streams(&self) {
-        self.conduct.send_modify(|conduct| conduct.generation += 1);
+        self.behaviour
+            .send_modify(|behaviour| behaviour.generation += 1);
     }
 
     /// Paths of all calls that the leader has received.
@@ -132,16 +135,16 @@
 /// keeps the answers, which it sends later if the stream is still open.
 async fn serve_stream(
     stream: MessageStream<FromControl, ToControl>,
-    mut conduct: watch::Receiver<Conduct>,
+    mut behaviour: watch::Receiver<StreamBehaviour>,
     requests: Arc<Mutex<Vec<CallerRequest>>>,
     reply: fn(&CallerRequest) -> CallerReply,
 ) {
     let (sender, mut receiver) = stream;
-    let generation = conduct.borrow().generation;
+    let generation = behaviour.borrow().generation;
     let mut kept = Vec::new();
     loop {
         tokio::select! {
-            changed = conduct.changed() => if changed.is_err() {
+            changed = behaviour.changed() => if changed.is_err() {
                 return;
             },
             message = receiver.receive() => match message {
@@ -158,7 +161,7 @@
                 Some(_) => {}
             },
         }
-        let now = *conduct.borrow();
+        let now = *behaviour.borrow();
         if now.generation != generation {
             return;
         }
