--- a/crates/guavavane_transport/src/intake/gate.rs
+++ b/crates/guavavane_transport/src/intake/gate.rs
@@ -31,7 +31,8 @@
 const LOG_LINES_MAX: u32 = 10;
 /// Memory of an open connection in bytes, besides the charged bytes: its task and read buffer.
 const CONNECTION_BYTES: usize = 16 << 10;
-/// Decrease of the memory in use, in bytes, that is reported as the end of a load.
+/// Decrease of the memory in use, in bytes, that is reported as the end of a load: a body of the
+/// largest legal size.
 const LOAD_BYTES: usize = 4 << 20;
 
 /// Gate of all listeners of the process.
@@ -190,9 +191,11 @@
         }
     }
 
-    /// Spawns the task of an accepted connection, or drops it if the process has no room for it.
+    /// Spawns the task of an accepted connection, or drops the connection if all others are busy and
+    /// the bound on connections is reached.
     ///
-    /// Returns once the connection that was closed for it, if any, has given back its descriptor.
+    /// Yields once if another connection was closed for it, so that the descriptor of that one is free
+    /// before the next accept.
     pub async fn spawn_connection<F, R>(&'static self, start: F)
     where
         F: FnOnce(ConnectionTicket) -> R,
@@ -233,7 +236,8 @@
         }
     }
 
-    /// Number of log lines about requests that were left out, if a line may be written now.
+    /// Number of lines left out since the last one, if a line may be written now; all lines about
+    /// refused requests and broken streams share the limit.
     pub fn admit_log_line(&self) -> Option<u64> {
         self.lock().limiter.admit_line(Instant::now())
     }
@@ -252,7 +256,7 @@
     }
 }
 
-/// Place of an accepted connection, which is given back when the ticket is dropped.
+/// Admission of an accepted connection, which counts until the ticket is dropped.
 #[derive(Debug)]
 pub struct ConnectionTicket {
     gate: &'static IntakeGate,
--- a/crates/guavavane_transport/src/intake/table.rs
+++ b/crates/guavavane_transport/src/intake/table.rs
@@ -2,13 +2,12 @@
 //!
 //! Bytes are charged as they arrive, never as announced. When a bound is reached, the half-received
 //! request that has gone longest without progress is closed, then the connection whose response has
-//! been unread for longest; requests that are served are never closed. A
-//! connection makes progress with each [`PROGRESS_BYTES`], so that single bytes do not keep it from
-//! being chosen.
+//! been unread for longest; requests that are served are never closed. A connection makes progress
+//! with each [`PROGRESS_BYTES`], so that a sender of single bytes can still be chosen.
 //!
 //! A connection is closed for another one in this order: half-received or unused ones that have
-//! stalled; then the oldest of the larger group, half-received and unused ones or idle ones, so that a
-//! crowd of new connections does not drive out all idle connections of ordinary callers.
+//! stalled; then the oldest of the larger group, half-received and unused ones or idle ones, so that
+//! many new connections do not evict all idle connections of ordinary callers.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -37,7 +36,7 @@
     Partial,
     /// A complete request is served, or the connection is a stream in use; it is not closed.
     Busy,
-    /// A request has been served, and no next one has begun.
+    /// A request has been served, and no next one has begun; the response may not be written yet.
     Idle,
 }
 
@@ -182,7 +181,7 @@
         Ok((id, closed))
     }
 
-    /// Closes a connection for the sake of a descriptor; none if all are busy.
+    /// Closes a connection to free its descriptor; `None` if all are busy.
     pub fn close_for_descriptor(&mut self, now: Instant) -> Option<ClosedConnection> {
         self.close_one(IntakeBound::Descriptors, now)
     }
--- a/crates/guavavane_transport/src/stream.rs
+++ b/crates/guavavane_transport/src/stream.rs
@@ -110,9 +110,9 @@
     buffer: BytesMut,
     /// Task that polls the connection; the connection closes when it is aborted.
     driver: JoinHandle<()>,
-    /// Place of an accepted stream; a stream that this process has opened needs none.
+    /// Ticket of an accepted stream; `None` for a stream that this process has opened.
     ticket: Option<ConnectionTicket>,
-    /// Phase that the ticket was last told.
+    /// Phase that was last set on the ticket.
     phase: ConnectionPhase,
     message: PhantomData<fn() -> M>,
 }
@@ -157,7 +157,7 @@
         }
     }
 
-    /// Notes that a message was taken from the buffer, and gives back the memory of a large one.
+    /// Notes that a message was taken from the buffer, and frees the buffer after a large one.
     fn note_message(&mut self) {
         if self.buffer.is_empty() && self.buffer.capacity() > KEPT_BUFFER_BYTES {
             self.buffer = BytesMut::new();
