Intake: close only requests with charged bytes for the bound on bytes

At the bound on bytes the table closed the partial request that had gone longest without progress, also one with no charged bytes: a caller whose head is still arriving, or a refused request whose 413 or 503 is being sent. That frees no memory, so one charge could close all of them before it reached a request with bytes, or failed. The choice now skips requests without charged bytes, as it already did for idle connections. A replay test guards this.

--- a/crates/guavavane_transport/src/intake/table.rs
+++ b/crates/guavavane_transport/src/intake/table.rs
@@ -232,8 +232,8 @@
             return Err(BoundReached(bound));
         }
         while self.buffered_bytes.saturating_add(bytes) > self.limits.buffered_bytes {
-            let oldest = self.oldest_partial_but(id);
-            let oldest = oldest.or_else(|| self.oldest_unread_but(id));
+            let oldest = self.oldest_charged_but(&self.partial, id);
+            let oldest = oldest.or_else(|| self.oldest_charged_but(&self.idle, id));
             let oldest = oldest.ok_or(BoundReached(bound))?;
             closed.extend(self.close(oldest, bound, now));
         }
@@ -296,9 +296,10 @@
         ids.find(|other| *other != id)
     }
 
-    /// Oldest idle connection that is charged for a response which its peer does not read.
-    fn oldest_unread_but(&self, id: ConnectionId) -> Option<ConnectionId> {
-        let mut ids = self.idle.iter().map(|(_, other)| *other);
+    /// Oldest connection of a phase with charged bytes: closing one without any frees no memory. An
+    /// idle connection is charged for a response that its peer has not read.
+    fn oldest_charged_but(&self, order: &AgeOrder, id: ConnectionId) -> Option<ConnectionId> {
+        let mut ids = order.iter().map(|(_, other)| *other);
         ids.find(|other| *other != id && self.connections[other].bytes > 0)
     }
 
--- a/crates/guavavane_transport/tests/intake.rs
+++ b/crates/guavavane_transport/tests/intake.rs
@@ -126,6 +126,19 @@
     assert!(replay.table.contains(fast));
 }
 
+// Guards against closing, for memory, a caller whose head is still arriving: that frees no memory.
+#[test]
+fn requests_without_charged_bytes_are_not_closed_for_memory() {
+    let mut replay = Replay::entry();
+    let [uncharged, stopped, fast] = [(); 3].map(|()| replay.begin());
+    assert!(replay.receive(stopped, PIECE_BYTES));
+    for _ in 0..replay.table.limits().buffered_bytes / PIECE_BYTES {
+        assert!(replay.receive(fast, PIECE_BYTES));
+    }
+    assert!(!replay.table.contains(stopped));
+    assert!(replay.table.contains(uncharged));
+}
+
 #[test]
 fn connections_without_a_request_do_not_use_up_the_descriptors() {
     let mut replay = Replay::entry();
