--- a/crates/guavavane_cell/src/control/stream.rs
+++ b/crates/guavavane_cell/src/control/stream.rs
@@ -49,7 +49,11 @@
 ) {
     let (sender, mut receiver) = stream;
     let mut in_session = false;
-    while let Some(message) = receive_within(id, &mut receiver).await {
+    // The queue of a peer that sends requests and reads no replies fills up, which ends its stream.
+    while !sender.is_closed() {
+        let Some(message) = receive_within(id, &mut receiver).await else {
+            break;
+        };
         match message {
             // A full inbox means a busy replica: Raft retransmits dropped messages.
             ToControl::Peer(message) => drop(inbox.try_send(*message)),
--- a/crates/guavavane_jobs/src/plan/speculation.rs
+++ b/crates/guavavane_jobs/src/plan/speculation.rs
@@ -485,14 +485,22 @@
     }
 }
 
-/// Whether steps wait for capacity of a pool that one of its workers could give them, after these
-/// starts.
+/// Priority of a step's queue; 0 is the highest.
+fn step_priority(ledger: &JobLedger, key: StepKey) -> u64 {
+    let job = ledger.job(key.job);
+    let queue = job.and_then(|job| ledger.catalog().queue(&job.queue));
+    queue.map_or(u64::MAX, |queue| queue.priority)
+}
+
+/// Whether steps that go before a copy of this priority, or have the same one, wait for capacity of
+/// a pool that one of its workers could give them, after these starts. Steps of a lower priority
+/// would wait for a first run of the copy's step as well.
 fn has_waiting_steps<I: PassInput>(
     ledger: &JobLedger,
     table: &CapacityTable,
     input: &I,
     starts: &IndexMap<StepKey, u32>,
-    pool: &str,
+    (pool, priority): (&str, u64),
 ) -> bool {
     let starting = |key: &StepKey| starts.get(key).copied().unwrap_or(0);
     let waiting = ledger.ready_steps();
@@ -501,7 +509,9 @@
         let job = ledger.job(key.job)?;
         let queue = ledger.catalog().queue(&job.queue);
         let step_pool = queue.map_or(&job.pool, |queue| &queue.pool);
-        let blocks = &**step_pool == pool && input.waiting_time(key) < BLOCKING_WAIT_MAX;
+        let blocks = &**step_pool == pool
+            && step_priority(ledger, key) <= priority
+            && input.waiting_time(key) < BLOCKING_WAIT_MAX;
         ledger.step_spec(key).filter(|_| blocks)
     });
     for (number, spec) in waiting.enumerate() {
@@ -538,7 +548,7 @@
         *starting.entry(start.task.step).or_insert(0) += 1;
     }
     let mut loads = PoolLoads::new(ledger, table);
-    let mut waits: IndexMap<&str, bool> = IndexMap::new();
+    let mut waits: IndexMap<(&str, u64), bool> = IndexMap::new();
     let steps_max = (JUDGED_MAX / table.slots().count().max(1)).max(1);
     let mut steps: IndexMap<StepKey, Vec<OverdueRun>> = IndexMap::new();
     for run in overdue {
@@ -553,9 +563,10 @@
         };
         // Runs keep failing on a worker on probation, so a copy there would not end sooner.
         context.allows_trials = false;
+        let competitors = (context.pool, step_priority(ledger, key));
         let pool_waits = waits
-            .entry(context.pool)
-            .or_insert_with(|| has_waiting_steps(ledger, table, input, &starting, context.pool));
+            .entry(competitors)
+            .or_insert_with(|| has_waiting_steps(ledger, table, input, &starting, competitors));
         let obstacle = if *pool_waits {
             Some(CopyObstacle::StepsWait)
         } else if judged_steps >= steps_max {
