Admission: decision, backlog summary, capacity in service, recent IDs; useless jobs go last

Cause: a submission is refused only for lack of a leader, of buffer space or of advice, whatever waits. Change: pure modules for the decision and its inputs, not called yet. Of the infeasible jobs, those past three times their objective now go after those whose result is still useful.

--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -4,7 +4,7 @@
 //! deadlines from estimated run times ([`slack`]) and chooses a worker for each task
 //! (`placement`) by the capacity of each worker ([`capacity`]), which [`capacity_table`] keeps up to
 //! date. A worker on which runs keep failing is on probation ([`probation`]). [`obstacle`] tells
-//! why a step waits. [`advice`] holds the
+//! why a step waits. [`admission`] decides whether a submitted job is refused for load. [`advice`] holds the
 //! tickets of the external advice service that some queues need.
 //!
 //! The agent of each worker throttles best-effort tasks that slow down latency-critical ones
@@ -12,6 +12,10 @@
 //! [`share_tracker`] decides when a share is ordered. The leader learns the interference model
 //! ([`interference`]) and sends each agent the estimates for the images on its worker.
 
+pub mod admission;
+pub mod admission_backlog;
+pub mod admission_capacity;
+pub mod admission_ids;
 pub mod advice;
 mod candidate_queue;
 pub mod capacity;
--- a/crates/guavavane_jobs/src/plan/capacity.rs
+++ b/crates/guavavane_jobs/src/plan/capacity.rs
@@ -70,6 +70,8 @@
     pub total: ResourceVector,
     /// Sum of the reservations of its runs.
     pub reserved: ResourceVector,
+    /// Part of the reservations that long-running tasks hold.
+    pub long_running_reserved: ResourceVector,
     /// Processor that all tasks but the best-effort ones are expected to use, in thousandths of a
     /// core.
     pub expected_cpu_millis: u64,
@@ -127,6 +129,10 @@
                 .or_insert(0) += 1;
         }
         self.long_running_tasks += u32::from(run.long_running);
+        if run.long_running {
+            let sum = self.long_running_reserved.checked_add(&run.reserved);
+            self.long_running_reserved = sum.unwrap_or(self.total);
+        }
         *self.runs_by_step.entry(task.step).or_insert(0) += 1;
     }
 
--- a/crates/guavavane_jobs/src/plan/capacity_table.rs
+++ b/crates/guavavane_jobs/src/plan/capacity_table.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use super::admission_capacity::ServiceCapacity;
 use super::capacity::WorkerCapacity;
 use super::capacity::WorkerCondition;
 use super::interference::InterferenceModel;
@@ -64,6 +65,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CapacityTable {
     slots: IndexMap<WorkerIndex, WorkerSlot>,
+    /// Processors in service, as of the latest refresh.
+    service: ServiceCapacity,
     critical_images: IndexSet<Arc<str>>,
     /// Workers that differ from the ledger or whose condition has changed.
     stale: IndexSet<WorkerIndex>,
@@ -88,6 +91,11 @@
         self.slots.get(&worker).map(|slot| &slot.capacity)
     }
 
+    /// Processors in service for each class of work, as of the latest refresh.
+    pub fn service(&self) -> &ServiceCapacity {
+        &self.service
+    }
+
     pub(super) fn slot(&self, worker: WorkerIndex) -> Option<&WorkerSlot> {
         self.slots.get(&worker)
     }
@@ -121,6 +129,7 @@
             Some(changed) => self.stale.extend(changed),
             None => {
                 self.slots.clear();
+                self.service.clear();
                 self.critical_images.clear();
                 self.stale = ledger.workers().map(|(index, _)| index).collect();
             }
@@ -132,11 +141,13 @@
         for index in std::mem::take(&mut self.stale) {
             let Some(record) = ledger.worker(index) else {
                 self.slots.swap_remove(&index);
+                self.service.remove(index);
                 continue;
             };
             let mut condition = condition(index);
             condition.schedulable &= !ledger.is_excluded(&record.facts.data_centre);
             let slot = self.build_slot(index, record, condition, interference, &best_effort_images);
+            self.service.update(index, &slot.facts, &slot.capacity);
             self.slots.insert(index, slot);
         }
     }
--- a/crates/guavavane_jobs/src/plan/order.rs
+++ b/crates/guavavane_jobs/src/plan/order.rs
@@ -3,8 +3,10 @@
 //! Queues are served by priority, and the steps of equal priority by earliest deadline first
 //! (EDF). The deadline of a job follows from its submission time and its critical path. A job that
 //! can no longer meet its deadline is infeasible and yields to those that can, because plain EDF
-//! under overload spends all capacity on jobs that just miss their deadlines. A long-running step is
-//! never infeasible: it has no end that could be late, and each moment in which its tasks run counts.
+//! under overload spends all capacity on jobs that just miss their deadlines. Of the infeasible jobs,
+//! those whose result is still useful, up to three times the objective, go before those whose result
+//! is useless. A long-running step is never infeasible: it has no end that could be late, and each
+//! moment in which its tasks run counts.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -26,12 +28,23 @@
     pub deadline_ms: u64,
     /// Whether the remaining critical path ends after the deadline; never for a long-running step.
     pub infeasible: bool,
+    /// Time until which the result of the job is useful, in milliseconds since 1970 on the leader's
+    /// clock.
+    pub useful_until_ms: u64,
+    /// Whether the remaining critical path ends after that time; never for a long-running step or
+    /// without an objective.
+    pub useless: bool,
     /// Time for which best-effort tasks of the step insist on the wanted CPU share.
     pub wanted_share_wait: Duration,
     /// Number of tasks of the step.
     pub tasks: u32,
+    /// Number of these tasks that wait.
+    pub waiting_tasks: u32,
 }
 
+/// Multiple of the objective up to which a result is late but useful.
+pub const USEFUL_OBJECTIVES: u64 = 3;
+
 /// Added to the rank of infeasible steps; above any deadline in milliseconds.
 const INFEASIBLE_RANK: u64 = 1 << 60;
 
@@ -42,31 +55,38 @@
     key: StepKey,
     now_ms: u64,
 ) -> Option<u64> {
-    let waiting = waiting_step(ledger, run_times, key, now_ms)?;
+    let waiting = waiting_step(ledger, run_times, (key, 0), now_ms)?;
     let rank = waiting.deadline_ms.min(INFEASIBLE_RANK - 1);
-    Some(rank + u64::from(waiting.infeasible) * INFEASIBLE_RANK)
+    let yields = u64::from(waiting.infeasible) + u64::from(waiting.useless);
+    Some(rank + yields * INFEASIBLE_RANK)
 }
 
 fn waiting_step(
     ledger: &JobLedger,
     run_times: &RunTimes,
-    key: StepKey,
+    (key, waiting_tasks): (StepKey, u32),
     now_ms: u64,
 ) -> Option<WaitingStep> {
     let job = ledger.job(key.job)?;
     let spec = job.spec.as_ref()?;
     let step = ledger.step_spec(key)?;
     let queue = ledger.catalog().queue(&job.queue);
-    let deadline_ms = run_times.deadline_ms(ledger, job, spec, key);
+    let (begin_ms, objective_ms) = run_times.objective_ms(ledger, job, spec, key);
+    let deadline_ms = begin_ms.saturating_add(objective_ms);
+    let useful_until_ms = begin_ms.saturating_add(objective_ms.saturating_mul(USEFUL_OBJECTIVES));
     let remaining_ms = run_times.critical_path_ms(&job.queue, spec, usize::from(key.step));
+    let is_finite = step.kind == StepKind::Finite;
+    let end_ms = now_ms as f64 + remaining_ms;
     Some(WaitingStep {
         key,
         priority: queue.map_or(u64::MAX, |queue| queue.priority),
         deadline_ms,
-        infeasible: step.kind == StepKind::Finite
-            && now_ms as f64 + remaining_ms > deadline_ms as f64,
+        infeasible: is_finite && end_ms > deadline_ms as f64,
+        useful_until_ms,
+        useless: is_finite && objective_ms > 0 && end_ms > useful_until_ms as f64,
         wanted_share_wait: wanted_share_wait(deadline_ms, now_ms, remaining_ms),
         tasks: step.tasks,
+        waiting_tasks,
     })
 }
 
@@ -74,10 +94,11 @@
 /// with most tasks comes first.
 pub fn waiting_steps(ledger: &JobLedger, run_times: &RunTimes, now_ms: u64) -> Vec<WaitingStep> {
     let ready = ledger.ready_steps();
-    let steps = ready.filter_map(|(key, _)| waiting_step(ledger, run_times, key, now_ms));
+    let steps = ready.filter_map(|ready| waiting_step(ledger, run_times, ready, now_ms));
     let mut steps: Vec<WaitingStep> = steps.collect();
     steps.sort_by_key(|step| {
-        let rank = (step.priority, step.infeasible, step.deadline_ms);
+        let lateness = (step.useless, step.infeasible);
+        let rank = (step.priority, lateness, step.deadline_ms);
         (rank, Reverse(step.tasks), step.key)
     });
     steps
--- a/crates/guavavane_jobs/src/plan/slack.rs
+++ b/crates/guavavane_jobs/src/plan/slack.rs
@@ -58,52 +58,105 @@
         (declared_ms * typical_ms).sqrt() * LONGEST_TASK_FACTOR
     }
 
+    /// Expected run time of a typical task of a step, in milliseconds.
+    pub fn typical_task_ms(&self, queue: &str, estimate_ms: u64) -> f64 {
+        self.longest_task_ms(queue, estimate_ms) / LONGEST_TASK_FACTOR
+    }
+
+    /// Shortest and longest run time of a step that the declared and the learned run time allow, in
+    /// milliseconds.
+    fn run_time_range_ms(&self, queue: &str, estimate_ms: u64) -> (f64, f64) {
+        let declared_ms = estimate_ms as f64;
+        let typical_ms = self.typical_ms.get(queue).copied().unwrap_or(declared_ms);
+        let longest_ms = declared_ms.max(typical_ms) * LONGEST_TASK_FACTOR;
+        (declared_ms.min(typical_ms), longest_ms)
+    }
+
     /// Critical path of a job from one of its steps on: the longest sum of expected run times along
     /// dependent steps, in milliseconds.
     pub fn critical_path_ms(&self, queue: &str, spec: &JobSpec, first_step: usize) -> f64 {
-        let mut end_ms = vec![0.0_f64; spec.steps.len()];
-        let mut critical_path_ms: f64 = 0.0;
-        for (number, step) in spec.steps.iter().enumerate().skip(first_step) {
-            let after = step.after.iter().map(|after| usize::from(*after));
-            let predecessors: Vec<usize> = after.filter(|after| *after >= first_step).collect();
-            let is_successor = predecessors.iter().any(|after| end_ms[*after] > 0.0);
-            if number != first_step && !is_successor {
-                continue;
-            }
-            let begin_ms = predecessors
-                .iter()
-                .map(|after| end_ms[*after])
-                .fold(0.0, f64::max);
-            end_ms[number] = begin_ms + self.longest_task_ms(queue, step.estimate_ms);
-            critical_path_ms = critical_path_ms.max(end_ms[number]);
-        }
-        critical_path_ms
+        longest_path_ms(spec, first_step, |estimate_ms| {
+            self.longest_task_ms(queue, estimate_ms)
+        })
     }
 
-    /// Deadline of a job, in milliseconds since 1970 on the leader's clock: its submission, or the
-    /// due time of the occurrence, plus the objective of its queue.
-    pub fn deadline_ms(
+    /// Expected critical path of a whole job, in milliseconds.
+    pub fn job_path_ms(&self, queue: &str, spec: &JobSpec) -> f64 {
+        whole_path_ms(spec, |estimate_ms| self.longest_task_ms(queue, estimate_ms))
+    }
+
+    /// Shortest and longest critical path of a whole job that the declared and the learned run times
+    /// allow, in milliseconds.
+    pub fn job_path_range_ms(&self, queue: &str, spec: &JobSpec) -> (f64, f64) {
+        let range = |estimate_ms| self.run_time_range_ms(queue, estimate_ms);
+        let shortest_ms = whole_path_ms(spec, |estimate_ms| range(estimate_ms).0);
+        let longest_ms = whole_path_ms(spec, |estimate_ms| range(estimate_ms).1);
+        (shortest_ms, longest_ms)
+    }
+
+    /// Time at which the objective of a job begins, which is its submission or the due time of the
+    /// occurrence in milliseconds since 1970 on the leader's clock, and the objective of its queue.
+    pub fn objective_ms(
         &self,
         ledger: &JobLedger,
         job: &JobRecord,
         spec: &JobSpec,
         key: StepKey,
-    ) -> u64 {
+    ) -> (u64, u64) {
         let begin_ms = spec
             .schedule
             .map_or(job.accepted_ms, |schedule| schedule.due_ms(key.occurrence));
-        let sources = spec.steps.iter().enumerate();
-        let sources = sources.filter(|(_, step)| step.after.is_empty());
-        let paths_ms = sources.map(|(number, _)| self.critical_path_ms(&job.queue, spec, number));
-        let critical_path_ms = paths_ms.fold(0.0, f64::max) as u64;
+        let critical_path_ms = self.job_path_ms(&job.queue, spec) as u64;
         let queue = ledger.catalog().queue(&job.queue);
         let objective_ms = queue.map_or(OBJECTIVE_DEFAULT_MS, |queue| {
             queue.objective_ms(critical_path_ms)
         });
+        (begin_ms, objective_ms)
+    }
+
+    /// Deadline of a job, in milliseconds since 1970 on the leader's clock: its submission, or the
+    /// due time of the occurrence, plus the objective of its queue.
+    pub fn deadline_ms(
+        &self,
+        ledger: &JobLedger,
+        job: &JobRecord,
+        spec: &JobSpec,
+        key: StepKey,
+    ) -> u64 {
+        let (begin_ms, objective_ms) = self.objective_ms(ledger, job, spec, key);
         begin_ms.saturating_add(objective_ms)
     }
 }
 
+/// Longest sum of run times along dependent steps from one step on, in milliseconds.
+fn longest_path_ms(spec: &JobSpec, first_step: usize, run_time_ms: impl Fn(u64) -> f64) -> f64 {
+    let mut end_ms = vec![0.0_f64; spec.steps.len()];
+    let mut critical_path_ms: f64 = 0.0;
+    for (number, step) in spec.steps.iter().enumerate().skip(first_step) {
+        let after = step.after.iter().map(|after| usize::from(*after));
+        let predecessors: Vec<usize> = after.filter(|after| *after >= first_step).collect();
+        let is_successor = predecessors.iter().any(|after| end_ms[*after] > 0.0);
+        if number != first_step && !is_successor {
+            continue;
+        }
+        let begin_ms = predecessors
+            .iter()
+            .map(|after| end_ms[*after])
+            .fold(0.0, f64::max);
+        end_ms[number] = begin_ms + run_time_ms(step.estimate_ms);
+        critical_path_ms = critical_path_ms.max(end_ms[number]);
+    }
+    critical_path_ms
+}
+
+/// Longest sum of run times along dependent steps, in milliseconds.
+fn whole_path_ms(spec: &JobSpec, run_time_ms: impl Fn(u64) -> f64) -> f64 {
+    let sources = spec.steps.iter().enumerate();
+    let sources = sources.filter(|(_, step)| step.after.is_empty());
+    let paths_ms = sources.map(|(number, _)| longest_path_ms(spec, number, &run_time_ms));
+    paths_ms.fold(0.0, f64::max)
+}
+
 /// Time for which a best-effort step insists on the wanted CPU share; after that it accepts a
 /// smaller one.
 pub fn wanted_share_wait(deadline_ms: u64, now_ms: u64, remaining_ms: f64) -> Duration {
