Admission: the leader refuses submissions that cannot be served usefully

Change: a component of the control process keeps the backlog summary of the latest pass, the refused IDs and the proposals in flight; submit asks it and answers 429. A job whose proposal is in flight or had no known outcome in this process, or which the ledger has, is never refused. An admitted retry keeps the time of its first submission.

--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -4,6 +4,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use super::admission::AdmissionOutcome;
+use super::admission::SubmittedJob;
 use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
 use super::session::SessionId;
@@ -173,12 +175,36 @@
             let retry_after_ms = NO_ADVICE_RETRY_MS;
             return self.reply(origin, CallerReply::Refused { retry_after_ms });
         }
+        let accepted_ms = match self.decide_admission(key, &queue, &spec) {
+            AdmissionOutcome::Admitted { first_submitted_ms } => first_submitted_ms,
+            AdmissionOutcome::Refused { retry_after_ms } => {
+                return self.reply(origin, CallerReply::Refused { retry_after_ms });
+            }
+        };
         let command = LedgerCommand::Submit {
             job: key,
             queue,
             spec: Arc::new(spec),
-            accepted_ms: time_of_day_ms(),
+            accepted_ms,
         };
         self.propose(command, CommitPurpose::Submit { origin, key });
     }
+
+    /// Decides whether a job is refused for load.
+    fn decide_admission(&mut self, key: JobKey, queue: &str, spec: &JobSpec) -> AdmissionOutcome {
+        let now_ms = time_of_day_ms();
+        let job = SubmittedJob {
+            key,
+            queue,
+            spec,
+            now_ms,
+        };
+        let (admission, quorum) = (&mut self.admission, &self.quorum);
+        let Some(state) = &self.leader_state else {
+            let first_submitted_ms = now_ms;
+            return AdmissionOutcome::Admitted { first_submitted_ms };
+        };
+        let capacity = state.capacities.service();
+        quorum.read_local(|ledger| admission.decide(ledger, capacity, &state.run_times, &job))
+    }
 }
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use super::caller::time_of_day_ms;
 use super::caller::CallOrigin;
 use super::engine::ControlEngine;
 use super::engine::EngineInput;
@@ -136,6 +137,9 @@
     }
 
     fn finish_submit(&mut self, origin: CallOrigin, key: JobKey, result: CommitResult) {
+        let outcome_known = !matches!(result, Err(ProposeError::Unknown));
+        self.admission
+            .record_result(key, time_of_day_ms(), outcome_known);
         let reply = match result {
             Ok(LedgerOutcome::Accepted { .. }) => CallerReply::Accepted,
             Ok(LedgerOutcome::UnknownQueue) => CallerReply::NoQueue,
@@ -278,6 +282,9 @@
         if let Some(state) = &mut self.leader_state {
             state.ended_at.extend(jobs.iter().map(|job| (*job, now)));
         }
+        let admission = &mut self.admission;
+        self.quorum
+            .read_local(|ledger| admission.record_ends(ledger, jobs));
         self.stop_undesired_runs(jobs);
     }
 
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::admission::AdmissionControl;
 use super::advice::AdviceReply;
 use super::caller::CallOrigin;
 use super::commit::CommitPurpose;
@@ -85,6 +86,7 @@
     /// Number of proposals of starts without a result, of this and earlier tenures.
     pub(super) starts_in_flight: usize,
     pub(super) next_maintenance: BootTime,
+    pub(super) admission: AdmissionControl,
 }
 
 impl ControlEngine {
@@ -101,6 +103,7 @@
             tenures: 0,
             starts_in_flight: 0,
             next_maintenance: BootTime::default(),
+            admission: AdmissionControl::default(),
         }
     }
 
@@ -199,6 +202,7 @@
             workers = state.workers.len()
         );
         self.leader_state = Some(state);
+        self.admission.begin_tenure();
     }
 
     /// Drops the leader state and redirects all sessions.
--- a/crates/guavavane_cell/src/control/mod.rs
+++ b/crates/guavavane_cell/src/control/mod.rs
@@ -3,9 +3,10 @@
 //! `replica` bootstraps or joins the Raft group, `group_report` reports its state, `peer` sends
 //! messages to other replicas, `stream` accepts connections, and `engine` is the loop that answers
 //! requests and sends orders to agents. `scheduling` runs the scheduling passes and `maintenance` the
-//! periodic work. `leader_state` holds the leader's volatile state, which each tenure builds anew, and
+//! periodic work. `admission` decides whether submissions are refused for load. `leader_state` holds the leader's volatile state, which each tenure builds anew, and
 //! `repeat` proposes again what was refused.
 
+mod admission;
 mod advice;
 mod caller;
 mod command_size;
--- a/crates/guavavane_cell/src/control/scheduling.rs
+++ b/crates/guavavane_cell/src/control/scheduling.rs
@@ -51,9 +51,11 @@
         }
         state.pass_requested = false;
         let has_advice_service = self.settings.advice.is_some();
+        let admission = &mut self.admission;
         let (choices, advice_steps) = self.quorum.read_local(|ledger| {
             state.record_waiting_steps(ledger);
             if state.waiting_since.is_empty() {
+                admission.sum_up(ledger, state, &[], &[]);
                 return (Vec::new(), Vec::new());
             }
             let steps = waiting_steps(ledger, &state.run_times, time_of_day_ms());
@@ -64,7 +66,9 @@
                     Vec::new()
                 };
                 let choices = choose_starts(ledger, table, state, &steps);
-                (starts_of_one_command(ledger, choices), advice_steps)
+                let choices = starts_of_one_command(ledger, choices);
+                admission.sum_up(ledger, state, &steps, &choices);
+                (choices, advice_steps)
             })
         });
         self.request_advice(advice_steps);
