--- a/crates/guavavane_cell/src/control/admission.rs
+++ b/crates/guavavane_cell/src/control/admission.rs
@@ -1,11 +1,10 @@
 //! Admission control of the leader: keeps the backlog summary and the refused IDs, and decides about
 //! submissions.
 //!
-//! The summary, the refused IDs and the fractions of completed jobs belong to one tenure. The IDs with
+//! The summary, the refused IDs and the outcomes of the queues belong to one tenure. The IDs with
 //! a proposal in flight or of unknown outcome belong to the process: a job that may have been accepted
 //! is never refused, also not in a later tenure.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -19,10 +18,11 @@
 use guavavane_jobs::plan::admission::Submission;
 use guavavane_jobs::plan::admission_backlog::waiting_work;
 use guavavane_jobs::plan::admission_backlog::BacklogSummary;
-use guavavane_jobs::plan::admission_backlog::CompletedFractions;
+use guavavane_jobs::plan::admission_backlog::QueueOutcomes;
 use guavavane_jobs::plan::admission_backlog::WaitingWork;
 use guavavane_jobs::plan::admission_capacity::ServiceCapacity;
 use guavavane_jobs::plan::admission_ids::RecentIds;
+use guavavane_jobs::plan::order::yield_steps;
 use guavavane_jobs::plan::order::WaitingStep;
 use guavavane_jobs::plan::pass::PassInput;
 use guavavane_jobs::plan::slack::RunTimes;
@@ -96,7 +96,7 @@
 pub(super) struct AdmissionControl {
     /// Waiting work; none before the first pass of a tenure.
     backlog: Option<BacklogSummary>,
-    completed: CompletedFractions,
+    outcomes: QueueOutcomes,
     /// IDs that were refused for load, with their first submission.
     refused: RecentIds,
     in_flight: IndexMap<JobKey, OpenProposals>,
@@ -109,10 +109,18 @@
     /// Forgets what belongs to the previous tenure.
     pub(super) fn begin_tenure(&mut self) {
         self.backlog = None;
-        self.completed = CompletedFractions::default();
+        self.outcomes = QueueOutcomes::default();
         self.refused = RecentIds::default();
     }
 
+    /// Moves the steps of queues of which most jobs failed lately behind the others of their priority.
+    pub(super) fn yield_failing_queues(&self, ledger: &JobLedger, steps: &mut [WaitingStep]) {
+        yield_steps(steps, |key| {
+            let job = ledger.job(key);
+            job.is_some_and(|job| self.outcomes.mostly_fails(&job.queue))
+        });
+    }
+
     /// Sums up the waiting work after a pass, less the starts that it has chosen.
     pub(super) fn sum_up(
         &mut self,
@@ -130,7 +138,7 @@
             let mut step = *step;
             let started = starts.get(&step.key).copied().unwrap_or(0);
             step.waiting_tasks = step.waiting_tasks.saturating_sub(started);
-            let work = waiting_work(ledger, input.run_times(), &self.completed, &step);
+            let work = waiting_work(ledger, input.run_times(), &self.outcomes, &step);
             work.iter().for_each(|work| backlog.add(work));
         }
         // A job that the ledger has already is among the waiting steps.
@@ -249,9 +257,7 @@
     pub(super) fn record_ends(&mut self, ledger: &JobLedger, jobs: &[JobKey]) {
         for job in jobs.iter().filter_map(|job| ledger.job(*job)) {
             if job.phase != JobPhase::Active {
-                let completed = job.phase == JobPhase::Completed;
-                self.completed
-                    .record_end(&Arc::clone(&job.queue), completed);
+                self.outcomes.record_end(&job.queue, job.phase);
             }
         }
     }
--- a/crates/guavavane_cell/src/control/scheduling.rs
+++ b/crates/guavavane_cell/src/control/scheduling.rs
@@ -58,7 +58,8 @@
                 admission.sum_up(ledger, state, &[], &[]);
                 return (Vec::new(), Vec::new());
             }
-            let steps = waiting_steps(ledger, &state.run_times, time_of_day_ms());
+            let mut steps = waiting_steps(ledger, &state.run_times, time_of_day_ms());
+            admission.yield_failing_queues(ledger, &mut steps);
             state.with_capacities(ledger, |state, table| {
                 let advice_steps = if has_advice_service {
                     steps_needing_advice(ledger, table, state, &steps)
--- a/crates/guavavane_jobs/src/plan/admission_backlog.rs
+++ b/crates/guavavane_jobs/src/plan/admission_backlog.rs
@@ -20,6 +20,7 @@
 use crate::job::StepKind;
 use crate::job::StepSpec;
 use crate::ledger::JobLedger;
+use crate::ledger::JobPhase;
 use guavavane_model::prelude::ResourceVector;
 
 /// Buckets of each doubling of the distance in time.
@@ -29,8 +30,10 @@
 const SIZES_MAX: usize = 64;
 /// Number of leading bits that the size of a task keeps.
 const SIZE_BITS: u32 = 3;
-/// Weight of one job in the moving average of the completed fraction of its queue.
-const COMPLETED_RATE: f64 = 0.05;
+/// Weight of one job in the moving averages of its queue.
+const OUTCOME_RATE: f64 = 0.05;
+/// Fraction of failed jobs above which a queue yields to others of its priority.
+const FAILED_FRACTION_MAX: f64 = 0.5;
 
 /// Work that competes for the same processors.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -171,22 +174,44 @@
     }
 }
 
-/// Fractions of the jobs of each queue that completed lately.
+/// Fractions of the jobs of one queue that ended in one way lately.
+#[derive(Clone, Copy, Debug)]
+struct EndFractions {
+    completed: f64,
+    failed: f64,
+}
+
+/// How the jobs of each queue ended lately.
 #[derive(Clone, Debug, Default)]
-pub struct CompletedFractions {
-    by_queue: IndexMap<Arc<str>, f64>,
+pub struct QueueOutcomes {
+    by_queue: IndexMap<Arc<str>, EndFractions>,
 }
 
-impl CompletedFractions {
-    /// Counts a job that has completed, failed or been cancelled.
-    pub fn record_end(&mut self, queue: &Arc<str>, completed: bool) {
-        let fraction = self.by_queue.entry(Arc::clone(queue)).or_insert(1.0);
-        *fraction += (f64::from(u8::from(completed)) - *fraction) * COMPLETED_RATE;
+impl QueueOutcomes {
+    /// Counts a job that has ended.
+    pub fn record_end(&mut self, queue: &Arc<str>, phase: JobPhase) {
+        let fractions = self.by_queue.entry(Arc::clone(queue));
+        let fractions = fractions.or_insert(EndFractions {
+            completed: 1.0,
+            failed: 0.0,
+        });
+        let update = |fraction: &mut f64, ended_so: bool| {
+            *fraction += (f64::from(u8::from(ended_so)) - *fraction) * OUTCOME_RATE;
+        };
+        update(&mut fractions.completed, phase == JobPhase::Completed);
+        update(&mut fractions.failed, phase == JobPhase::Failed);
     }
 
     /// Fraction of the jobs of a queue that completed; 1 before any has ended.
-    pub fn of_queue(&self, queue: &str) -> f64 {
-        self.by_queue.get(queue).copied().unwrap_or(1.0)
+    pub fn completed_fraction(&self, queue: &str) -> f64 {
+        let fractions = self.by_queue.get(queue);
+        fractions.map_or(1.0, |fractions| fractions.completed)
+    }
+
+    /// Whether most jobs of a queue failed; jobs that were cancelled don't count as failed.
+    pub fn mostly_fails(&self, queue: &str) -> bool {
+        let fractions = self.by_queue.get(queue);
+        fractions.is_some_and(|fractions| fractions.failed > FAILED_FRACTION_MAX)
     }
 }
 
@@ -194,7 +219,7 @@
 pub fn waiting_work(
     ledger: &JobLedger,
     run_times: &RunTimes,
-    completed: &CompletedFractions,
+    outcomes: &QueueOutcomes,
     waiting: &WaitingStep,
 ) -> Option<WaitingWork> {
     let job = ledger.job(waiting.key.job)?;
@@ -209,7 +234,7 @@
         priority: waiting.priority,
         demand: step.demand,
         useful_until_ms: waiting.useful_until_ms,
-        tasks: f64::from(waiting.waiting_tasks) * completed.of_queue(&job.queue),
+        tasks: f64::from(waiting.waiting_tasks) * outcomes.completed_fraction(&job.queue),
         task_ms: run_times.typical_task_ms(&job.queue, step.estimate_ms),
     })
 }
--- /dev/null
+++ b/crates/guavavane_jobs/tests/overload_admission.rs
@@ -0,0 +1,99 @@
+//! Replays bursts of submissions with and without admission control.
+//!
+//! Guards against a cell that spends its capacity on jobs that end too late, and against refusals of
+//! jobs that could be served.
+
+#![allow(clippy::unwrap_used, reason = "a test may fail by unwrapping")]
+
+mod support;
+
+use crate::support::overload::replay_overload;
+use crate::support::overload::BurstLoad;
+use crate::support::overload::OverloadPart;
+use crate::support::overload::ServedParts;
+
+/// Number of replayed loads, one for each seed.
+const SEEDS: u64 = 5;
+/// Part of the work servable in time with perfect knowledge that is served in time.
+const IN_TIME_MIN: f64 = 0.8;
+
+/// Burst of 2.2 times the capacity for 6 s, of large jobs.
+const LARGE_JOBS: BurstLoad = BurstLoad {
+    factor: 2.2,
+    burst_ms: (4_000, 10_000),
+    run_time_ms: (600.0, 2_400.0),
+    tasks: (4, 24),
+    cut_off: (2, 5_000, 9_000),
+    estimate_error: 0.9,
+    oversized: 0.0,
+    leaving: 0.0,
+    failing: 0.0,
+};
+
+/// Burst of 1.7 times the capacity, of small jobs.
+const SMALL_JOBS: BurstLoad = BurstLoad {
+    factor: 1.7,
+    run_time_ms: (60.0, 240.0),
+    tasks: (1, 4),
+    ..LARGE_JOBS
+};
+
+fn mean(load: &BurstLoad, part: OverloadPart) -> ServedParts {
+    let mut sum = ServedParts::default();
+    for seed in 0..SEEDS {
+        let served = replay_overload(load, seed, part);
+        sum.in_time += served.in_time / SEEDS as f64;
+        sum.useful += served.useful / SEEDS as f64;
+        sum.in_vain += served.in_vain / SEEDS as f64;
+        sum.refusals += served.refusals;
+        sum.oversized_refusals += served.oversized_refusals;
+    }
+    sum
+}
+
+fn check(name: &str, load: &BurstLoad) {
+    let whole = mean(load, OverloadPart::Whole);
+    let order_only = mean(load, OverloadPart::OrderOnly);
+    let none = mean(load, OverloadPart::None);
+    println!("{name}: {whole:.3?}\n  all admitted {order_only:.3?}\n  earlier order {none:.3?}");
+    assert_eq!(whole.oversized_refusals, 0);
+    assert!(whole.in_time > none.in_time);
+    assert!(whole.in_time >= IN_TIME_MIN);
+}
+
+#[test]
+fn a_burst_of_large_jobs_beside_workers_that_are_cut_off() {
+    check("large jobs", &LARGE_JOBS);
+}
+
+#[test]
+fn a_burst_of_small_jobs_beside_workers_that_are_cut_off() {
+    check("small jobs", &SMALL_JOBS);
+}
+
+#[test]
+fn jobs_that_can_never_run() {
+    let load = BurstLoad {
+        oversized: 0.3,
+        ..LARGE_JOBS
+    };
+    check("oversized jobs", &load);
+}
+
+#[test]
+fn callers_that_leave() {
+    let load = BurstLoad {
+        leaving: 0.3,
+        ..SMALL_JOBS
+    };
+    check("leaving callers", &load);
+}
+
+#[test]
+fn a_queue_whose_jobs_always_fail() {
+    let load = BurstLoad {
+        failing: 0.3,
+        ..SMALL_JOBS
+    };
+    check("failing jobs", &load);
+}
--- a/crates/guavavane_jobs/tests/support/mod.rs
+++ b/crates/guavavane_jobs/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub(crate) mod overload;
 pub(crate) mod random_commands;
 pub(crate) mod replay;
 
--- a/crates/guavavane_jobs/tests/support/replay.rs
+++ b/crates/guavavane_jobs/tests/support/replay.rs
@@ -90,6 +90,8 @@
     pub(crate) runs: Vec<ReplayRun>,
     /// Time of completion by job, in milliseconds of simulated time.
     pub(crate) completed: IndexMap<JobKey, u64>,
+    /// Capacities as of the latest pass.
+    pub(crate) table: CapacityTable,
 }
 
 impl Replay {
@@ -110,6 +112,7 @@
             view,
             runs: Vec::new(),
             completed: IndexMap::new(),
+            table: CapacityTable::default(),
         }
     }
 
@@ -137,6 +140,7 @@
         let LedgerOutcome::Started(started) = apply(&mut self.ledger, command) else {
             panic!("the reply to a start lists the accepted starts");
         };
+        self.table = table;
         for (choice, started) in choices.into_iter().zip(started) {
             assert!(started, "{} was chosen and not committed", choice.task);
             self.runs.push(ReplayRun {
