Throttle: slowdown budgets follow a forecast of each job's load

Cause: CPU shares were computed from the load of the latest report, which is averaged over half a second, and act 100 ms later. A fixed margin of 0.07 covered the rise until then. It was too small while the load rose and kept best-effort work waiting while it fell.

Change: plan::load_forecast fits the recent baseline utilisation of a job by a regression on a constant and one wave, with its standard error. plan::slowdown_budget (split off plan::throttle) takes the highest load expected while the shares of a report are in force, plus 1.5 standard errors and 0.02. With too little history the fixed margin applies. plan::violation_tracker is split off unchanged. pace_changed logs the expected load and its error. No message is new or changed.

--- a/crates/guavavane_cell/src/agent/worker.rs
+++ b/crates/guavavane_cell/src/agent/worker.rs
@@ -9,6 +9,7 @@
 use super::refusal::RunRefusals;
 use super::target_watch::ShareSummary;
 use super::target_watch::TargetWatch;
+use crate::metric;
 use crate::worker_api::RenewalReport;
 use crate::worker_api::RunStatus;
 use guavavane_jobs::plan::share_tracker::ShareAnswer;
@@ -231,7 +232,23 @@
             });
             let worst_ms = tail_latencies.max().unwrap_or(0);
             let (runs, percent) = throttled;
-            tracing::info!(event = "pace_changed", worker = %self.key, runs, percent, worst_ms);
+            let (load, load_error) = match self.throttle.highest_load() {
+                Some(load) => (load.mean, load.standard_error),
+                None => (f64::NAN, f64::NAN),
+            };
+            tracing::info!(
+                event = "pace_changed", worker = %self.key, runs, percent, worst_ms,
+                load = format_args!("{load:.2}"), load_error = format_args!("{load_error:.3}"),
+            );
+        }
+        if !self.throttle.utilisation_report().samples.is_empty() {
+            let is_forecast = self.throttle.highest_load().is_some();
+            let basis = if is_forecast {
+                "forecast"
+            } else {
+                "fixed_margin"
+            };
+            metric::count_event("slowdown_budget", basis);
         }
         orders
     }
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -9,7 +9,9 @@
 //!
 //! The agent of each worker throttles best-effort tasks that slow down latency-critical ones
 //! ([`throttle`]): a CPU share is the part of its CPU demand that a best-effort run may use.
-//! [`share_tracker`] decides when a share is ordered. The leader learns the interference model
+//! [`slowdown_budget`] computes what they may use from a forecast of the load ([`load_forecast`]),
+//! and [`violation_tracker`] how long a target is violated. [`share_tracker`]
+//! decides when a share is ordered. The leader learns the interference model
 //! ([`interference`]) and sends each agent the estimates for the images on its worker.
 
 pub mod advice;
@@ -18,6 +20,7 @@
 pub mod capacity_table;
 pub mod interference;
 mod interference_filter;
+pub mod load_forecast;
 pub mod obstacle;
 pub mod order;
 pub mod pass;
@@ -26,4 +29,6 @@
 mod refused_demand;
 pub mod share_tracker;
 pub mod slack;
+pub mod slowdown_budget;
 pub mod throttle;
+pub mod violation_tracker;
--- a/crates/guavavane_jobs/src/plan/throttle.rs
+++ b/crates/guavavane_jobs/src/plan/throttle.rs
@@ -1,17 +1,13 @@
 //! Throttles best-effort tasks that slow down latency-critical tasks on the same worker.
 //!
 //! The agent runs the controller at each renewal report ([`ThrottleController::update`]), with the
-//! model of [`super::interference`]. The baseline utilisation of a latency-critical task is its
-//! utilisation less what the best-effort tasks add. The difference to the utilisation at the
-//! latency target is the slowdown budget. Best-effort tasks get CPU shares from that budget one by
-//! one: first those that interfere with no latency-critical task, then by rank. Tasks for which
+//! model of [`super::interference`]. [`super::slowdown_budget`] computes how much slowdown each
+//! latency-critical image tolerates. Best-effort tasks get CPU shares from that budget one by one: first those that interfere with no latency-critical task, then by rank. Tasks for which
 //! nothing is left are paused, because equal shares would make all of them late. A paused task
 //! keeps its run, with a CPU share of 0.
 //!
 //! If the target of a latency-critical task stays violated for the violation timeout, all
-//! best-effort tasks are paused until the violation has ended: until the tail latency has stayed below
-//! the target for as long as it is averaged. A shorter recovery neither resumes the tasks nor starts
-//! the timeout anew. The leader stops stalled runs that fit on
+//! best-effort tasks are paused until the violation has ended ([`super::violation_tracker`]). The leader stops stalled runs that fit on
 //! another worker, so that a later scheduling pass places their tasks anew, and learns the
 //! interference coefficients from the utilisation reports of all agents.
 
@@ -19,33 +15,25 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
-use super::interference::slowdown_for_utilisation;
 use super::interference::utilisation_limit;
 use super::interference::utilisation_of_tail;
 use super::interference::BestEffortLoad;
 use super::interference::InterferenceModel;
 use super::interference::PairEstimate;
 use super::interference::UtilisationSample;
+use super::load_forecast::LoadEstimate;
 use super::share_tracker::ShareAnswer;
 use super::share_tracker::ShareTracker;
+use super::slowdown_budget::BudgetPlanner;
+use super::violation_tracker::ViolationTracker;
 use crate::identity::RunNumber;
 use crate::identity::TaskKey;
 use guavavane_model::prelude::BootTime;
 
-/// Utilisation kept free below the limit: baseline utilisation rises by as much between two
-/// renewal reports.
-const UTILISATION_MARGIN: f64 = 0.07;
 /// Margin below the utilisation limit from which a target counts as violated, because reported tail
 /// latencies are imprecise.
 const VIOLATION_MARGIN: f64 = 0.02;
-/// Time for which a tail latency has to stay below its target to end a violation. A tail latency
-/// covers the last half second, and a single one may be too low.
-const VIOLATION_RECOVERY: Duration = Duration::from_millis(500);
-/// Fraction of the remaining utilisation that best-effort tasks get while a latency-critical task
-/// is at or over its target.
-const VIOLATION_HEADROOM_FRACTION: f64 = 0.5;
 /// Interference coefficient below which a pair does not limit a CPU share; the task still counts
 /// against the slowdown budgets and is paused with the others.
 const COEFFICIENT_MIN: f64 = 0.6;
@@ -121,22 +109,6 @@
     pub load: BestEffortLoad,
 }
 
-/// Time for which a target is violated; it may be interrupted by less than
-/// [`VIOLATION_RECOVERY`].
-#[derive(Clone, Copy, Debug)]
-struct TargetViolation {
-    /// First report of the violation.
-    since: BootTime,
-    /// Latest report that shows the target violated.
-    last_seen: BootTime,
-}
-
-impl TargetViolation {
-    fn duration(&self) -> Duration {
-        self.last_seen.saturating_since(self.since)
-    }
-}
-
 /// CPU share of each run, in percent.
 type CpuShareMap = IndexMap<(TaskKey, RunNumber), u32>;
 
@@ -153,28 +125,37 @@
     /// best-effort tasks are paused.
     budgets: IndexMap<Arc<str>, f64>,
     reported_at: BootTime,
-    /// How long a target may be violated before all best-effort tasks are paused.
-    violation_timeout: Duration,
-    /// Runs that this process has started or has seen in a report.
-    known_runs: IndexSet<(TaskKey, RunNumber)>,
-    /// Current violation of each latency-critical run.
-    violations: IndexMap<(TaskKey, RunNumber), TargetViolation>,
+    budget_planner: BudgetPlanner,
+    violation_tracker: ViolationTracker,
 }
 
 impl ThrottleController {
     /// Creates a controller that tolerates a violated target for this time.
     pub fn new(violation_timeout: Duration) -> Self {
         Self {
-            violation_timeout,
+            violation_tracker: ViolationTracker::new(violation_timeout),
             ..Self::default()
         }
     }
 
+    /// Creates a controller with a fixed margin in place of the load forecasts, for comparison.
+    pub fn with_fixed_margin(violation_timeout: Duration) -> Self {
+        Self {
+            budget_planner: BudgetPlanner::with_fixed_margin(),
+            ..Self::new(violation_timeout)
+        }
+    }
+
     /// Number of throttled runs, and the sum of their CPU shares in percent.
     pub fn throttled(&self) -> (usize, u32) {
         (self.cpu_shares.len(), self.cpu_shares.values().sum())
     }
 
+    /// Highest baseline utilisation that is expected until the next report; none without a forecast.
+    pub fn highest_load(&self) -> Option<LoadEstimate> {
+        self.budget_planner.highest_load()
+    }
+
     /// Utilisations and smoothed best-effort load of the latest renewal report.
     pub fn utilisation_report(&self) -> &UtilisationReport {
         &self.report
@@ -196,8 +177,14 @@
         self.report = summarise_tasks(tasks);
         self.report.load = smooth_load(load, &self.report.load, now, self.reported_at);
         self.reported_at = now;
-        self.budgets = self.slowdown_budgets();
-        if self.track_violations(now, tasks) {
+        self.budgets = self.budget_planner.update(
+            now,
+            &self.report.samples,
+            &self.report.load,
+            &self.interference,
+        );
+        let latency_critical = tasks.iter().filter_map(observed_violation);
+        if self.violation_tracker.update(now, latency_critical) {
             self.budgets
                 .values_mut()
                 .for_each(|budget| *budget = f64::NEG_INFINITY);
@@ -234,7 +221,7 @@
 
     /// Records that a run is about to start with the full CPU share.
     pub fn record_start(&mut self, task: TaskKey, run: RunNumber) {
-        self.known_runs.insert((task, run));
+        self.violation_tracker.record_start((task, run));
         self.share_tracker.record_start(task, run);
     }
 
@@ -251,63 +238,10 @@
 
     /// Forgets the CPU shares of all runs for which `keep` returns false.
     pub fn retain_runs(&mut self, mut keep: impl FnMut(TaskKey, RunNumber) -> bool) {
-        self.known_runs.retain(|(task, run)| keep(*task, *run));
+        self.violation_tracker.retain_runs(&mut keep);
         self.share_tracker.retain(keep);
     }
 
-    /// Tracks how long targets are violated; returns whether a violation that has not ended has
-    /// lasted for the violation timeout.
-    fn track_violations(&mut self, now: BootTime, tasks: &[ObservedTask]) -> bool {
-        let mut current = IndexMap::new();
-        for task in tasks {
-            let TaskRole::LatencyCritical { tail_ms, target_ms } = task.role else {
-                continue;
-            };
-            let run_key = (task.task, task.run);
-            let previous = self.violations.get(&run_key).copied();
-            let is_found = self.known_runs.insert(run_key);
-            // A run that another process has started may have been over its target for long.
-            let earliest = if is_found {
-                time_before(now, self.violation_timeout)
-            } else {
-                now
-            };
-            let since = previous.map_or(earliest, |violation| violation.since);
-            if utilisation_of_tail(tail_ms, target_ms) >= utilisation_limit() - VIOLATION_MARGIN {
-                let last_seen = now;
-                current.insert(run_key, TargetViolation { since, last_seen });
-            } else if let Some(violation) = previous {
-                if now.saturating_since(violation.last_seen) < VIOLATION_RECOVERY {
-                    current.insert(run_key, violation);
-                }
-            }
-        }
-        self.violations = current;
-        let longest = self.violations.values().map(TargetViolation::duration);
-        longest
-            .max()
-            .is_some_and(|longest| longest >= self.violation_timeout)
-    }
-
-    /// Slowdown that each latency-critical image tolerates, the lowest of its tasks.
-    fn slowdown_budgets(&self) -> IndexMap<Arc<str>, f64> {
-        let mut budgets: IndexMap<Arc<str>, f64> = IndexMap::new();
-        for sample in &self.report.samples {
-            let baseline = sample.utilisation
-                - self
-                    .interference
-                    .added_utilisation(&sample.image, &self.report.load);
-            let mut headroom = utilisation_limit() - UTILISATION_MARGIN - baseline.max(0.0);
-            if sample.utilisation >= utilisation_limit() {
-                headroom *= VIOLATION_HEADROOM_FRACTION;
-            }
-            let budget = slowdown_for_utilisation(headroom);
-            let lowest = budgets.entry(Arc::clone(&sample.image)).or_insert(budget);
-            *lowest = lowest.min(budget);
-        }
-        budgets
-    }
-
     /// Allocates the slowdown budgets to the best-effort tasks.
     fn allocate_shares(&mut self, tasks: &[ObservedTask]) {
         let previous_shares = std::mem::take(&mut self.cpu_shares);
@@ -402,10 +336,14 @@
     }
 }
 
-/// Time that lies `duration` before this one, or the time of the boot.
-fn time_before(time: BootTime, duration: Duration) -> BootTime {
-    let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
-    BootTime::from_micros(time.as_micros().saturating_sub(micros))
+/// Latency-critical run with whether its target is violated.
+fn observed_violation(task: &ObservedTask) -> Option<((TaskKey, RunNumber), bool)> {
+    let TaskRole::LatencyCritical { tail_ms, target_ms } = task.role else {
+        return None;
+    };
+    let utilisation = utilisation_of_tail(tail_ms, target_ms);
+    let is_violated = utilisation >= utilisation_limit() - VIOLATION_MARGIN;
+    Some(((task.task, task.run), is_violated))
 }
 
 /// CPU share in percent; shares close to none or all become 0 or 100 %.
