Throttle: weak pairs limit CPU shares after all strong ones

Cause: a pair with a coefficient below 0.6 never limited a share. Six tasks of 0.5 violated the target until the violation timeout paused all best-effort tasks. A larger margin, the earlier attempt, took work from all other tasks.

Change: a pair below 0.6 limits shares if its coefficient is at least 0.25 and two standard deviations above 0. The order of allocation keeps its limit of 0.6, so that weak tasks give way only where no strong task is left to pause.

--- a/crates/guavavane_jobs/src/plan/throttle.rs
+++ b/crates/guavavane_jobs/src/plan/throttle.rs
@@ -2,14 +2,16 @@
 //!
 //! The agent runs the controller at each renewal report ([`ThrottleController::update`]), with the
 //! model of [`super::interference`]. [`super::slowdown_budget`] computes how much slowdown each
-//! latency-critical image tolerates. Best-effort tasks get CPU shares from that budget one by one: first those that interfere with no latency-critical task, then by rank. Tasks for which
+//! latency-critical image tolerates. Best-effort tasks get CPU shares from that budget one by one:
+//! first those that interfere strongly with no latency-critical task, then by rank. Tasks for which
 //! nothing is left are paused, because equal shares would make all of them late. A paused task
 //! keeps its run, with a CPU share of 0.
 //!
 //! If the target of a latency-critical task stays violated for the violation timeout, all
-//! best-effort tasks are paused until the violation has ended ([`super::violation_tracker`]). The leader stops stalled runs that fit on
-//! another worker, so that a later scheduling pass places their tasks anew, and learns the
-//! interference coefficients from the utilisation reports of all agents.
+//! best-effort tasks are paused until the violation has ended ([`super::violation_tracker`]). The
+//! leader stops stalled runs that fit on another worker, so that a later scheduling pass places
+//! their tasks anew, and learns the interference coefficients from the utilisation reports of all
+//! agents.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +21,7 @@
 use super::interference::utilisation_limit;
 use super::interference::utilisation_of_tail;
 use super::interference::BestEffortLoad;
+use super::interference::Estimate;
 use super::interference::InterferenceModel;
 use super::interference::PairEstimate;
 use super::interference::UtilisationSample;
@@ -34,9 +37,16 @@
 /// Margin below the utilisation limit from which a target counts as violated, because reported tail
 /// latencies are imprecise.
 const VIOLATION_MARGIN: f64 = 0.02;
+/// Interference coefficient from which a pair interferes strongly. Tasks of other pairs get their CPU
+/// shares first, because throttling them costs much work for little utilisation.
+const COEFFICIENT_STRONG_MIN: f64 = 0.6;
 /// Interference coefficient below which a pair does not limit a CPU share; the task still counts
-/// against the slowdown budgets and is paused with the others.
-const COEFFICIENT_MIN: f64 = 0.6;
+/// against the slowdown budgets and is paused with the others. Several tasks of weaker pairs together
+/// can violate a target, and a harmless pair may be estimated at up to 0.2.
+const COEFFICIENT_MIN: f64 = 0.25;
+/// Standard deviations by which the coefficient of a pair that is not strong has to exceed 0 to limit
+/// a CPU share.
+const COEFFICIENT_DEVIATIONS_MIN: f64 = 2.0;
 /// Smallest CPU share; a task with less is paused.
 const CPU_SHARE_MIN_PERCENT: u32 = 5;
 /// CPU share from which a task is not throttled at all.
@@ -271,11 +281,9 @@
         let cpu_demand = cpu_demand.max(f64::MIN_POSITIVE);
         let mut cpu_share: f64 = 1.0;
         for (latency_critical, budget) in &self.budgets {
-            let coefficient = self
-                .interference
-                .mean_coefficient(latency_critical, &task.image);
-            if coefficient >= COEFFICIENT_MIN {
-                cpu_share = cpu_share.min(budget / (coefficient * cpu_demand));
+            let coefficient = self.interference.coefficient(latency_critical, &task.image);
+            if limits_share(coefficient) {
+                cpu_share = cpu_share.min(budget / (coefficient.mean * cpu_demand));
             } else if *budget == f64::NEG_INFINITY {
                 cpu_share = 0.0;
             }
@@ -292,17 +300,17 @@
     }
 
     /// Best-effort tasks with the processor fraction that they could use: first those that
-    /// interfere with no latency-critical task, then by rank.
+    /// interfere strongly with no latency-critical task, then by rank.
     fn allocation_order<'tasks>(
         &self,
         tasks: &'tasks [ObservedTask],
     ) -> Vec<(&'tasks ObservedTask, f64)> {
-        let interferes = |image: &Arc<str>| {
+        let is_strong = |image: &Arc<str>| {
             let latency_critical = self.budgets.keys();
             let coefficients = latency_critical.map(|latency_critical| {
                 self.interference.mean_coefficient(latency_critical, image)
             });
-            coefficients.fold(0.0, f64::max) >= COEFFICIENT_MIN
+            coefficients.fold(0.0, f64::max) >= COEFFICIENT_STRONG_MIN
         };
         let ranked_tasks = best_effort_tasks(tasks).map(|task| {
             let (cpu_demand, rank) = match task.role {
@@ -311,7 +319,7 @@
                 } => (cpu_demand, rank),
                 _ => (0.0, u64::MAX),
             };
-            let order_key = (interferes(&task.image), rank, task.task);
+            let order_key = (is_strong(&task.image), rank, task.task);
             (order_key, task, cpu_demand)
         });
         let mut ordered_tasks: Vec<_> = ranked_tasks.collect();
@@ -346,6 +354,13 @@
     Some(((task.task, task.run), is_violated))
 }
 
+/// Whether a pair with this coefficient limits the CPU share of its best-effort task.
+fn limits_share(coefficient: Estimate) -> bool {
+    let deviations = COEFFICIENT_DEVIATIONS_MIN * coefficient.variance.max(0.0).sqrt();
+    coefficient.mean >= COEFFICIENT_STRONG_MIN
+        || coefficient.mean >= COEFFICIENT_MIN && coefficient.mean >= deviations
+}
+
 /// CPU share in percent; shares close to none or all become 0 or 100 %.
 fn to_percent(cpu_share: f64) -> u32 {
     let percent = (cpu_share.clamp(0.0, 1.0) * f64::from(CPU_SHARE_FULL_PERCENT)) as u32;
--- a/crates/guavavane_jobs/tests/load_forecast.rs
+++ b/crates/guavavane_jobs/tests/load_forecast.rs
@@ -52,6 +52,21 @@
     ("medium", 1.2),
     ("weak", 0.3),
 ];
+/// Images that together violate the target, although each interferes weakly.
+const WEAK_IMAGES: &Images = &[("weak", 0.5); 6];
+const WEAK_BESIDE_STRONG_IMAGES: &Images = &[
+    ("strong", 3.0),
+    ("weak", 0.4),
+    ("weak", 0.4),
+    ("weak", 0.4),
+    ("weak", 0.4),
+];
+const HARMLESS_IMAGES: &Images = &[
+    ("strong", 3.0),
+    ("harmless", 0.0),
+    ("harmless", 0.0),
+    ("harmless", 0.0),
+];
 
 /// Load and measurements of a replayed worker.
 #[derive(Clone, Copy)]
@@ -63,6 +78,8 @@
     tail_error: f64,
     /// Largest relative error of the known interference coefficients.
     coefficient_error: f64,
+    /// Difference by which all known coefficients are too high.
+    coefficient_excess: f64,
 }
 
 impl Scenario {
@@ -72,6 +89,7 @@
             wave: f64::sin,
             tail_error: 0.1,
             coefficient_error: 0.15,
+            coefficient_excess: 0.0,
         }
     }
 }
@@ -163,7 +181,8 @@
         latency_critical: Arc::from("web"),
         best_effort: Arc::from(*image),
         coefficient: Estimate {
-            mean: coefficient * random.random_range(1.0 - error..1.0 + error),
+            mean: coefficient * random.random_range(1.0 - error..1.0 + error)
+                + scenario.coefficient_excess,
             variance: 0.01,
         },
     });
@@ -287,3 +306,25 @@
     assert!((0.0..0.05).contains(&estimate.standard_error));
     assert!(forecast.fit(time_of(40)).is_none());
 }
+
+// Weak pairs were throttled only by the violation timeout: 378 and 127 s over target.
+#[test]
+fn weak_pairs_are_throttled_before_the_target_is_violated() {
+    let violated_max_s = 0.01 * 12.0 * REPLAY_MS as f64 / 1_000.0;
+    for (images, work_min) in [(WEAK_IMAGES, 650.0), (WEAK_BESIDE_STRONG_IMAGES, 590.0)] {
+        let (forecast, _) = compare(Scenario::new(images));
+        assert!(forecast.violated_s <= violated_max_s);
+        assert!(forecast.work >= work_min);
+    }
+}
+
+#[test]
+fn a_harmless_pair_that_is_estimated_too_high_keeps_its_share() {
+    let base = Scenario::new(HARMLESS_IMAGES);
+    let (exact, _) = compare(base);
+    let (excessive, _) = compare(Scenario {
+        coefficient_excess: 0.4,
+        ..base
+    });
+    assert!(excessive.work >= 0.98 * exact.work);
+}
