Moves: stalled runs are moved only where the move pays

Cause: a best-effort run was stopped as soon as its agent reported it as stalled and another worker had room. Most stalls end with the wave of the load that caused them, the stopped run lost its work, and a task could be moved at each of its stalls without end.

Change: plan::stalled_runs tracks the stalls that agents report today. A move pays if the expected rest of the stall is at least twice its cost: the time since the order or the latest checkpoint of the run, and the restart. Each move of a task doubles the cost of its next one. run_moved is logged once for each run, with the time of the stall, and counted. No message is new or changed.

--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -30,6 +30,8 @@
 use guavavane_jobs::plan::probation::JobFailures;
 use guavavane_jobs::plan::probation::WorkerProbation;
 use guavavane_jobs::plan::slack::RunTimes;
+use guavavane_jobs::plan::stalled_runs::StallTracker;
+use guavavane_jobs::plan::stalled_runs::StalledRun;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::JobPhase;
@@ -126,6 +128,10 @@
     pub(super) advice: AdviceCache,
     /// Latest checkpoints that agents reported.
     pub(super) checkpoints: IndexMap<TaskKey, Arc<str>>,
+    /// Times at which these checkpoints arrived.
+    pub(super) checkpointed_at: IndexMap<TaskKey, BootTime>,
+    /// Stalled best-effort runs.
+    pub(super) stalls: StallTracker,
     /// Time since which each step has had waiting tasks.
     pub(super) waiting_since: IndexMap<StepKey, BootTime>,
     /// Time at which it was last logged why steps wait.
@@ -177,6 +183,8 @@
             ended_early: IndexSet::new(),
             advice: AdviceCache::default(),
             checkpoints: IndexMap::new(),
+            checkpointed_at: IndexMap::new(),
+            stalls: StallTracker::default(),
             waiting_since: IndexMap::new(),
             waits_reported_at: now,
             job_failures: IndexMap::new(),
@@ -233,6 +241,19 @@
         step_rank(ledger, &self.run_times, task.step, time_of_day_ms()).unwrap_or(u64::MAX)
     }
 
+    /// Records that a run is stalled; returns whether moving its task pays.
+    pub(super) fn record_stall(&mut self, now: BootTime, task: TaskKey, run: RunNumber) -> bool {
+        let ordered_at = self.ordered_at.get(&(task, run)).copied();
+        let checkpointed_at = self.checkpointed_at.get(&task).copied();
+        let unsaved_since = ordered_at.max(checkpointed_at);
+        let stalled = StalledRun {
+            task,
+            run,
+            unsaved_since,
+        };
+        self.stalls.record(now, stalled)
+    }
+
     /// Adds the ticket of the advice service to a start that needs one.
     pub(super) fn with_ticket(&self, mut order: FromControl, worker: WorkerIndex) -> FromControl {
         if let FromControl::Start { order, .. } = &mut order {
@@ -282,6 +303,7 @@
         for completion in completions {
             if supersedes_checkpoint(ledger, completion) {
                 self.checkpoints.swap_remove(&completion.task);
+                self.checkpointed_at.swap_remove(&completion.task);
             }
             let ordered_at = self
                 .ordered_at
--- a/crates/guavavane_cell/src/control/scheduling.rs
+++ b/crates/guavavane_cell/src/control/scheduling.rs
@@ -11,6 +11,7 @@
 use super::commit::CommitPurpose;
 use super::engine::ControlEngine;
 use super::leader_state::LeaderState;
+use crate::metric;
 use guavavane_jobs::ledger::WorkerIndex;
 use guavavane_jobs::plan::capacity_table::CapacityTable;
 use guavavane_jobs::plan::obstacle::count_obstacles;
@@ -24,6 +25,7 @@
 use guavavane_jobs::prelude::StepKey;
 use guavavane_jobs::prelude::TaskKey;
 use guavavane_jobs::prelude::WorkerKey;
+use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
 
 /// Time for which a step waits before a log line says why, and time between two such lines.
@@ -98,7 +100,8 @@
         });
     }
 
-    /// Stops stalled best-effort runs that would fit on another worker. Once the end of a run is
+    /// Stops stalled best-effort runs that would fit on another worker, where the move saves more than
+    /// it costs. Once the end of a run is
     /// committed, a scheduling pass places its task anew, not necessarily on that worker.
     pub(super) fn move_stalled_runs(&mut self, key: &WorkerKey, runs: &[(TaskKey, RunNumber)]) {
         let Some(state) = &mut self.leader_state else {
@@ -108,7 +111,12 @@
             .quorum
             .read_local(|ledger| movable_runs(state, ledger, key, runs));
         for (worker, task, run) in movable_runs {
-            tracing::info!(event = "run_moved", %task, %run, worker = %key);
+            let state = self.leader_state.as_mut();
+            if let Some(stalled) = state.and_then(|state| state.stalls.record_move(task)) {
+                let stalled_ms = stalled.as_millis();
+                tracing::info!(event = "run_moved", %task, %run, worker = %key, stalled_ms);
+                metric::count_event("run_moved", "stalled");
+            }
             self.send_stop(worker, task, run);
         }
     }
@@ -143,7 +151,7 @@
     }
 }
 
-/// Those of the stalled runs of a worker that would fit on another one.
+/// Those of the stalled runs of a worker whose moves pay and that would fit on another one.
 fn movable_runs(
     state: &mut LeaderState,
     ledger: &JobLedger,
@@ -156,9 +164,14 @@
     let desired = runs
         .iter()
         .filter(|(task, run)| ledger.is_desired(*task, *run, worker));
-    let desired: Vec<TaskKey> = desired.map(|(task, _)| *task).collect();
+    let now = BootClock.now();
+    let worth_moving = desired.filter(|(task, run)| state.record_stall(now, *task, *run));
+    let worth_moving: Vec<TaskKey> = worth_moving.map(|(task, _)| *task).collect();
+    if worth_moving.is_empty() {
+        return Vec::new();
+    }
     let movable = state.with_capacities(ledger, |state, table| {
-        choose_movable_tasks(ledger, table, state, worker, &desired)
+        choose_movable_tasks(ledger, table, state, worker, &worth_moving)
     });
     let run_of = |task: &TaskKey| runs.iter().find(|(stalled, _)| stalled == task);
     let movable = movable.iter().filter_map(run_of);
--- a/crates/guavavane_cell/src/control/worker.rs
+++ b/crates/guavavane_cell/src/control/worker.rs
@@ -266,6 +266,9 @@
             checkpoints
                 .retain(|(task, checkpoint)| is_assigned(*task) && is_checkpoint_kept(checkpoint));
         });
+        let now = BootClock.now();
+        let arrivals = checkpoints.iter().map(|(task, _)| (*task, now));
+        state.checkpointed_at.extend(arrivals);
         state.checkpoints.extend(checkpoints);
     }
 
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -10,7 +10,8 @@
 //! The agent of each worker throttles best-effort tasks that slow down latency-critical ones
 //! ([`throttle`]): a CPU share is the part of its CPU demand that a best-effort run may use.
 //! [`slowdown_budget`] computes what they may use from a forecast of the load ([`load_forecast`]),
-//! and [`violation_tracker`] how long a target is violated. [`share_tracker`]
+//! and [`violation_tracker`] how long a target is violated. [`stalled_runs`]
+//! decides when the leader moves a run that has stalled. [`share_tracker`]
 //! decides when a share is ordered. The leader learns the interference model
 //! ([`interference`]) and sends each agent the estimates for the images on its worker.
 
@@ -30,5 +31,6 @@
 pub mod share_tracker;
 pub mod slack;
 pub mod slowdown_budget;
+pub mod stalled_runs;
 pub mod throttle;
 pub mod violation_tracker;
