Placement: room beside a job follows a forecast of its load

Cause: placement judged a worker by its latest report with a fixed margin of 0.1. It missed room while the load fell and placed tasks that were throttled soon while it rose.

Change: plan::job_loads forecasts the load of each job from the utilisation reports that the leader gets today, one sample and one fit for the reports of a quarter of a second. Placement takes the mean of the levels of the worker and of its job, the expected rise until 1.5 s ahead with its standard error, and 0.02. With too little history the margin of 0.1 applies. Workers without latency-critical tasks are judged as before. No message is new or changed.

Run: tests of guavavane_jobs. The tests of guavavane_cell stopped in their build when the disk of the machine was full.

--- a/crates/guavavane_cell/src/control/leader_state.rs
+++ b/crates/guavavane_cell/src/control/leader_state.rs
@@ -25,6 +25,8 @@
 use guavavane_jobs::plan::interference::BestEffortLoad;
 use guavavane_jobs::plan::interference::InterferenceModel;
 use guavavane_jobs::plan::interference::UtilisationSample;
+use guavavane_jobs::plan::job_loads::ExpectedLoad;
+use guavavane_jobs::plan::job_loads::JobLoads;
 use guavavane_jobs::plan::order::step_rank;
 use guavavane_jobs::plan::pass::PassInput;
 use guavavane_jobs::plan::probation::JobFailures;
@@ -65,6 +67,8 @@
     pub(super) utilisations: IndexMap<Arc<str>, f64>,
     /// Best-effort load beside which `utilisations` was measured.
     pub(super) observed_load: BestEffortLoad,
+    /// Jobs whose tasks run these images there.
+    pub(super) critical_jobs: IndexSet<(JobKey, Arc<str>)>,
 }
 
 impl WorkerState {
@@ -78,6 +82,7 @@
             probation: WorkerProbation::default(),
             utilisations: IndexMap::new(),
             observed_load: BestEffortLoad::new(),
+            critical_jobs: IndexSet::new(),
         }
     }
 }
@@ -145,6 +150,8 @@
     /// Interference model: the estimates that agents still hold from earlier terms, and what is
     /// learned from the utilisation reports of this term.
     pub(super) interference: InterferenceModel,
+    /// Loads of the latency-critical jobs, from the same reports.
+    pub(super) job_loads: JobLoads,
     /// Times at which jobs were seen to have ended.
     pub(super) ended_at: IndexMap<JobKey, BootTime>,
     /// Whether another scheduling pass was requested since the latest proposal of starts.
@@ -191,6 +198,7 @@
             run_times: RunTimes::default(),
             ordered_at: IndexMap::new(),
             interference: InterferenceModel::default(),
+            job_loads: JobLoads::default(),
             ended_at,
             pass_requested: false,
         }
@@ -232,9 +240,26 @@
             probation: worker.probation,
             utilisations: worker.utilisations.clone(),
             observed_load: worker.observed_load.clone(),
+            expected_loads: self.expected_loads(worker),
         }
     }
 
+    /// Load that is expected of each latency-critical image on a worker, the highest of its jobs.
+    fn expected_loads(&self, worker: &WorkerState) -> IndexMap<Arc<str>, ExpectedLoad> {
+        let now = BootClock.now();
+        let mut expected_loads: IndexMap<Arc<str>, ExpectedLoad> = IndexMap::new();
+        for (job, image) in &worker.critical_jobs {
+            let Some(load) = self.job_loads.expected(now, *job, image) else {
+                continue;
+            };
+            let highest = expected_loads.entry(Arc::clone(image)).or_insert(load);
+            if load.present + load.rise > highest.present + highest.rise {
+                *highest = load;
+            }
+        }
+        expected_loads
+    }
+
     /// Rank of a task among those that compete for CPU time; the lowest goes first. Tasks that can
     /// still meet their deadline rank before the others, ordered by deadline.
     pub(super) fn rank(&self, ledger: &JobLedger, task: TaskKey) -> u64 {
@@ -279,13 +304,24 @@
         samples: &[UtilisationSample],
         load: BestEffortLoad,
     ) {
-        self.interference.learn(BootClock.now(), samples, &load);
+        let now = BootClock.now();
+        self.interference.learn(now, samples, &load);
+        for sample in samples {
+            let added = self.interference.added_utilisation(&sample.image, &load);
+            let baseline = sample.utilisation - added;
+            self.job_loads
+                .record(now, sample.job, &sample.image, baseline);
+        }
         let Some(worker) = self.worker_mut(index) else {
             return;
         };
         worker.utilisations.clear();
+        worker.critical_jobs.clear();
         for sample in samples {
             let image = Arc::clone(&sample.image);
+            worker
+                .critical_jobs
+                .insert((sample.job, Arc::clone(&image)));
             let highest = worker.utilisations.entry(image).or_insert(0.0);
             *highest = highest.max(sample.utilisation);
         }
--- a/crates/guavavane_jobs/src/plan.rs
+++ b/crates/guavavane_jobs/src/plan.rs
@@ -3,7 +3,7 @@
 //! The leader runs a scheduling pass ([`pass`]): it orders the waiting steps ([`order`]) by
 //! deadlines from estimated run times ([`slack`]) and chooses a worker for each task
 //! (`placement`) by the capacity of each worker ([`capacity`]), which [`capacity_table`] keeps up to
-//! date. A worker on which runs keep failing is on probation ([`probation`]). [`obstacle`] tells
+//! date, and by the forecast loads of latency-critical jobs ([`job_loads`]). A worker on which runs keep failing is on probation ([`probation`]). [`obstacle`] tells
 //! why a step waits. [`advice`] holds the
 //! tickets of the external advice service that some queues need.
 //!
@@ -21,6 +21,7 @@
 pub mod capacity_table;
 pub mod interference;
 mod interference_filter;
+pub mod job_loads;
 pub mod load_forecast;
 pub mod obstacle;
 pub mod order;
--- a/crates/guavavane_jobs/src/plan/capacity.rs
+++ b/crates/guavavane_jobs/src/plan/capacity.rs
@@ -18,6 +18,7 @@
 use super::interference::utilisation_limit;
 use super::interference::BestEffortLoad;
 use super::interference::InterferenceModel;
+use super::job_loads::ExpectedLoad;
 use super::probation::WorkerProbation;
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
@@ -33,6 +34,8 @@
 /// Utilisation that placement keeps free below the limit, because baseline utilisation may rise
 /// while a best-effort task runs.
 const UTILISATION_MARGIN: f64 = 0.1;
+/// Utilisation that placement keeps free below the limit beside the forecast of a job's load.
+const FORECAST_MARGIN: f64 = 0.02;
 /// Interference coefficient below which placement ignores a pair.
 const COEFFICIENT_MIN: f64 = 0.6;
 /// Baseline utilisation of a latency-critical image without a report, whose load is then assumed
@@ -50,16 +53,34 @@
     pub utilisations: IndexMap<Arc<str>, f64>,
     /// Best-effort load at the time of these utilisations.
     pub observed_load: BestEffortLoad,
+    /// Load that is expected of the job of each latency-critical image; none of a job with too little
+    /// history.
+    pub expected_loads: IndexMap<Arc<str>, ExpectedLoad>,
 }
 
 impl WorkerCondition {
-    /// Utilisation of a latency-critical image without the best-effort tasks.
-    fn baseline_utilisation(&self, interference: &InterferenceModel, image: &Arc<str>) -> f64 {
-        let utilisation = self.utilisations.get(image);
-        let baseline = utilisation.map(|utilisation| {
-            utilisation - interference.added_utilisation(image, &self.observed_load)
-        });
-        baseline.unwrap_or(BASELINE_DEFAULT).max(0.0)
+    /// Utilisation of a latency-critical image without the best-effort tasks; none before a report.
+    fn baseline_utilisation(
+        &self,
+        interference: &InterferenceModel,
+        image: &Arc<str>,
+    ) -> Option<f64> {
+        let utilisation = self.utilisations.get(image)?;
+        let added = interference.added_utilisation(image, &self.observed_load);
+        Some((utilisation - added).max(0.0))
+    }
+
+    /// Utilisation that a latency-critical image needs while a placed best-effort task runs, with a
+    /// margin: by the forecast of its job's load, or by its latest report.
+    fn reserved_utilisation(&self, interference: &InterferenceModel, image: &Arc<str>) -> f64 {
+        let baseline = self.baseline_utilisation(interference, image);
+        match self.expected_loads.get(image) {
+            Some(load) => {
+                let level = baseline.map_or(load.present, |own| (own + load.present) / 2.0);
+                (level + load.rise).max(0.0) + FORECAST_MARGIN
+            }
+            None => baseline.unwrap_or(BASELINE_DEFAULT) + UTILISATION_MARGIN,
+        }
     }
 }
 
@@ -160,9 +181,8 @@
     /// Slowdown that the tasks of a latency-critical image tolerate beside the present best-effort
     /// tasks; negative if these already exceed it.
     pub fn slowdown_budget(&self, interference: &InterferenceModel, image: &Arc<str>) -> f64 {
-        let baseline = self.condition.baseline_utilisation(interference, image);
-        let tolerated =
-            slowdown_for_utilisation(utilisation_limit() - UTILISATION_MARGIN - baseline);
+        let reserved = self.condition.reserved_utilisation(interference, image);
+        let tolerated = slowdown_for_utilisation(utilisation_limit() - reserved);
         tolerated - interference.slowdown(image, &self.demanded_load)
     }
 
