--- a/crates/guavavane_jobs/tests/job_loads.rs
+++ b/crates/guavavane_jobs/tests/job_loads.rs
@@ -75,11 +75,11 @@
     let mut next_report_ms: [u64; 6] = std::array::from_fn(|worker| 100 * worker as u64);
     for now_ms in (10_000..70_000).step_by(50) {
         let now = BootTime::from_millis(now_ms);
-        for worker in 0..speeds.len() {
-            if now_ms < next_report_ms[worker] {
+        for (worker, report_ms) in next_report_ms.iter_mut().enumerate() {
+            if now_ms < *report_ms {
                 continue;
             }
-            next_report_ms[worker] = now_ms + random.random_range(500..800);
+            *report_ms = now_ms + random.random_range(500..800);
             let error = random.random_range(-0.05..0.05);
             let utilisation = load_at(worker, now_ms - 250) + error;
             job_loads.record(now, JobKey(1), &web, utilisation);
