--- a/crates/guavavane_jobs/src/plan/stalled_runs.rs
+++ b/crates/guavavane_jobs/src/plan/stalled_runs.rs
@@ -4,7 +4,7 @@
 //! some seconds and gets its CPU share back afterwards. A move loses the work since the latest
 //! checkpoint and the time of a restart. A caller needs the task to end early, wherever it runs.
 //!
-//! How much longer a stall lasts is unknown. A stall by a wave ends within [`WAVE_STALL`]; for a longer
+//! How much longer a stall lasts is unknown. A stall by a wave ends within `WAVE_STALL`; for a longer
 //! one, the best guess is as long as it has lasted. A move pays if this is at least twice what it
 //! loses, because the next worker may stall the run as well. A new run is thus moved soon, one that
 //! has worked for longer only after a stall that no wave explains, and one that is nearly done without
