--- a/crates/guavavane_jobs/tests/speculation.rs
+++ b/crates/guavavane_jobs/tests/speculation.rs
@@ -21,6 +21,7 @@
 use crate::support::put_catalog;
 use crate::support::random_commands::start_of;
 use crate::support::raw_catalog;
+use crate::support::raw_queue;
 use crate::support::raw_step;
 use crate::support::replay::Replay;
 use crate::support::replay::ReplayRun;
@@ -41,6 +42,7 @@
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::LedgerOutcome;
+use guavavane_jobs::prelude::RawQueue;
 use guavavane_jobs::prelude::RawStep;
 use guavavane_jobs::prelude::RunNumber;
 use guavavane_jobs::prelude::RunOutcome;
@@ -278,6 +280,27 @@
     assert_eq!(overdue.plan_after(&starts).choices.len(), 1);
 }
 
+// Guards against a queue of low priority whose steps always wait and so keep all copies from starting.
+#[test]
+fn steps_of_a_lower_priority_do_not_hold_copies_back() {
+    let (ledger, workers) = ledger_with_racks();
+    let mut overdue = Overdue::new(ledger, workers[0], speculative_step(1));
+    let mut with_batch_queue = raw_catalog(2);
+    with_batch_queue.queues.push(RawQueue {
+        priority: 2,
+        ..raw_queue("batch")
+    });
+    put_catalog(&mut overdue.ledger, with_batch_queue);
+    let command = LedgerCommand::Submit {
+        job: JobKey(2),
+        queue: Arc::from("batch"),
+        spec: Arc::new(job_with_steps(vec![raw_step(1)])),
+        accepted_ms: 2_000,
+    };
+    apply(&mut overdue.ledger, command);
+    assert_eq!(overdue.plan().choices.len(), 1);
+}
+
 // Guards against copies beyond the budget of a pool.
 #[test]
 fn copies_are_a_part_of_the_running_tasks_and_of_the_idle_processor() {
