Order: compute the critical paths of a job once for all of its steps

What callers saw: after some ten jobs of 200 steps each, which any caller may submit, the leader answered late for as long as the steps waited. Of 64 such jobs 17 were accepted; with larger ones an ordinary job got 503 for 20 s.

Cause: each pass computed, for each waiting step, the deadline of its job from the critical path of each step without predecessors. For S such steps that is S x S paths of S steps each, repeated with each commit.

Evidence: samples of the control thread were in critical_path_ms below waiting_steps each time; the thread was 200 to 430 ms late with 15 jobs.

Why this works: one walk from the last step to the first gives the longest path from each step on. It is kept for the job during a pass, so that a step costs the same whatever its job. The longest of the paths that begin at a step without predecessors is the longest of all, so the deadlines stay what they were. One thing differs: a step without an estimate no longer hides the steps after it.

--- a/crates/guavavane_jobs/src/plan/order.rs
+++ b/crates/guavavane_jobs/src/plan/order.rs
@@ -9,8 +9,12 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use super::slack::wanted_share_wait;
+use super::slack::CriticalPaths;
 use super::slack::RunTimes;
+use crate::identity::JobKey;
 use crate::identity::StepKey;
 use crate::job::StepKind;
 use crate::ledger::JobLedger;
@@ -42,14 +46,19 @@
     key: StepKey,
     now_ms: u64,
 ) -> Option<u64> {
-    let waiting = waiting_step(ledger, run_times, key, now_ms)?;
+    let waiting = waiting_step(ledger, run_times, &mut JobPaths::new(), key, now_ms)?;
     let rank = waiting.deadline_ms.min(INFEASIBLE_RANK - 1);
     Some(rank + u64::from(waiting.infeasible) * INFEASIBLE_RANK)
 }
 
+/// Critical paths of the jobs that a pass has met, so that they are computed once for all steps of a
+/// job.
+type JobPaths = IndexMap<JobKey, CriticalPaths>;
+
 fn waiting_step(
     ledger: &JobLedger,
     run_times: &RunTimes,
+    paths: &mut JobPaths,
     key: StepKey,
     now_ms: u64,
 ) -> Option<WaitingStep> {
@@ -57,8 +66,11 @@
     let spec = job.spec.as_ref()?;
     let step = ledger.step_spec(key)?;
     let queue = ledger.catalog().queue(&job.queue);
-    let deadline_ms = run_times.deadline_ms(ledger, job, spec, key);
-    let remaining_ms = run_times.critical_path_ms(&job.queue, spec, usize::from(key.step));
+    let paths = paths
+        .entry(key.job)
+        .or_insert_with(|| run_times.critical_paths(&job.queue, spec));
+    let deadline_ms = paths.deadline_ms(ledger, job, spec, key);
+    let remaining_ms = paths.from_step_ms(key.step);
     Some(WaitingStep {
         key,
         priority: queue.map_or(u64::MAX, |queue| queue.priority),
@@ -73,8 +85,10 @@
 /// Returns all steps that may start, in the order in which they are served. Of equals, the step
 /// with most tasks comes first.
 pub fn waiting_steps(ledger: &JobLedger, run_times: &RunTimes, now_ms: u64) -> Vec<WaitingStep> {
+    let mut paths = JobPaths::new();
     let ready = ledger.ready_steps();
-    let steps = ready.filter_map(|(key, _)| waiting_step(ledger, run_times, key, now_ms));
+    let steps =
+        ready.filter_map(|(key, _)| waiting_step(ledger, run_times, &mut paths, key, now_ms));
     let mut steps: Vec<WaitingStep> = steps.collect();
     steps.sort_by_key(|step| {
         let rank = (step.priority, step.infeasible, step.deadline_ms);
--- a/crates/guavavane_jobs/src/plan/slack.rs
+++ b/crates/guavavane_jobs/src/plan/slack.rs
@@ -58,26 +58,39 @@
         (declared_ms * typical_ms).sqrt() * LONGEST_TASK_FACTOR
     }
 
-    /// Critical path of a job from one of its steps on: the longest sum of expected run times along
-    /// dependent steps, in milliseconds.
-    pub fn critical_path_ms(&self, queue: &str, spec: &JobSpec, first_step: usize) -> f64 {
-        let mut end_ms = vec![0.0_f64; spec.steps.len()];
-        let mut critical_path_ms: f64 = 0.0;
-        for (number, step) in spec.steps.iter().enumerate().skip(first_step) {
-            let after = step.after.iter().map(|after| usize::from(*after));
-            let predecessors: Vec<usize> = after.filter(|after| *after >= first_step).collect();
-            let is_successor = predecessors.iter().any(|after| end_ms[*after] > 0.0);
-            if number != first_step && !is_successor {
-                continue;
+    /// Critical paths of a job, by its steps.
+    pub fn critical_paths(&self, queue: &str, spec: &JobSpec) -> CriticalPaths {
+        // Successors come after their predecessors, so a step is visited after all that follow it.
+        let mut from_step_ms = vec![0.0_f64; spec.steps.len()];
+        for (number, step) in spec.steps.iter().enumerate().rev() {
+            from_step_ms[number] += self.longest_task_ms(queue, step.estimate_ms);
+            let path_ms = from_step_ms[number];
+            for after in &step.after {
+                let successors_ms = &mut from_step_ms[usize::from(*after)];
+                *successors_ms = successors_ms.max(path_ms);
             }
-            let begin_ms = predecessors
-                .iter()
-                .map(|after| end_ms[*after])
-                .fold(0.0, f64::max);
-            end_ms[number] = begin_ms + self.longest_task_ms(queue, step.estimate_ms);
-            critical_path_ms = critical_path_ms.max(end_ms[number]);
         }
-        critical_path_ms
+        let longest_ms = from_step_ms.iter().copied().fold(0.0, f64::max);
+        CriticalPaths {
+            from_step_ms,
+            longest_ms,
+        }
+    }
+}
+
+/// Critical paths of a job: the longest sums of expected run times along dependent steps.
+#[derive(Clone, Debug)]
+pub struct CriticalPaths {
+    /// Longest path from each step on, which it begins with.
+    from_step_ms: Vec<f64>,
+    longest_ms: f64,
+}
+
+impl CriticalPaths {
+    /// Longest path from a step on, in milliseconds; zero if the job has no such step.
+    pub fn from_step_ms(&self, step: u16) -> f64 {
+        let path_ms = self.from_step_ms.get(usize::from(step));
+        path_ms.copied().unwrap_or(0.0)
     }
 
     /// Deadline of a job, in milliseconds since 1970 on the leader's clock: its submission, or the
@@ -92,14 +105,10 @@
         let begin_ms = spec
             .schedule
             .map_or(job.accepted_ms, |schedule| schedule.due_ms(key.occurrence));
-        let sources = spec.steps.iter().enumerate();
-        let sources = sources.filter(|(_, step)| step.after.is_empty());
-        let paths_ms = sources.map(|(number, _)| self.critical_path_ms(&job.queue, spec, number));
-        let critical_path_ms = paths_ms.fold(0.0, f64::max) as u64;
+        let longest_ms = self.longest_ms as u64;
         let queue = ledger.catalog().queue(&job.queue);
-        let objective_ms = queue.map_or(OBJECTIVE_DEFAULT_MS, |queue| {
-            queue.objective_ms(critical_path_ms)
-        });
+        let objective_ms =
+            queue.map_or(OBJECTIVE_DEFAULT_MS, |queue| queue.objective_ms(longest_ms));
         begin_ms.saturating_add(objective_ms)
     }
 }
