Queues: find routes that stand twice with one look-up each

What callers saw: nobody was answered by a control process while it checked a configuration with tens of thousands of routes of one host, for seconds.

Cause: the check for a route that stands twice compared each route with all earlier ones of its host, on the thread that also answers entries and agents.

Why this works: host and prefix go into one set, so a route costs one look-up.

--- a/crates/guavavane_jobs/src/queue.rs
+++ b/crates/guavavane_jobs/src/queue.rs
@@ -205,6 +205,7 @@
             version: raw.version,
             ..Self::default()
         };
+        let mut routes = IndexSet::new();
         for queue in raw.queues {
             if !pools.contains(queue.pool.as_str()) {
                 return Err(CatalogFault::UnknownPool {
@@ -212,7 +213,15 @@
                     pool: queue.pool,
                 });
             }
-            catalog.add_queue(queue)?;
+            let host: Arc<str> = Arc::from(queue.host.as_str());
+            let queue = validate_queue(queue)?;
+            if !routes.insert((Arc::clone(&host), Arc::clone(&queue.path_prefix))) {
+                return Err(CatalogFault::DuplicateRoute {
+                    host: host.to_string(),
+                    path_prefix: queue.path_prefix.to_string(),
+                });
+            }
+            catalog.add_queue(host, queue)?;
         }
         for queues in catalog.hosts.values_mut() {
             queues.sort_by_key(|queue| std::cmp::Reverse(queue.path_prefix.len()));
@@ -224,19 +233,9 @@
 }
 
 impl QueueCatalog {
-    fn add_queue(&mut self, raw: RawQueue) -> Result<(), CatalogFault> {
-        let host: Arc<str> = Arc::from(raw.host.as_str());
-        let queue = Arc::new(validate_queue(raw)?);
-        let host_queues = self.hosts.entry(Arc::clone(&host)).or_default();
-        if host_queues
-            .iter()
-            .any(|other| other.path_prefix == queue.path_prefix)
-        {
-            return Err(CatalogFault::DuplicateRoute {
-                host: host.to_string(),
-                path_prefix: queue.path_prefix.to_string(),
-            });
-        }
+    fn add_queue(&mut self, host: Arc<str>, queue: QueueSpec) -> Result<(), CatalogFault> {
+        let queue = Arc::new(queue);
+        let host_queues = self.hosts.entry(host).or_default();
         host_queues.push(Arc::clone(&queue));
         let name = Arc::clone(&queue.name);
         match self.queues.insert(name, Arc::clone(&queue)) {
