--- a/crates/guavavane_jobs/src/worker.rs
+++ b/crates/guavavane_jobs/src/worker.rs
@@ -7,6 +7,9 @@
 
 use guavavane_model::prelude::ResourceVector;
 
+/// Most labels of a worker. The platform gives each worker two, its kind and its rack.
+pub const LABELS_MAX: usize = 64;
+
 /// Facts that stay constant during one incarnation of a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerFacts {
