Entry: charge calls that wait for the leader by themselves, and drop those whose callers have left

What callers saw: an entry of 64 MB ran out of memory, with 147 MB, after 512 callers had each sent a legal job of 256 KiB with a long deadline and had closed their connections. The leader answered pings, but not these calls.

Cause: a job was charged to the connection that had sent it. With the connection the charge went, while the decoded job stayed among the pending calls until its deadline, which the caller names, without an upper limit.

Why this works: a call has a charge of its own, of twice the memory of its decoded request, that is taken back when the call is. Each check of the pending calls, every 25 ms, drops those whose caller no longer listens. If one of them had been sent, its reply still tells that the leader answers. The message to the leader shares the job with the call instead of holding a copy of it; the encoding is the same.

Not covered: a job in the queue of a stream whose leader reads slowly stays there after its call was dropped, until the stream is found late.

--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -108,7 +108,8 @@
                 }),
                 CallerAction::Submit(job),
             ) => {
-                return self.submit(origin, key, queue, needs_advice, *job);
+                let job = Arc::unwrap_or_clone(job);
+                return self.submit(origin, key, queue, needs_advice, job);
             }
         };
         self.reply(origin, reply);
--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -32,6 +32,8 @@
 use crate::seeds::SeedAddresses;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
+use guavavane_transport::prelude::CallCharge;
+use guavavane_transport::prelude::IntakeGate;
 use guavavane_transport::prelude::StreamSender;
 
 /// Time before a caller's deadline at which its reply is due.
@@ -42,6 +44,11 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Capacity for pending calls; further ones are rejected at once.
 const PENDING_CALLS_MAX: usize = 4_096;
+/// Longest wait for a reply, whatever a caller asks for.
+const CALL_WAIT_MAX: Duration = Duration::from_secs(60);
+/// Factor from the memory of a request to the charge of its call: the message with it has about the same
+/// size until it is sent.
+const CALL_CHARGE_FACTOR: usize = 2;
 /// Retry delay of a call that the entry has no room for.
 const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
@@ -67,6 +74,7 @@
 enum EntryInput {
     Call {
         request: CallerRequest,
+        charge: CallCharge,
         deadline: BootTime,
         reply: oneshot::Sender<EntryReply>,
     },
@@ -99,23 +107,23 @@
         request: CallerRequest,
         wait: Duration,
     ) -> EntryReply {
+        let charge_bytes = request.memory_bytes() * CALL_CHARGE_FACTOR;
+        let Ok(charge) = IntakeGate::of_process().begin_call(charge_bytes) else {
+            return own_reply(CallerReply::Unavailable);
+        };
         let (reply, answer) = oneshot::channel();
-        let wait = wait.saturating_sub(REPLY_MARGIN);
+        let wait = wait.min(CALL_WAIT_MAX).saturating_sub(REPLY_MARGIN);
         let input = EntryInput::Call {
             request,
+            charge,
             deadline: BootClock.now() + wait,
             reply,
         };
         if self.inputs.try_send(input).is_err() {
-            return EntryReply {
-                reply: CallerReply::Unavailable,
-                retry_delay: OVERLOAD_RETRY_DELAY,
-            };
+            return own_reply(CallerReply::Unavailable);
         }
-        answer.await.unwrap_or(EntryReply {
-            reply: CallerReply::Unknown,
-            retry_delay: OVERLOAD_RETRY_DELAY,
-        })
+        let reply = answer.await;
+        reply.unwrap_or_else(|_| own_reply(CallerReply::Unknown))
     }
 
     /// Limits on callers' requests that a leader has sent most recently, and their changes; none until a
@@ -134,9 +142,19 @@
     }
 }
 
+/// Reply of the entry itself, with the delay for a lack of room.
+fn own_reply(reply: CallerReply) -> EntryReply {
+    EntryReply {
+        reply,
+        retry_delay: OVERLOAD_RETRY_DELAY,
+    }
+}
+
 /// Request of a caller that has no reply yet.
 struct PendingCall {
     request: CallerRequest,
+    /// Charge of the request, taken back with the call.
+    _charge: CallCharge,
     arrived_at: BootTime,
     deadline: BootTime,
     reply: oneshot::Sender<EntryReply>,
@@ -207,6 +225,9 @@
     session: Option<StreamSender<ToControl>>,
     contact: LeaderContact,
     pending_calls: IndexMap<u64, PendingCall>,
+    /// Sending times of calls on the current session whose callers have left. Their replies show, as
+    /// others do, that the leader answers.
+    abandoned_calls: IndexMap<u64, BootTime>,
     next_call_id: u64,
     /// Time from which all pending calls are checked again.
     next_check: BootTime,
@@ -231,6 +252,7 @@
         session: None,
         contact: LeaderContact::new(now),
         pending_calls: IndexMap::new(),
+        abandoned_calls: IndexMap::new(),
         next_call_id: 1,
         next_check: now,
         limits: limits_sender,
@@ -277,6 +299,7 @@
             }
             EntryInput::Call {
                 request,
+                charge,
                 deadline,
                 reply,
             } => {
@@ -285,6 +308,7 @@
                 let now = BootClock.now();
                 let call = PendingCall {
                     request,
+                    _charge: charge,
                     arrived_at: now,
                     deadline,
                     reply,
@@ -317,6 +341,7 @@
             }
             SessionEvent::Closed => {
                 self.session = None;
+                self.abandoned_calls.clear();
                 self.contact.record_closed(now);
                 for call in self.pending_calls.values_mut() {
                     call.maybe_accepted |= call.sent_at.take().is_some();
@@ -331,6 +356,9 @@
                 self.apply_limits(&reply);
             }
             SessionEvent::Message(FromControl::Reply { call_id, reply }) => {
+                if let Some(sent_at) = self.abandoned_calls.swap_remove(&call_id) {
+                    self.contact.record_reply(sent_at);
+                }
                 if let Some(call) = self.pending_calls.swap_remove(&call_id) {
                     if let Some(sent_at) = call.sent_at {
                         self.contact.record_reply(sent_at);
@@ -403,6 +431,7 @@
             return;
         }
         self.next_check = now + CALL_CHECK_INTERVAL;
+        self.drop_abandoned_calls();
         let call_ids: Vec<u64> = self.pending_calls.keys().copied().collect();
         for call_id in call_ids {
             self.advance_call(call_id, now);
@@ -414,6 +443,24 @@
         }
     }
 
+    /// Drops the calls whose callers have closed their connections. One that was sent may still have its
+    /// effect.
+    fn drop_abandoned_calls(&mut self) {
+        if self.abandoned_calls.len() >= PENDING_CALLS_MAX {
+            // The replies to pings show as well that the leader answers.
+            self.abandoned_calls.clear();
+        }
+        let abandoned_calls = &mut self.abandoned_calls;
+        self.pending_calls.retain(|call_id, call| {
+            if !call.reply.is_closed() {
+                return true;
+            }
+            metric::count_event(action_name(&call.request.action), "abandoned");
+            abandoned_calls.extend(call.sent_at.map(|sent_at| (*call_id, sent_at)));
+            false
+        });
+    }
+
     /// Sends a call, keeps it or answers it, as [`LeaderContact::decide`] says.
     fn advance_call(&mut self, call_id: u64, now: BootTime) {
         let Some(call) = self.pending_calls.get_mut(&call_id) else {
--- a/crates/guavavane_cell/src/message.rs
+++ b/crates/guavavane_cell/src/message.rs
@@ -25,8 +25,8 @@
 /// Action that a caller requests on a job or a queue.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallerAction {
-    /// Submits a job.
-    Submit(Box<RawJob>),
+    /// Submits a job, which a waiting call and the message with it share.
+    Submit(Arc<RawJob>),
     /// Reads the state of a job, or the number of pending jobs of a queue.
     Query,
     /// Cancels a job.
@@ -55,6 +55,15 @@
         }
     }
 
+    /// Memory of the request in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let job_bytes = match &self.action {
+            CallerAction::Submit(job) => job.memory_bytes(),
+            CallerAction::Query | CallerAction::Cancel => 0,
+        };
+        size_of::<Self>() + self.host.len() + self.path.len() + job_bytes
+    }
+
     /// Whether the request names neither a host nor a path, as [`Self::for_limits`] does.
     pub fn is_for_limits(&self) -> bool {
         self.host.is_empty() && self.path.is_empty()
--- a/crates/guavavane_cell/tests/copies.rs
+++ b/crates/guavavane_cell/tests/copies.rs
@@ -80,7 +80,7 @@
         steps: vec![step],
         ..RawJob::default()
     };
-    let reply = cell.call(key, CallerAction::Submit(Box::new(job))).await;
+    let reply = cell.call(key, CallerAction::Submit(Arc::new(job))).await;
     assert_eq!(reply, CallerReply::Accepted);
 }
 
@@ -240,7 +240,7 @@
         ..RawJob::default()
     };
     let until = Instant::now() + LIMIT;
-    let action = CallerAction::Submit(Box::new(job));
+    let action = CallerAction::Submit(Arc::new(job));
     while call(entry, key, action.clone()).await != CallerReply::Accepted {
         assert!(Instant::now() < until, "job {key} is not accepted");
         tokio::time::sleep(CHECK_INTERVAL).await;
--- a/crates/guavavane_cell/tests/corrupted_messages.rs
+++ b/crates/guavavane_cell/tests/corrupted_messages.rs
@@ -53,7 +53,7 @@
     let request = CallerRequest {
         host: support::HOST.to_owned(),
         path: format!("{}{:016x}", support::PREFIX, 1),
-        action: CallerAction::Submit(Box::new(job)),
+        action: CallerAction::Submit(Arc::new(job)),
     };
     vec![
         ToControl::WorkerReport(Box::new(report)),
--- a/crates/guavavane_cell/tests/late_share_order.rs
+++ b/crates/guavavane_cell/tests/late_share_order.rs
@@ -118,7 +118,7 @@
         steps: vec![step],
         ..RawJob::default()
     };
-    let submission = CallerAction::Submit(Box::new(job));
+    let submission = CallerAction::Submit(Arc::new(job));
     while cell.call(key, submission.clone()).await != CallerReply::Accepted {}
     wait_until(|| cell.history.all().len() >= key as usize).await;
     cell.history.all().last().unwrap().task
--- a/crates/guavavane_cell/tests/leaderless.rs
+++ b/crates/guavavane_cell/tests/leaderless.rs
@@ -15,6 +15,8 @@
 use guavavane_cell::prelude::CallerAction;
 use guavavane_cell::prelude::CallerReply;
 use guavavane_cell::prelude::EntrySettings;
+use guavavane_jobs::prelude::RawJob;
+use guavavane_jobs::prelude::RawStep;
 
 /// Tolerance for the entry's interval between two checks for expired calls.
 const CHECK_TOLERANCE: Duration = Duration::from_millis(150);
@@ -27,11 +29,19 @@
     drop(listener);
     let node = Arc::from("entry-1");
     let entry = start_entry(EntrySettings { node, seeds });
+    let step = RawStep {
+        tasks: 1,
+        ..RawStep::default()
+    };
+    let job = RawJob {
+        steps: vec![step],
+        ..RawJob::default()
+    };
     for (wait_ms, max_ms) in [(3_000, 600), (500, 200)] {
         let request = CallerRequest {
             host: "queue.example".to_owned(),
             path: "/tally/0000000000000001".to_owned(),
-            action: CallerAction::Submit(Box::default()),
+            action: CallerAction::Submit(Arc::new(job.clone())),
         };
         let started_at = Instant::now();
         let reply = entry.call(request, Duration::from_millis(wait_ms)).await;
--- a/crates/guavavane_cell/tests/lost_attributes.rs
+++ b/crates/guavavane_cell/tests/lost_attributes.rs
@@ -8,6 +8,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -176,7 +177,7 @@
 /// Submits a job again until it is accepted, which is idempotent.
 async fn submit_job(cell: &TestCell, key: u64, job: RawJob) {
     let until = Instant::now() + CHANGE_TIMEOUT;
-    let submission = CallerAction::Submit(Box::new(job));
+    let submission = CallerAction::Submit(Arc::new(job));
     loop {
         let reply = cell.call(key, submission.clone()).await;
         if reply == CallerReply::Accepted {
--- a/crates/guavavane_cell/tests/next_incarnation.rs
+++ b/crates/guavavane_cell/tests/next_incarnation.rs
@@ -88,7 +88,7 @@
         ..RawJob::default()
     };
     cell.workers[0].holds_starts.store(true, Ordering::Relaxed);
-    let reply = cell.call(1, CallerAction::Submit(Box::new(job))).await;
+    let reply = cell.call(1, CallerAction::Submit(Arc::new(job))).await;
     assert_eq!(reply, CallerReply::Accepted);
     let until = Instant::now() + START_TIMEOUT;
     while cell.workers[0].held_starts() == 0 || cell.history.all().len() == WORKERS as usize {
--- a/crates/guavavane_cell/tests/probation.rs
+++ b/crates/guavavane_cell/tests/probation.rs
@@ -7,6 +7,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::support::step;
@@ -40,7 +41,7 @@
         steps: vec![step],
         ..RawJob::default()
     };
-    let reply = cell.call(key, CallerAction::Submit(Box::new(job))).await;
+    let reply = cell.call(key, CallerAction::Submit(Arc::new(job))).await;
     assert_eq!(reply, CallerReply::Accepted);
 }
 
--- a/crates/guavavane_cell/tests/refused_proposals.rs
+++ b/crates/guavavane_cell/tests/refused_proposals.rs
@@ -60,7 +60,7 @@
         let request = CallerRequest {
             host: HOST.to_owned(),
             path: format!("{PREFIX}{:016x}", rand::random::<u64>()),
-            action: CallerAction::Submit(Box::new(job.clone())),
+            action: CallerAction::Submit(Arc::new(job.clone())),
         };
         agent.send(ToControl::Call { call_id, request });
     }
--- a/crates/guavavane_cell/tests/refusing_worker.rs
+++ b/crates/guavavane_cell/tests/refusing_worker.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::support::step;
@@ -65,7 +66,7 @@
         steps: vec![long_running_step],
         ..RawJob::default()
     };
-    let accepted = cell.call(1, CallerAction::Submit(Box::new(job))).await;
+    let accepted = cell.call(1, CallerAction::Submit(Arc::new(job))).await;
     assert_eq!(accepted, CallerReply::Accepted);
     cell.wait_for_starts(2, JOB_TIMEOUT).await;
 }
--- a/crates/guavavane_cell/tests/scheduled_job.rs
+++ b/crates/guavavane_cell/tests/scheduled_job.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -41,7 +42,7 @@
         period_ms: u64::try_from(PERIOD.as_millis()).unwrap(),
         ..RawJob::default()
     };
-    let reply = cell.call(1, CallerAction::Submit(Box::new(job))).await;
+    let reply = cell.call(1, CallerAction::Submit(Arc::new(job))).await;
     assert_eq!(reply, CallerReply::Accepted);
     cell.wait_for_state(1, JobState::Completed, JOB_TIMEOUT)
         .await;
--- a/crates/guavavane_cell/tests/support/fake_leader.rs
+++ b/crates/guavavane_cell/tests/support/fake_leader.rs
@@ -17,6 +17,8 @@
 use guavavane_cell::prelude::CallerReply;
 use guavavane_cell::prelude::EntryHandle;
 use guavavane_cell::prelude::EntrySettings;
+use guavavane_jobs::prelude::RawJob;
+use guavavane_jobs::prelude::RawStep;
 use guavavane_transport::prelude::accept_streams;
 use guavavane_transport::prelude::MessageStream;
 
@@ -42,10 +44,18 @@
 
 /// Submission with this number.
 pub(crate) fn submission(number: u64) -> CallerRequest {
+    let step = RawStep {
+        tasks: 1,
+        ..RawStep::default()
+    };
+    let job = RawJob {
+        steps: vec![step],
+        ..RawJob::default()
+    };
     CallerRequest {
         host: super::HOST.to_owned(),
         path: format!("{}{number:016x}", super::PREFIX),
-        action: CallerAction::Submit(Box::default()),
+        action: CallerAction::Submit(Arc::new(job)),
     }
 }
 
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -212,7 +212,7 @@
             steps,
             ..RawJob::default()
         };
-        self.call(key, CallerAction::Submit(Box::new(job))).await
+        self.call(key, CallerAction::Submit(Arc::new(job))).await
     }
 
     /// Waits until this many runs were started; panics after `limit`.
--- a/crates/guavavane_jobs/src/job.rs
+++ b/crates/guavavane_jobs/src/job.rs
@@ -79,6 +79,30 @@
     pub period_ms: u64,
 }
 
+/// Memory that the allocator takes besides the bytes of an allocation.
+const ALLOCATION_BYTES: usize = 16;
+
+impl RawStep {
+    fn text_bytes(&self) -> usize {
+        self.required_label.len() + self.data_rack.len() + self.image.len()
+    }
+
+    /// Memory of the step in bytes.
+    fn memory_bytes(&self) -> usize {
+        // The predecessors and three texts are allocated separately.
+        let allocations = 4 * ALLOCATION_BYTES + self.after.len() * size_of::<u64>();
+        size_of::<Self>() + allocations + self.text_bytes()
+    }
+}
+
+impl RawJob {
+    /// Memory of the job in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(RawStep::memory_bytes);
+        size_of::<Self>() + self.payload.len() + steps.sum::<usize>()
+    }
+}
+
 /// Reason for which a submitted job is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum JobFault {
--- a/crates/guavavane_transport/src/intake/gate.rs
+++ b/crates/guavavane_transport/src/intake/gate.rs
@@ -121,6 +121,23 @@
         }
     }
 
+    /// Charges the table, and closes the connections that it chooses.
+    fn charge_with(
+        &mut self,
+        charge: impl FnOnce(&mut IntakeTable, &mut Vec<ClosedConnection>) -> Result<(), BoundReached>,
+    ) -> Result<(), BoundReached> {
+        let mut closed = Vec::new();
+        let charged = charge(&mut self.table, &mut closed);
+        for closed in closed {
+            self.close(closed);
+        }
+        if let Err(BoundReached(bound)) = charged {
+            self.refuse(bound);
+        }
+        self.note_peak();
+        charged
+    }
+
     fn note_peak(&mut self) {
         self.peak_bytes = self.peak_bytes.max(self.used_bytes());
     }
@@ -222,6 +239,18 @@
         }
     }
 
+    /// Charges the bytes of a call that waits for an answer of another process, and closes half-received
+    /// requests if need be.
+    ///
+    /// # Errors
+    ///
+    /// Fails, without a charge, if the bytes do not fit even so.
+    pub fn begin_call(&'static self, bytes: usize) -> Result<CallCharge, BoundReached> {
+        self.lock()
+            .charge_with(|table, closed| table.begin_call(bytes, Instant::now(), closed))?;
+        Ok(CallCharge { gate: self, bytes })
+    }
+
     /// Reports a failed accept, and closes a connection if it failed for lack of descriptors.
     pub fn note_accept_error(&self, error: &io::Error) {
         let mut state = self.lock();
@@ -256,6 +285,21 @@
     }
 }
 
+/// Charge of a call that waits for an answer; taken back when it is dropped.
+#[derive(Debug)]
+pub struct CallCharge {
+    gate: &'static IntakeGate,
+    bytes: usize,
+}
+
+impl Drop for CallCharge {
+    fn drop(&mut self) {
+        let mut state = self.gate.lock();
+        state.table.end_call(self.bytes);
+        state.note_decrease();
+    }
+}
+
 /// Admission of an accepted connection, which counts until the ticket is dropped.
 #[derive(Debug)]
 pub struct ConnectionTicket {
@@ -303,19 +347,9 @@
     ///
     /// Fails, without a charge, if the bytes do not fit even so.
     pub fn charge(&self, bytes: usize) -> Result<(), BoundReached> {
-        let mut state = self.gate.lock();
-        let mut closed = Vec::new();
-        let charged = state
-            .table
-            .charge(self.id, bytes, Instant::now(), &mut closed);
-        for closed in closed {
-            state.close(closed);
-        }
-        if let Err(BoundReached(bound)) = charged {
-            state.refuse(bound);
-        }
-        state.note_peak();
-        charged
+        self.gate
+            .lock()
+            .charge_with(|table, closed| table.charge(self.id, bytes, Instant::now(), closed))
     }
 
     /// Takes back the charge down to `kept` bytes.
--- a/crates/guavavane_transport/src/intake/table.rs
+++ b/crates/guavavane_transport/src/intake/table.rs
@@ -5,6 +5,9 @@
 //! been unread for longest; requests that are served are never closed. A connection makes progress
 //! with each `PROGRESS_BYTES`, so that a sender of single bytes can still be chosen.
 //!
+//! A call that waits for an answer of another process is charged
+//! by itself, since it stays in memory after its caller has closed the connection.
+//!
 //! A connection is closed for another one in this order: half-received or unused ones that have
 //! stalled; then the oldest of the larger group, half-received and unused ones or idle ones, so that
 //! many new connections do not evict all idle connections of ordinary callers.
@@ -106,6 +109,7 @@
     unused: AgeOrder,
     partial: AgeOrder,
     idle: AgeOrder,
+    /// Bytes of the connections and of the waiting calls.
     buffered_bytes: usize,
     last_id: u64,
 }
@@ -231,15 +235,50 @@
             // The connection was closed, and its task has not ended yet.
             return Err(BoundReached(bound));
         }
+        self.make_room(bytes, Some(id), now, closed)?;
+        let entry = self.connections.get_mut(&id).ok_or(BoundReached(bound))?;
+        entry.bytes += bytes;
+        self.buffered_bytes += bytes;
+        Ok(())
+    }
+
+    /// Charges the bytes of a call that waits for an answer, whether its connection stays open or not, and
+    /// adds the connections to close for them to `closed`. They are taken back by [`Self::end_call`].
+    ///
+    /// # Errors
+    ///
+    /// Fails, without a charge, if the bytes do not fit even so.
+    pub fn begin_call(
+        &mut self,
+        bytes: usize,
+        now: Instant,
+        closed: &mut Vec<ClosedConnection>,
+    ) -> Result<(), BoundReached> {
+        self.make_room(bytes, None, now, closed)?;
+        self.buffered_bytes += bytes;
+        Ok(())
+    }
+
+    /// Takes back the charge of [`Self::begin_call`].
+    pub fn end_call(&mut self, bytes: usize) {
+        self.buffered_bytes -= bytes;
+    }
+
+    /// Closes connections with charged bytes, except the given one, until `bytes` fit within the bound.
+    fn make_room(
+        &mut self,
+        bytes: usize,
+        except: Option<ConnectionId>,
+        now: Instant,
+        closed: &mut Vec<ClosedConnection>,
+    ) -> Result<(), BoundReached> {
+        let bound = IntakeBound::BufferedBytes;
         while self.buffered_bytes.saturating_add(bytes) > self.limits.buffered_bytes {
-            let oldest = self.oldest_charged_but(&self.partial, id);
-            let oldest = oldest.or_else(|| self.oldest_charged_but(&self.idle, id));
+            let oldest = self.oldest_charged(&self.partial, except);
+            let oldest = oldest.or_else(|| self.oldest_charged(&self.idle, except));
             let oldest = oldest.ok_or(BoundReached(bound))?;
             closed.extend(self.close(oldest, bound, now));
         }
-        let entry = self.connections.get_mut(&id).ok_or(BoundReached(bound))?;
-        entry.bytes += bytes;
-        self.buffered_bytes += bytes;
         Ok(())
     }
 
@@ -298,9 +337,13 @@
 
     /// Oldest connection of a phase with charged bytes: closing one without any frees no memory. An
     /// idle connection is charged for a response that its peer has not read.
-    fn oldest_charged_but(&self, order: &AgeOrder, id: ConnectionId) -> Option<ConnectionId> {
+    fn oldest_charged(
+        &self,
+        order: &AgeOrder,
+        except: Option<ConnectionId>,
+    ) -> Option<ConnectionId> {
         let mut ids = order.iter().map(|(_, other)| *other);
-        ids.find(|other| *other != id && self.connections[other].bytes > 0)
+        ids.find(|other| Some(*other) != except && self.connections[other].bytes > 0)
     }
 
     fn close(
--- a/crates/guavavane_transport/src/lib.rs
+++ b/crates/guavavane_transport/src/lib.rs
@@ -25,6 +25,7 @@
     pub use crate::client::CallError;
     pub use crate::codec::CodecError;
     pub use crate::codec::FrameIdentity;
+    pub use crate::intake::gate::CallCharge;
     pub use crate::intake::gate::ConnectionTicket;
     pub use crate::intake::gate::IntakeEvent;
     pub use crate::intake::gate::IntakeGate;
--- a/crates/guavavane_transport/tests/intake.rs
+++ b/crates/guavavane_transport/tests/intake.rs
@@ -139,6 +139,30 @@
     assert!(replay.table.contains(uncharged));
 }
 
+// Guards against calls that are no longer counted once their callers have closed their connections.
+#[test]
+fn calls_that_wait_are_charged_without_their_connections() {
+    let mut replay = Replay::entry();
+    let limits = replay.table.limits();
+    let mut calls = 0;
+    loop {
+        let caller = replay.begin();
+        replay.enter(caller, ConnectionPhase::Busy);
+        let now = replay.tick();
+        let charged = replay.table.begin_call(BODY_BYTES, now, &mut Vec::new());
+        replay.table.remove(caller);
+        if charged.is_err() {
+            break;
+        }
+        calls += 1;
+    }
+    assert_eq!(calls, limits.buffered_bytes / BODY_BYTES);
+    replay.table.end_call(BODY_BYTES);
+    let now = replay.tick();
+    let charged = replay.table.begin_call(BODY_BYTES, now, &mut Vec::new());
+    assert!(charged.is_ok());
+}
+
 #[test]
 fn connections_without_a_request_do_not_use_up_the_descriptors() {
     let mut replay = Replay::entry();
