Intake: keep a part of the bytes for small requests

What callers saw: 503 for small jobs for as long as large jobs of other callers waited for the leader; up to 10 s in the test, and until the deadlines of those callers otherwise.

Cause: requests that are served are never closed, and large ones could take up the whole bound on bytes.

Why this works: requests of more than 32 KiB share seven eighths of the bytes; the rest is for smaller ones.

--- a/crates/guavavane_transport/src/intake/table.rs
+++ b/crates/guavavane_transport/src/intake/table.rs
@@ -5,7 +5,8 @@
 //! been unread for longest; requests that are served are never closed. A connection makes progress
 //! with each `PROGRESS_BYTES`, so that a sender of single bytes can still be chosen.
 //!
-//! A call that waits for an answer of another process is charged
+//! A part of the bytes is for small requests, which ordinary callers send: requests that are served may
+//! take the rest for as long as they wait. A call that waits for an answer of another process is charged
 //! by itself, since it stays in memory after its caller has closed the connection.
 //!
 //! A connection is closed for another one in this order: half-received or unused ones that have
@@ -26,6 +27,9 @@
 /// of the process.
 const STALL_TIME: Duration = Duration::from_millis(500);
 
+/// Largest request in bytes that may use the part of the memory for small ones.
+const SMALL_REQUEST_BYTES: usize = 32 << 10;
+
 /// Number of a connection; never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(pub u64);
@@ -148,6 +152,11 @@
         self.connections.len()
     }
 
+    /// Bytes that are charged to a connection.
+    fn charged_bytes(&self, id: ConnectionId) -> usize {
+        self.connections.get(&id).map_or(0, |entry| entry.bytes)
+    }
+
     /// Number of connections with a half-received request.
     pub fn partial_requests(&self) -> usize {
         self.partial.len()
@@ -235,7 +244,8 @@
             // The connection was closed, and its task has not ended yet.
             return Err(BoundReached(bound));
         }
-        self.make_room(bytes, Some(id), now, closed)?;
+        let request_bytes = self.charged_bytes(id).saturating_add(bytes);
+        self.make_room(bytes, request_bytes, Some(id), now, closed)?;
         let entry = self.connections.get_mut(&id).ok_or(BoundReached(bound))?;
         entry.bytes += bytes;
         self.buffered_bytes += bytes;
@@ -254,7 +264,7 @@
         now: Instant,
         closed: &mut Vec<ClosedConnection>,
     ) -> Result<(), BoundReached> {
-        self.make_room(bytes, None, now, closed)?;
+        self.make_room(bytes, bytes, None, now, closed)?;
         self.buffered_bytes += bytes;
         Ok(())
     }
@@ -264,16 +274,23 @@
         self.buffered_bytes -= bytes;
     }
 
-    /// Closes connections with charged bytes, except the given one, until `bytes` fit within the bound.
+    /// Closes connections with charged bytes, except the given one, until `bytes` of a request that has
+    /// `request_bytes` in all fit within the bound.
     fn make_room(
         &mut self,
         bytes: usize,
+        request_bytes: usize,
         except: Option<ConnectionId>,
         now: Instant,
         closed: &mut Vec<ClosedConnection>,
     ) -> Result<(), BoundReached> {
         let bound = IntakeBound::BufferedBytes;
-        while self.buffered_bytes.saturating_add(bytes) > self.limits.buffered_bytes {
+        let bytes_max = if request_bytes > SMALL_REQUEST_BYTES {
+            self.limits.shared_bytes()
+        } else {
+            self.limits.buffered_bytes
+        };
+        while self.buffered_bytes.saturating_add(bytes) > bytes_max {
             let oldest = self.oldest_charged(&self.partial, except);
             let oldest = oldest.or_else(|| self.oldest_charged(&self.idle, except));
             let oldest = oldest.ok_or(BoundReached(bound))?;
