Entry: refuse at once a job that the leader would refuse

What callers saw: a job over a limit, for example with a payload of 4 MiB, was kept by the entry and passed on; without a leader its caller got 503, and tried again in vain.

Cause: only the leader checked jobs.

Why this works: RawJob::validate checks the same limits without converting the job, so the entry answers 400 before the call is charged or queued, and the leader still checks each job. The texts of all steps have a limit of 1 MiB, the size of a command in the log: a job over it was refused by the leader as well, or, close to 4 MiB, fitted into no message and was never answered.

Measured: an_entry_refuses_a_job_that_the_leader_would_refuse passes, and fails with the check taken out (the leader got the jobs).

--- a/crates/guavavane_cell/src/entry.rs
+++ b/crates/guavavane_cell/src/entry.rs
@@ -30,6 +30,7 @@
 use crate::message::ToControl;
 use crate::metric;
 use crate::seeds::SeedAddresses;
+use guavavane_jobs::prelude::JobFault;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
 use guavavane_transport::prelude::CallCharge;
@@ -107,6 +108,9 @@
         request: CallerRequest,
         wait: Duration,
     ) -> EntryReply {
+        if let Err(fault) = validate_action(&request.action) {
+            return own_reply(CallerReply::Invalid(fault.to_string()));
+        }
         let charge_bytes = request.memory_bytes() * CALL_CHARGE_FACTOR;
         let Ok(charge) = IntakeGate::of_process().begin_call(charge_bytes) else {
             return own_reply(CallerReply::Unavailable);
@@ -142,6 +146,14 @@
     }
 }
 
+/// Checks what the leader would refuse in any case.
+fn validate_action(action: &CallerAction) -> Result<(), JobFault> {
+    match action {
+        CallerAction::Submit(job) => job.validate(),
+        CallerAction::Query | CallerAction::Cancel => Ok(()),
+    }
+}
+
 /// Reply of the entry itself, with the delay for a lack of room.
 fn own_reply(reply: CallerReply) -> EntryReply {
     EntryReply {
--- a/crates/guavavane_jobs/src/job.rs
+++ b/crates/guavavane_jobs/src/job.rs
@@ -23,6 +23,8 @@
 pub const PAYLOAD_MAX_BYTES: usize = 4_000;
 /// Most steps of a job; bounds the work of one command in the ledger.
 pub const STEPS_MAX: usize = 200;
+/// Most bytes of the texts of a job besides its payload; a larger job fits into no command of the log.
+pub const TEXTS_MAX_BYTES: usize = 1 << 20;
 /// Most tasks of a job; bounds the memory of one job in the ledger.
 pub const TASKS_MAX: u64 = 20_000;
 
@@ -101,6 +103,48 @@
         let steps = self.steps.iter().map(RawStep::memory_bytes);
         size_of::<Self>() + self.payload.len() + steps.sum::<usize>()
     }
+
+    /// Checks the sizes of the job and the order of its steps.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the job can't be converted into a [`JobSpec`].
+    pub fn validate(&self) -> Result<(), JobFault> {
+        if self.payload.len() > PAYLOAD_MAX_BYTES {
+            return Err(JobFault::Payload(self.payload.len()));
+        }
+        if self.steps.is_empty() || self.steps.len() > STEPS_MAX {
+            return Err(JobFault::Steps(self.steps.len()));
+        }
+        let text_bytes = self.steps.iter().map(RawStep::text_bytes).sum();
+        if text_bytes > TEXTS_MAX_BYTES {
+            return Err(JobFault::Texts(text_bytes));
+        }
+        let counts = self.steps.iter().map(|step| step.tasks);
+        let tasks = counts.fold(0, u64::saturating_add);
+        if tasks > TASKS_MAX {
+            return Err(JobFault::Tasks(tasks));
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            validate_step(number, step)?;
+        }
+        validate_schedule(self)?;
+        Ok(())
+    }
+}
+
+fn validate_step(number: usize, step: &RawStep) -> Result<(), JobFault> {
+    if step.tasks == 0 {
+        return Err(JobFault::EmptyStep(number));
+    }
+    let is_later = |after: &&u64| **after >= number as u64;
+    match step.after.iter().find(is_later) {
+        Some(after) => Err(JobFault::Order {
+            step: number,
+            after: *after,
+        }),
+        None => Ok(()),
+    }
 }
 
 /// Reason for which a submitted job is invalid.
@@ -115,6 +159,9 @@
     /// The number of tasks is out of range.
     #[error("the job has {0} tasks; 1 to {TASKS_MAX} are allowed")]
     Tasks(u64),
+    /// The texts of the steps are too long.
+    #[error("the texts of the steps have {0} bytes; at most {TEXTS_MAX_BYTES} are allowed")]
+    Texts(usize),
     /// A step has no tasks.
     #[error("step {0} has no tasks")]
     EmptyStep(usize),
@@ -238,33 +285,20 @@
     (count > 0).then(|| u32::try_from(count).unwrap_or(u32::MAX))
 }
 
-fn validate_step(number: usize, raw: RawStep) -> Result<StepSpec, JobFault> {
-    if raw.tasks == 0 {
-        return Err(JobFault::EmptyStep(number));
-    }
-    let tasks = u32::try_from(raw.tasks).map_err(|_| JobFault::Tasks(raw.tasks))?;
-    let mut after = Vec::with_capacity(raw.after.len());
-    for earlier in raw.after {
-        let fault = JobFault::Order {
-            step: number,
-            after: earlier,
-        };
-        let earlier = u16::try_from(earlier).map_err(|_| fault.clone())?;
-        if usize::from(earlier) >= number {
-            return Err(fault);
-        }
-        after.push(earlier);
-    }
+/// Converts a step that has been validated.
+fn convert_step(raw: RawStep) -> StepSpec {
+    let after = raw.after.iter();
+    let after = after.map(|after| u16::try_from(*after).expect("the number of steps is bounded"));
     let kind = if raw.long_running {
         StepKind::LongRunning
     } else {
         StepKind::Finite
     };
-    Ok(StepSpec {
-        tasks,
+    StepSpec {
+        tasks: u32::try_from(raw.tasks).expect("the number of tasks is bounded"),
         demand: raw.demand,
         estimate_ms: raw.estimate_ms,
-        after,
+        after: after.collect(),
         kind,
         checkpointed: raw.checkpointed,
         gang: raw.gang,
@@ -279,7 +313,7 @@
         unavailable_max: raw
             .unavailable_max
             .map(|maximum| u32::try_from(maximum).unwrap_or(u32::MAX)),
-    })
+    }
 }
 
 fn validate_schedule(raw: &RawJob) -> Result<Option<JobSchedule>, JobFault> {
@@ -302,25 +336,11 @@
     type Error = JobFault;
 
     fn try_from(raw: RawJob) -> Result<Self, JobFault> {
-        if raw.payload.len() > PAYLOAD_MAX_BYTES {
-            return Err(JobFault::Payload(raw.payload.len()));
-        }
-        if raw.steps.is_empty() || raw.steps.len() > STEPS_MAX {
-            return Err(JobFault::Steps(raw.steps.len()));
-        }
-        let tasks = raw
-            .steps
-            .iter()
-            .fold(0, |sum: u64, step| sum.saturating_add(step.tasks));
-        if tasks > TASKS_MAX {
-            return Err(JobFault::Tasks(tasks));
-        }
+        raw.validate()?;
         let schedule = validate_schedule(&raw)?;
-        let steps = raw.steps.into_iter().enumerate();
-        let steps = steps.map(|(number, step)| validate_step(number, step));
         Ok(Self {
             payload: Arc::from(raw.payload),
-            steps: steps.collect::<Result<_, _>>()?,
+            steps: raw.steps.into_iter().map(convert_step).collect(),
             schedule,
         })
     }
