--- a/crates/guavavane_quorum/src/core/log.rs
+++ b/crates/guavavane_quorum/src/core/log.rs
@@ -83,6 +83,28 @@
         }
     }
 
+    /// First index from `oldest` on after which the entries up to `last` have at most `bytes_max` bytes.
+    pub(crate) fn bound_trailing(
+        &self,
+        oldest: LogIndex,
+        last: LogIndex,
+        bytes_max: u64,
+    ) -> LogIndex {
+        let mut first = last;
+        let mut bytes = 0;
+        while first > oldest {
+            let Some(entry) = self.get(first) else {
+                break;
+            };
+            bytes += entry.size_bytes() as u64;
+            if bytes > bytes_max {
+                break;
+            }
+            first = LogIndex(first.0 - 1);
+        }
+        first
+    }
+
     /// Clones entries from `from` on, up to `count` entries and `bytes` bytes.
     ///
     /// The first entry is returned even if it alone exceeds `bytes`.
--- a/crates/guavavane_quorum/src/core/snapshot.rs
+++ b/crates/guavavane_quorum/src/core/snapshot.rs
@@ -34,13 +34,16 @@
 impl ConsensusCore {
     /// Compacts the log up to a durable snapshot.
     ///
-    /// The last `trailing_entries` that the snapshot covers stay in memory for lagging members.
+    /// The last `trailing_entries` that the snapshot covers stay in memory for lagging members, as far
+    /// as they have no more than `trailing_bytes`.
     pub(super) fn compact(&mut self, image: SnapshotImage) {
         if image.index <= self.snapshot_index() {
             return;
         }
         let trailing = self.settings.trailing_entries;
-        let through = LogIndex(image.index.0.saturating_sub(trailing));
+        let oldest = LogIndex(image.index.0.saturating_sub(trailing));
+        let bytes_max = self.settings.trailing_bytes;
+        let through = self.log.bound_trailing(oldest, image.index, bytes_max);
         self.log.drop_through(through);
         self.drop_member_sets(through);
         self.snapshot = Some(image);
--- a/crates/guavavane_quorum/src/settings.rs
+++ b/crates/guavavane_quorum/src/settings.rs
@@ -67,6 +67,8 @@
     /// Number of entries that stay in memory although a snapshot covers them, so that followers
     /// that lag a little need no snapshot.
     pub trailing_entries: u64,
+    /// Maximum size of these entries, in bytes; the oldest ones over it are dropped.
+    pub trailing_bytes: u64,
     /// Size at which a log segment is closed, in bytes.
     pub segment_bytes: u64,
 }
@@ -97,6 +99,7 @@
             snapshot_entries: 10_000,
             snapshot_log_bytes: 32 << 20,
             trailing_entries: 1_000,
+            trailing_bytes: 4 << 20,
             segment_bytes: 8 << 20,
         }
     }
