Control: bound the memory of the jobs that a cell accepts

What callers saw: all control processes ran out of memory, and again after each restart, when callers submitted legal jobs: 512 of 256 KiB took a process of 64 MB to 637 MB, 240 of 20,000 tasks (70 bytes each as text) to 155 MB, and 8 scheduled ones whose occurrences are all due to 116 MB within 12 s.

Why this works: the ledger keeps an account of the memory of its job records, with tasks at their decoded size. The rest gets 429 with Retry-After before anything is proposed, so it is true that it never runs. The order of the decision is by arrival: nothing tells callers apart.

--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -11,6 +11,8 @@
 use crate::message::CallerRequest;
 use crate::message::FromControl;
 use crate::message::JobState;
+use crate::metric;
+use guavavane_jobs::prelude::BudgetExceeded;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::JobPhase;
@@ -20,6 +22,9 @@
 
 /// Retry delay that a refused caller is given if its queue needs an advice service and none exists.
 const NO_ADVICE_RETRY_MS: u64 = 5_000;
+/// Retry delay that a refused caller is given if there is no memory for the job: some jobs end in that
+/// time.
+const BUDGET_RETRY_MS: u64 = 5_000;
 
 /// Target that the path of a request names.
 enum CallTarget {
@@ -161,12 +166,32 @@
             let retry_after_ms = NO_ADVICE_RETRY_MS;
             return self.reply(origin, CallerReply::Refused { retry_after_ms });
         }
+        let bytes = JobLedger::submission_bytes(&spec);
+        if let Err(BudgetExceeded) = self.check_job_budget(0, bytes) {
+            metric::count_event("job_refused", "job_bytes");
+            tracing::info!(event = "job_refused", job = %key, reason = "job_bytes", bytes);
+            let retry_after_ms = BUDGET_RETRY_MS;
+            return self.reply(origin, CallerReply::Refused { retry_after_ms });
+        }
+        self.submitting_bytes += bytes;
         let command = LedgerCommand::Submit {
             job: key,
             queue,
             spec: Arc::new(spec),
             accepted_ms: time_of_day_ms(),
         };
-        self.propose(command, CommitPurpose::Submit { origin, key });
+        self.propose(command, CommitPurpose::Submit { origin, key, bytes });
+    }
+
+    /// Checks whether a job or an occurrence of this size fits into the memory for jobs, beside what is
+    /// in use and `releasing_bytes` of occurrences.
+    pub(super) fn check_job_budget(
+        &self,
+        releasing_bytes: usize,
+        bytes: usize,
+    ) -> Result<(), BudgetExceeded> {
+        let job_bytes = self.quorum.read_local(JobLedger::job_bytes);
+        let used_bytes = job_bytes + self.submitting_bytes + releasing_bytes;
+        self.job_budget.check(used_bytes, bytes)
     }
 }
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -81,7 +81,8 @@
                 tracing::info!(event = "order_not_committed", %error);
                 send_reply(reply_sender, OperatorReply::Unavailable);
             }
-            (CommitPurpose::Submit { origin, key }, result) => {
+            (CommitPurpose::Submit { origin, key, bytes }, result) => {
+                self.submitting_bytes -= bytes;
                 self.finish_submit(origin, key, result);
             }
             (CommitPurpose::Cancel { origin, key }, result) => {
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -20,6 +20,7 @@
 use crate::message::FromControl;
 use crate::message::ToControl;
 use crate::metric;
+use guavavane_jobs::prelude::JobBudget;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
@@ -39,7 +40,7 @@
 const BATCH_TIME_MAX: Duration = Duration::from_millis(5);
 
 /// Gauges that only the leader sets.
-const LEDGER_GAUGES: [&str; 4] = ["jobs", "waiting_tasks", "workers", "copies"];
+const LEDGER_GAUGES: [&str; 5] = ["jobs", "waiting_tasks", "workers", "copies", "job_bytes"];
 
 /// Result of a check of the leadership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,6 +63,9 @@
     tenures: u64,
     /// Number of proposals of starts without a result, of this and earlier tenures.
     pub(super) starts_in_flight: usize,
+    pub(super) job_budget: JobBudget,
+    /// Memory of the jobs of proposals without a result, of this and earlier tenures, in bytes.
+    pub(super) submitting_bytes: usize,
     pub(super) next_maintenance: BootTime,
 }
 
@@ -73,6 +77,7 @@
         peer_formats: PeerFormats,
     ) -> Self {
         Self {
+            job_budget: JobBudget::derive(settings.memory_bytes),
             settings,
             quorum,
             inputs,
@@ -80,6 +85,7 @@
             leader_state: None,
             tenures: 0,
             starts_in_flight: 0,
+            submitting_bytes: 0,
             next_maintenance: BootTime::default(),
         }
     }
--- a/crates/guavavane_cell/src/control/maintenance.rs
+++ b/crates/guavavane_cell/src/control/maintenance.rs
@@ -7,6 +7,7 @@
 use super::wall_clock::time_of_day_ms;
 use crate::metric;
 use guavavane_jobs::prelude::JobKey;
+use guavavane_jobs::prelude::JobLedger;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_model::prelude::BootClock;
 use guavavane_model::prelude::BootTime;
@@ -54,6 +55,8 @@
         metric::set_gauge("workers", workers);
         let copies = self.quorum.read_local(|ledger| ledger.recorded_copies());
         metric::set_gauge("copies", copies);
+        let job_bytes = self.quorum.read_local(JobLedger::job_bytes);
+        metric::set_gauge("job_bytes", job_bytes);
         let states = self
             .leader_state
             .iter()
@@ -74,11 +77,30 @@
             });
             scheduled.collect()
         });
+        let mut postponed = 0;
+        let mut releasing_bytes = 0;
         for (job, occurrence) in due {
+            let bytes = self.quorum.read_local(|ledger| ledger.release_bytes(job));
+            let Some(bytes) = bytes else {
+                continue;
+            };
+            if self.check_job_budget(releasing_bytes, bytes).is_err() {
+                postponed += 1;
+                continue;
+            }
+            releasing_bytes += bytes;
             tracing::info!(event = "occurrence_due", %job, occurrence);
             let command = LedgerCommand::Release { job, occurrence };
             self.propose(command, CommitPurpose::Release);
         }
+        if postponed > 0 {
+            metric::count_event("occurrence", "postponed");
+            tracing::warn!(
+                event = "occurrences_postponed",
+                postponed,
+                reason = "job_bytes"
+            );
+        }
     }
 
     /// Removes the state of jobs that ended longer ago than the retention time.
--- a/crates/guavavane_cell/src/control/settings.rs
+++ b/crates/guavavane_cell/src/control/settings.rs
@@ -31,6 +31,8 @@
     pub timing: LeaseTiming,
     /// Maximum number of proposals that are not committed; further ones are refused.
     pub uncommitted_proposals_max: u64,
+    /// Memory that the process may use, in bytes; none if it is not bounded.
+    pub memory_bytes: Option<usize>,
     /// Channel to the advice service; none where the platform has no such service.
     pub advice: Option<Sender<AdviceRequest>>,
     /// Derives the limits on callers' requests from the text of the configuration; none if entries get
--- a/crates/guavavane_cell/tests/group_report.rs
+++ b/crates/guavavane_cell/tests/group_report.rs
@@ -36,6 +36,7 @@
             thaw_slack: Duration::from_millis(50),
         },
         uncommitted_proposals_max: UNCOMMITTED_PROPOSALS_MAX,
+        memory_bytes: None,
         advice: None,
         read_limits: None,
     }
--- a/crates/guavavane_cell/tests/support/group.rs
+++ b/crates/guavavane_cell/tests/support/group.rs
@@ -40,6 +40,7 @@
         retention_ms: 60_000,
         timing: timing(),
         uncommitted_proposals_max: UNCOMMITTED_PROPOSALS_MAX,
+        memory_bytes: None,
         advice: None,
         read_limits: None,
     }
--- a/crates/guavavane_cell/tests/support/mod.rs
+++ b/crates/guavavane_cell/tests/support/mod.rs
@@ -273,6 +273,7 @@
         retention_ms: 60_000,
         timing: timing(),
         uncommitted_proposals_max: UNCOMMITTED_PROPOSALS_MAX,
+        memory_bytes: None,
         advice: None,
         read_limits: None,
     }
--- a/crates/guavavane_jobs/src/job.rs
+++ b/crates/guavavane_jobs/src/job.rs
@@ -81,8 +81,8 @@
     pub period_ms: u64,
 }
 
-/// Memory that the allocator takes besides the bytes of an allocation.
-const ALLOCATION_BYTES: usize = 16;
+/// Memory that an allocation takes besides its bytes.
+pub(crate) const ALLOCATION_BYTES: usize = 16;
 
 impl RawStep {
     fn text_bytes(&self) -> usize {
@@ -226,6 +226,16 @@
 }
 
 impl StepSpec {
+    fn memory_bytes(&self) -> usize {
+        let labels = [&self.required_label, &self.data_rack]
+            .into_iter()
+            .flatten();
+        let text_bytes = self.image.len() + labels.map(|label| label.len()).sum::<usize>();
+        let after_bytes = self.after.len() * size_of::<u16>();
+        // The predecessors and three texts are allocated separately.
+        size_of::<Self>() + 4 * ALLOCATION_BYTES + after_bytes + text_bytes
+    }
+
     /// Capacity that a task reserves on its worker; a best-effort task reserves no processor.
     pub fn reserved(&self) -> ResourceVector {
         let cpu_millis = if self.best_effort {
@@ -271,6 +281,12 @@
 }
 
 impl JobSpec {
+    /// Memory of the specification in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(StepSpec::memory_bytes);
+        size_of::<Self>() + self.payload.len() + steps.sum::<usize>()
+    }
+
     /// Number of occurrences; 1 without a schedule.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/crates/guavavane_jobs/src/ledger.rs
+++ b/crates/guavavane_jobs/src/ledger.rs
@@ -45,6 +45,7 @@
 use crate::identity::StepKey;
 use crate::identity::TaskKey;
 use crate::identity::WorkerKey;
+use crate::job::JobSpec;
 use crate::job::StepSpec;
 use crate::queue::QueueCatalog;
 use guavavane_quorum::prelude::LogIndex;
@@ -97,6 +98,26 @@
         self.jobs.iter().map(|(key, record)| (*key, record))
     }
 
+    /// Memory of all job records in bytes.
+    pub fn job_bytes(&self) -> usize {
+        self.index.job_bytes()
+    }
+
+    /// Memory that the submission of a job adds, in bytes.
+    pub fn submission_bytes(spec: &JobSpec) -> usize {
+        let occurrence = match spec.schedule {
+            Some(_) => 0,
+            None => record::occurrence_bytes_of(spec),
+        };
+        record::RECORD_BYTES + spec.memory_bytes() + occurrence
+    }
+
+    /// Memory that the next occurrence of a job adds, in bytes; none if the job has ended.
+    pub fn release_bytes(&self, job: JobKey) -> Option<usize> {
+        let spec = self.jobs.get(&job)?.spec.as_ref()?;
+        Some(record::occurrence_bytes_of(spec))
+    }
+
     /// Steps with waiting tasks whose predecessors are done, with the number of these tasks.
     pub fn ready_steps(&self) -> impl Iterator<Item = (StepKey, u32)> + '_ {
         self.ready_steps.iter().map(|(key, count)| (*key, *count))
--- a/crates/guavavane_jobs/src/ledger/apply.rs
+++ b/crates/guavavane_jobs/src/ledger/apply.rs
@@ -88,7 +88,7 @@
                         .get(&job)
                         .is_some_and(|j| j.phase != JobPhase::Active)
                     {
-                        self.jobs.swap_remove(&job);
+                        self.remove_job(job);
                     }
                 }
                 LedgerOutcome::Done
@@ -124,6 +124,7 @@
             occurrences_done: 0,
             next_occurrence: 0,
         };
+        self.index.add_job_bytes(record.memory_bytes());
         self.jobs.insert(key, record);
         if !scheduled {
             self.release_occurrence(key, 0);
@@ -143,8 +144,9 @@
         }
         job.next_occurrence += 1;
         let steps = spec.steps.iter().map(StepRecord::new).collect();
-        job.occurrences
-            .insert(occurrence, OccurrenceRecord { steps });
+        let record = OccurrenceRecord { steps };
+        self.index.add_job_bytes(record.memory_bytes());
+        job.occurrences.insert(occurrence, record);
         self.mark_ready_steps(key, occurrence, &spec);
         LedgerOutcome::Done
     }
@@ -185,14 +187,22 @@
         }
     }
 
+    fn remove_job(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.swap_remove(&key) {
+            self.index.remove_job_bytes(job.memory_bytes());
+        }
+    }
+
     /// Ends a job; its runs hold their capacity until they end.
     fn end_job(&mut self, key: JobKey, phase: JobPhase) {
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
+        let bytes = job.memory_bytes();
         job.phase = phase;
         job.spec = None;
-        job.occurrences.clear();
+        job.occurrences = IndexMap::new();
+        self.index.remove_job_bytes(bytes - job.memory_bytes());
         self.ready_steps.retain(|step, _| step.job != key);
         self.remove_copies_of(key);
         self.index.disturb_job(key);
@@ -454,7 +464,9 @@
             self.mark_ready_steps(key.job, key.occurrence, spec);
             return false;
         }
-        job.occurrences.swap_remove(&key.occurrence);
+        if let Some(record) = job.occurrences.swap_remove(&key.occurrence) {
+            self.index.remove_job_bytes(record.memory_bytes());
+        }
         job.occurrences_done += 1;
         if job.occurrences_done < spec.occurrences() {
             return false;
--- a/crates/guavavane_jobs/src/ledger/index.rs
+++ b/crates/guavavane_jobs/src/ledger/index.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexSet;
 
 use super::record::JobPhase;
+use super::record::JobRecord;
 use super::record::WorkerIndex;
 use super::record::WorkerRecord;
 use super::JobLedger;
@@ -62,6 +63,8 @@
     /// Jobs with runs of which some may no longer be desired: the job has ended, or a gang has broken
     /// or is done.
     disturbed_jobs: IndexSet<JobKey>,
+    /// Memory of all job records in bytes.
+    job_bytes: usize,
     changes: WorkerChanges,
 }
 
@@ -79,6 +82,7 @@
             changes: previous.changes.clone(),
             ..Self::default()
         };
+        index.job_bytes = ledger.jobs.values().map(JobRecord::memory_bytes).sum();
         for (worker, record) in ledger.workers() {
             index.add_worker(worker, record);
             for task in record.runs.keys() {
@@ -150,6 +154,20 @@
         }
     }
 
+    /// Records the memory that a job record takes from now on.
+    pub(super) fn add_job_bytes(&mut self, bytes: usize) {
+        self.job_bytes += bytes;
+    }
+
+    /// Records the memory that a job record takes no more.
+    pub(super) fn remove_job_bytes(&mut self, bytes: usize) {
+        self.job_bytes -= bytes;
+    }
+
+    pub(super) fn job_bytes(&self) -> usize {
+        self.job_bytes
+    }
+
     /// Records a change that concerns all workers.
     pub(super) fn change_all_workers(&mut self) {
         self.changes.record_all();
--- a/crates/guavavane_jobs/src/ledger/record.rs
+++ b/crates/guavavane_jobs/src/ledger/record.rs
@@ -15,9 +15,16 @@
 use crate::job::JobSpec;
 use crate::job::StepKind;
 use crate::job::StepSpec;
+use crate::job::ALLOCATION_BYTES;
 use crate::worker::WorkerFacts;
 use guavavane_model::prelude::ResourceVector;
 
+/// Memory of a job record in bytes besides its specification and its occurrences: its fields, its place in
+/// the index of jobs and the names of its queue and pool.
+pub(super) const RECORD_BYTES: usize = size_of::<JobRecord>() + 6 * ALLOCATION_BYTES;
+/// Memory of a task in bytes; its checkpoint is an allocation of its own.
+const TASK_BYTES: usize = size_of::<TaskRecord>() + 2 * ALLOCATION_BYTES;
+
 /// Index of a worker's incarnation in the ledger; never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -63,6 +70,16 @@
 }
 
 impl JobRecord {
+    /// Memory of the record in bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        let spec = self.spec.as_ref().map_or(0, |spec| spec.memory_bytes());
+        let occurrences = self
+            .occurrences
+            .values()
+            .map(OccurrenceRecord::memory_bytes);
+        RECORD_BYTES + spec + occurrences.sum::<usize>()
+    }
+
     /// Whether any task is assigned to a worker.
     pub fn has_runs(&self) -> bool {
         let steps = self.occurrences.values().flat_map(|o| &o.steps);
@@ -92,6 +109,25 @@
     pub last_failed_run: RunNumber,
 }
 
+impl OccurrenceRecord {
+    /// Memory of the record in bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        let tasks = self.steps.iter().map(|step| step.tasks.len());
+        occurrence_bytes(self.steps.len(), tasks.sum())
+    }
+}
+
+/// Memory of an occurrence in bytes.
+fn occurrence_bytes(steps: usize, tasks: usize) -> usize {
+    steps * size_of::<StepRecord>() + tasks * TASK_BYTES
+}
+
+/// Memory of each occurrence of a job in bytes.
+pub(super) fn occurrence_bytes_of(spec: &JobSpec) -> usize {
+    let tasks = spec.steps.iter().map(|step| step.tasks as usize);
+    occurrence_bytes(spec.steps.len(), tasks.sum())
+}
+
 impl StepRecord {
     /// Creates a step whose tasks all wait.
     pub(super) fn new(spec: &StepSpec) -> Self {
--- a/crates/guavavane_jobs/src/lib.rs
+++ b/crates/guavavane_jobs/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! [`job`] and [`queue`] define the validated model. [`ledger`] is the state machine that the
 //! replicated log drives; it alone records which task runs on which worker and which runs have
-//! ended. [`plan`] makes the scheduling decisions as pure functions of the ledger, the reports of
-//! the agents and the time.
+//! ended. [`budget`] bounds the memory of the jobs. [`plan`] makes the scheduling decisions as pure
+//! functions of the ledger, the reports of the agents and the time.
 
+pub mod budget;
 pub mod identity;
 pub mod job;
 pub mod ledger;
@@ -14,6 +15,8 @@
 
 /// Commonly used items of this crate.
 pub mod prelude {
+    pub use crate::budget::BudgetExceeded;
+    pub use crate::budget::JobBudget;
     pub use crate::identity::JobKey;
     pub use crate::identity::RunNumber;
     pub use crate::identity::StepKey;
