Control: never refuse a job whose first proposal has no result yet

What callers could have seen: 429 for a job that was sent again, say after a broken connection, although its first submission was accepted a moment later. A 429 promises that the job never runs.

Why this works: the admission keeps the keys of proposed jobs, with their bytes. A key among them is proposed again without a check, as it was before there was a bound; the ledger makes one job of both.

Measured: a_job_that_is_sent_again_is_not_refused_while_it_is_proposed passes, and fails with the look-up taken out. The module moves the sum of proposed bytes out of the engine.

--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -167,31 +167,20 @@
             return self.reply(origin, CallerReply::Refused { retry_after_ms });
         }
         let bytes = JobLedger::submission_bytes(&spec);
-        if let Err(BudgetExceeded) = self.check_job_budget(0, bytes) {
+        let ledger_bytes = self.quorum.read_local(JobLedger::job_bytes);
+        let admitted = self.job_admission.admit(key, ledger_bytes, bytes);
+        if let Err(BudgetExceeded) = admitted {
             metric::count_event("job_refused", "job_bytes");
             tracing::info!(event = "job_refused", job = %key, reason = "job_bytes", bytes);
             let retry_after_ms = BUDGET_RETRY_MS;
             return self.reply(origin, CallerReply::Refused { retry_after_ms });
         }
-        self.submitting_bytes += bytes;
         let command = LedgerCommand::Submit {
             job: key,
             queue,
             spec: Arc::new(spec),
             accepted_ms: time_of_day_ms(),
         };
-        self.propose(command, CommitPurpose::Submit { origin, key, bytes });
-    }
-
-    /// Checks whether a job or an occurrence of this size fits into the memory for jobs, beside what is
-    /// in use and `releasing_bytes` of occurrences.
-    pub(super) fn check_job_budget(
-        &self,
-        releasing_bytes: usize,
-        bytes: usize,
-    ) -> Result<(), BudgetExceeded> {
-        let job_bytes = self.quorum.read_local(JobLedger::job_bytes);
-        let used_bytes = job_bytes + self.submitting_bytes + releasing_bytes;
-        self.job_budget.check(used_bytes, bytes)
+        self.propose(command, CommitPurpose::Submit { origin, key });
     }
 }
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -81,8 +81,8 @@
                 tracing::info!(event = "order_not_committed", %error);
                 send_reply(reply_sender, OperatorReply::Unavailable);
             }
-            (CommitPurpose::Submit { origin, key, bytes }, result) => {
-                self.submitting_bytes -= bytes;
+            (CommitPurpose::Submit { origin, key }, result) => {
+                self.job_admission.settle(key);
                 self.finish_submit(origin, key, result);
             }
             (CommitPurpose::Cancel { origin, key }, result) => {
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -20,6 +20,7 @@
 use crate::message::FromControl;
 use crate::message::ToControl;
 use crate::metric;
+use guavavane_jobs::prelude::JobAdmission;
 use guavavane_jobs::prelude::JobBudget;
 use guavavane_jobs::prelude::JobLedger;
 use guavavane_model::prelude::BootClock;
@@ -63,9 +64,8 @@
     tenures: u64,
     /// Number of proposals of starts without a result, of this and earlier tenures.
     pub(super) starts_in_flight: usize,
-    pub(super) job_budget: JobBudget,
-    /// Memory of the jobs of proposals without a result, of this and earlier tenures, in bytes.
-    pub(super) submitting_bytes: usize,
+    /// Admission of jobs, with the proposals of this and earlier tenures.
+    pub(super) job_admission: JobAdmission,
     pub(super) next_maintenance: BootTime,
 }
 
@@ -77,7 +77,7 @@
         peer_formats: PeerFormats,
     ) -> Self {
         Self {
-            job_budget: JobBudget::derive(settings.memory_bytes),
+            job_admission: JobAdmission::new(JobBudget::derive(settings.memory_bytes)),
             settings,
             quorum,
             inputs,
@@ -85,7 +85,6 @@
             leader_state: None,
             tenures: 0,
             starts_in_flight: 0,
-            submitting_bytes: 0,
             next_maintenance: BootTime::default(),
         }
     }
--- a/crates/guavavane_cell/src/control/input.rs
+++ b/crates/guavavane_cell/src/control/input.rs
@@ -101,8 +101,6 @@
     Submit {
         origin: CallOrigin,
         key: JobKey,
-        /// Memory that the job adds to the ledger, in bytes.
-        bytes: usize,
     },
     Cancel {
         origin: CallOrigin,
--- a/crates/guavavane_cell/src/control/maintenance.rs
+++ b/crates/guavavane_cell/src/control/maintenance.rs
@@ -77,6 +77,7 @@
             });
             scheduled.collect()
         });
+        let job_bytes = self.quorum.read_local(JobLedger::job_bytes);
         let mut postponed = 0;
         let mut releasing_bytes = 0;
         for (job, occurrence) in due {
@@ -84,7 +85,8 @@
             let Some(bytes) = bytes else {
                 continue;
             };
-            if self.check_job_budget(releasing_bytes, bytes).is_err() {
+            let used_bytes = job_bytes + releasing_bytes;
+            if self.job_admission.check(used_bytes, bytes).is_err() {
                 postponed += 1;
                 continue;
             }
--- a/crates/guavavane_jobs/src/budget.rs
+++ b/crates/guavavane_jobs/src/budget.rs
@@ -5,6 +5,13 @@
 //! in its snapshots, and has them back after a restart. The leader therefore refuses a job, and postpones
 //! an occurrence, that does not fit; a part of the memory is for small jobs, as ordinary callers submit
 //! them.
+//!
+//! A refused job must never run. A job that is sent again while its first proposal has no result is
+//! therefore never refused: the first one may still be committed.
+
+use indexmap::IndexMap;
+
+use crate::identity::JobKey;
 
 /// Divisor of the memory of the process that gives the memory for jobs. A replica holds up to three
 /// snapshots of about the same size while it takes the next one.
@@ -58,3 +65,59 @@
         Ok(())
     }
 }
+
+/// Admission of jobs, with those that are proposed and have no result.
+#[derive(Clone, Debug)]
+pub struct JobAdmission {
+    budget: JobBudget,
+    proposed: IndexMap<JobKey, usize>,
+    proposed_bytes: usize,
+}
+
+impl JobAdmission {
+    /// Admits jobs within a budget.
+    pub fn new(budget: JobBudget) -> Self {
+        Self {
+            budget,
+            proposed: IndexMap::new(),
+            proposed_bytes: 0,
+        }
+    }
+
+    /// Admits a job of `bytes` that is to be proposed, beside those that the ledger holds. It counts until
+    /// [`Self::settle`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the job does not fit.
+    pub fn admit(
+        &mut self,
+        job: JobKey,
+        ledger_bytes: usize,
+        bytes: usize,
+    ) -> Result<(), BudgetExceeded> {
+        if self.proposed.contains_key(&job) {
+            return Ok(());
+        }
+        self.check(ledger_bytes, bytes)?;
+        self.proposed.insert(job, bytes);
+        self.proposed_bytes += bytes;
+        Ok(())
+    }
+
+    /// Records that the proposal of a job has a result; the ledger counts the job if it was committed.
+    pub fn settle(&mut self, job: JobKey) {
+        if let Some(bytes) = self.proposed.swap_remove(&job) {
+            self.proposed_bytes -= bytes;
+        }
+    }
+
+    /// Checks whether `bytes` more fit beside `used_bytes` and the jobs that are proposed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they do not fit.
+    pub fn check(&self, used_bytes: usize, bytes: usize) -> Result<(), BudgetExceeded> {
+        self.budget.check(used_bytes + self.proposed_bytes, bytes)
+    }
+}
--- a/crates/guavavane_jobs/src/lib.rs
+++ b/crates/guavavane_jobs/src/lib.rs
@@ -16,6 +16,7 @@
 /// Commonly used items of this crate.
 pub mod prelude {
     pub use crate::budget::BudgetExceeded;
+    pub use crate::budget::JobAdmission;
     pub use crate::budget::JobBudget;
     pub use crate::identity::JobKey;
     pub use crate::identity::RunNumber;
--- a/crates/guavavane_jobs/tests/budget.rs
+++ b/crates/guavavane_jobs/tests/budget.rs
@@ -19,6 +19,7 @@
 use crate::support::random_commands::random_job;
 use crate::support::raw_step;
 use crate::support::submit_at;
+use guavavane_jobs::budget::JobAdmission;
 use guavavane_jobs::budget::JobBudget;
 use guavavane_jobs::job::JobSchedule;
 use guavavane_jobs::job::STEPS_MAX;
@@ -146,3 +147,23 @@
     assert_eq!(budget.check(used, large), Err(BudgetExceeded));
     assert_eq!(budget.check(usize::MAX, small), Err(BudgetExceeded));
 }
+
+// Guards against a job that is refused as never run while its first proposal may still be committed.
+#[test]
+fn a_job_that_is_sent_again_is_not_refused_while_it_is_proposed() {
+    let budget = JobBudget::derive(Some(MEMORY_BYTES));
+    let mut admission = JobAdmission::new(budget);
+    let bytes = 256 << 10;
+    let mut last = 0;
+    while admission.admit(JobKey(last), 0, bytes).is_ok() {
+        last += 1;
+    }
+    assert_eq!(last as usize, (budget.bytes_max().unwrap() * 7 / 8) / bytes);
+    assert_eq!(admission.admit(JobKey(0), 0, bytes), Ok(()));
+    assert_eq!(admission.admit(JobKey(last), 0, bytes), Err(BudgetExceeded));
+    // The first one has failed, and its memory is free for another.
+    admission.settle(JobKey(0));
+    admission.settle(JobKey(0));
+    assert_eq!(admission.admit(JobKey(last), 0, bytes), Ok(()));
+    assert_eq!(admission.admit(JobKey(0), 0, bytes), Err(BudgetExceeded));
+}
