--- /dev/null
+++ b/review/standin-3/worker.rs
@@ -0,0 +1,648 @@
+//! Worker that follows the pages: runs, leases, ends, incarnations under one id.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use crate::cell::Record;
+use crate::http::call;
+use crate::http::read_message;
+use crate::http::write_response;
+use crate::http::Json;
+
+const MAX_HOLD_MS: u64 = 6_000;
+/// Reading of the clock of a worker that was up before the cell started.
+const FIRST_CLOCK_MS: u64 = 482_000;
+const CPU: u64 = 16_000;
+const MEM_MB: u64 = 64_000;
+
+/// One run on one worker, as the case judges it.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    pub worker: String,
+    pub task: String,
+    pub run: u64,
+    pub began_ms: u64,
+    pub ended_ms: Option<u64>,
+    pub how: &'static str,
+    /// Time at which `LastSeen` reached the end.
+    pub noted_ms: Option<u64>,
+}
+
+/// Runs of all workers.
+pub type History = Arc<Mutex<Vec<RunRecord>>>;
+
+struct Run {
+    run: u64,
+    began: Instant,
+    /// Time of the end of a finite run.
+    ends_at: Option<Instant>,
+    fails: bool,
+    record: usize,
+}
+
+struct End {
+    number: u64,
+    task: String,
+    run: u64,
+    how: &'static str,
+    record: usize,
+}
+
+/// Call that got no answer and is carried out later.
+#[derive(Clone, Debug)]
+pub struct LateCall {
+    pub path: String,
+    pub body: Json,
+    pub arrived: Instant,
+}
+
+#[derive(Default)]
+struct State {
+    up: bool,
+    born: u64,
+    clock_began: Option<Instant>,
+    /// Reading of the clock at its start: the first incarnations have been up for some minutes.
+    clock_from_ms: u64,
+    fence: u64,
+    /// End of the lease on the worker's clock.
+    deadline_ms: u64,
+    running: BTreeMap<String, Run>,
+    refused: HashMap<String, u64>,
+    ends: Vec<End>,
+    next_end: u64,
+    seq: u64,
+    connections: Vec<TcpStream>,
+    /// The next lease renewals without an answer are kept here, to be carried out late.
+    takes_late: bool,
+    late: Option<LateCall>,
+    /// The worker is cut off: nothing arrives, nothing leaves.
+    is_cut: bool,
+}
+
+/// Worker on its own address; clones share it.
+#[derive(Clone)]
+pub struct Worker {
+    pub id: String,
+    zone: &'static str,
+    rack: String,
+    address: SocketAddr,
+    agent: SocketAddr,
+    state: Arc<(Mutex<State>, Condvar)>,
+    history: History,
+    record: Record,
+    ending: Arc<AtomicBool>,
+}
+
+impl Worker {
+    pub fn new(
+        id: &str,
+        zone: &'static str,
+        rack: &str,
+        address: SocketAddr,
+        agent: SocketAddr,
+        history: &History,
+        record: &Record,
+    ) -> Self {
+        Self {
+            id: id.to_owned(),
+            zone,
+            rack: rack.to_owned(),
+            address,
+            agent,
+            state: Arc::default(),
+            history: history.clone(),
+            record: record.clone(),
+            ending: Arc::default(),
+        }
+    }
+
+    fn clock(state: &State) -> u64 {
+        state.clock_began.map_or(0, |at| {
+            state.clock_from_ms + at.elapsed().as_millis() as u64
+        })
+    }
+
+    /// Starts an incarnation: it holds and knows nothing of before.
+    pub fn start(&self) {
+        {
+            let mut state = self.state.0.lock().unwrap();
+            let late = state.late.take();
+            let is_first = state.clock_began.is_none();
+            *state = State::default();
+            state.clock_from_ms = if is_first { FIRST_CLOCK_MS } else { 0 };
+            state.late = late;
+            state.up = true;
+            state.born = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap()
+                .as_millis() as u64;
+            state.clock_began = Some(Instant::now());
+            state.next_end = 1;
+            self.record
+                .line(&format!("worker {} starts, born {}", self.id, state.born));
+        }
+        let listener = (0..100).find_map(|_| {
+            let bound = TcpListener::bind(self.address).ok();
+            if bound.is_none() {
+                thread::sleep(Duration::from_millis(20));
+            }
+            bound
+        });
+        let listener = listener.expect("the address of the worker is free");
+        listener
+            .set_nonblocking(true)
+            .expect("a listener that does not block");
+        let born = self.state.0.lock().unwrap().born;
+        let (accepting, beating, ticking) = (self.clone(), self.clone(), self.clone());
+        thread::spawn(move || accepting.accept(&listener, born));
+        thread::spawn(move || beating.beat(born));
+        thread::spawn(move || ticking.tick(born));
+    }
+
+    fn is_present(&self, born: u64) -> bool {
+        let state = self.state.0.lock().unwrap();
+        state.up && state.born == born && !self.ending.load(Ordering::Relaxed)
+    }
+
+    /// Crashes: what runs is gone, all connections are closed.
+    pub fn crash(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        state.up = false;
+        for stream in state.connections.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        let at = self.record.now_ms();
+        let mut history = self.history.lock().unwrap();
+        for run in state.running.values() {
+            history[run.record].ended_ms = Some(at);
+            history[run.record].how = "crashed";
+        }
+        state.running.clear();
+        state.ends.clear();
+        self.record.line(&format!("worker {} crashes", self.id));
+        self.state.1.notify_all();
+    }
+
+    pub fn stop(&self) {
+        self.ending.store(true, Ordering::Relaxed);
+        self.state.1.notify_all();
+    }
+
+    /// From now on the next renewal with a deadline and, if asked for, an acknowledgement gets no answer
+    /// and is kept as a late call.
+    pub fn leave_unanswered(&self) {
+        self.state.0.lock().unwrap().takes_late = true;
+    }
+    pub fn late_call(&self) -> Option<LateCall> {
+        self.state.0.lock().unwrap().late.clone()
+    }
+    pub fn set_cut(&self, is_cut: bool) {
+        let mut state = self.state.0.lock().unwrap();
+        state.is_cut = is_cut;
+        if is_cut {
+            // The bytes are held up; the callers time out.
+            self.record
+                .line(&format!("worker {} is cut off and runs on", self.id));
+        } else {
+            for stream in state.connections.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            self.record
+                .line(&format!("worker {} is reachable again", self.id));
+        }
+        self.state.1.notify_all();
+    }
+
+    /// Carries out the kept call now.
+    pub fn carry_out_late(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        self.carry_out(&mut state);
+    }
+    fn carry_out(&self, state: &mut State) {
+        let Some(late) = state.late.take() else {
+            return;
+        };
+        let before = state.deadline_ms;
+        self.apply_hold(state, &late.body);
+        self.record.line(&format!(
+            "worker {} carries out late, after {} ms, {} LastSeen {:?} DeadlineMs {:?}; lease until {} before, {} now, clock {}",
+            self.id, late.arrived.elapsed().as_millis(), late.path, late.body.get("LastSeen").number(),
+            late.body.get("DeadlineMs").number(), before, state.deadline_ms, Self::clock(state)
+        ));
+    }
+
+    /// Lets a run fail now. With `and_late`, the kept call is carried out at the same moment.
+    pub fn fail_run(&self, task: &str, and_late: bool) -> bool {
+        let mut state = self.state.0.lock().unwrap();
+        if !state.running.contains_key(task) {
+            return false;
+        }
+        self.end_run(&mut state, task, "failed");
+        if and_late {
+            self.carry_out(&mut state);
+        }
+        self.state.1.notify_all();
+        true
+    }
+
+    pub fn running(&self) -> Vec<String> {
+        self.state
+            .0
+            .lock()
+            .unwrap()
+            .running
+            .keys()
+            .cloned()
+            .collect()
+    }
+
+    fn end_run(&self, state: &mut State, task: &str, how: &'static str) {
+        let Some(run) = state.running.remove(task) else {
+            return;
+        };
+        let refused = state.refused.entry(task.to_owned()).or_insert(0);
+        *refused = (*refused).max(run.run);
+        let number = state.next_end;
+        state.next_end += 1;
+        state.ends.push(End {
+            number,
+            task: task.to_owned(),
+            run: run.run,
+            how,
+            record: run.record,
+        });
+        let at = self.record.now_ms();
+        {
+            let mut history = self.history.lock().unwrap();
+            history[run.record].ended_ms = Some(at);
+            history[run.record].how = how;
+        }
+        self.record.line(&format!(
+            "worker {} end {number}: {task} run {} {how}",
+            self.id, run.run
+        ));
+    }
+
+    fn extend(state: &mut State, deadline: Option<u64>) {
+        let now = Self::clock(state);
+        if let Some(deadline) = deadline {
+            state.deadline_ms = state.deadline_ms.max(deadline.min(now + MAX_HOLD_MS));
+        }
+    }
+
+    fn apply_hold(&self, state: &mut State, body: &Json) {
+        let fence = body.get("Fence").number().unwrap_or(0);
+        if fence < state.fence {
+            return;
+        }
+        state.fence = fence;
+        Self::extend(state, body.get("DeadlineMs").number());
+        let last_seen = body.get("LastSeen").number().unwrap_or(0);
+        let at = self.record.now_ms();
+        let mut history = self.history.lock().unwrap();
+        state.ends.retain(|end| {
+            if end.number <= last_seen {
+                history[end.record].noted_ms = Some(at);
+            }
+            end.number > last_seen
+        });
+    }
+
+    fn tick(&self, born: u64) {
+        while self.is_present(born) {
+            thread::sleep(Duration::from_millis(4));
+            let mut state = self.state.0.lock().unwrap();
+            if state.born != born || !state.up {
+                return;
+            }
+            let now = Instant::now();
+            let over: Vec<(String, &'static str)> = state
+                .running
+                .iter()
+                .filter(|(_, run)| run.ends_at.is_some_and(|at| at <= now))
+                .map(|(task, run)| (task.clone(), if run.fails { "failed" } else { "done" }))
+                .collect();
+            for (task, how) in &over {
+                self.end_run(&mut state, task, how);
+            }
+            let lapsed = !state.running.is_empty() && Self::clock(&state) > state.deadline_ms;
+            if lapsed {
+                self.record
+                    .line(&format!("worker {}: the lease is over", self.id));
+                let tasks: Vec<String> = state.running.keys().cloned().collect();
+                for task in tasks {
+                    self.end_run(&mut state, &task, "lapsed");
+                }
+            }
+            if lapsed || !over.is_empty() {
+                self.state.1.notify_all();
+            }
+        }
+    }
+
+    fn beat(&self, born: u64) {
+        while self.is_present(born) {
+            let (body, is_cut) = {
+                let mut state = self.state.0.lock().unwrap();
+                state.seq += 1;
+                let body = format!(
+                    "{{\"Service\":\"huvo11a\",\"Addr\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\
+                     \"ColdLeftMs\":0,\"Capacity\":{{\"Cpu\":{CPU},\"MemMb\":{MEM_MB},\"Gpus\":0}},\"Labels\":[\"a\",\"{}\"],\
+                     \"ClockMs\":{},\"Seq\":{},\"born\":{}}}",
+                    self.address, self.zone, self.rack, Self::clock(&state), state.seq, state.born
+                );
+                (body, state.is_cut)
+            };
+            if !is_cut {
+                let path = format!("/Instances.Heartbeat/{}", self.id);
+                let answer = call(
+                    self.agent,
+                    "POST",
+                    &path,
+                    &self.agent.to_string(),
+                    &[],
+                    &body,
+                    Duration::from_millis(1_000),
+                );
+                if answer.is_none() {
+                    thread::sleep(Duration::from_millis(200));
+                    continue;
+                }
+            }
+            for _ in 0..75 {
+                thread::sleep(Duration::from_millis(20));
+                if !self.is_present(born) {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn accept(&self, listener: &TcpListener, born: u64) {
+        while self.is_present(born) {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let worker = self.clone();
+                    let mut state = self.state.0.lock().unwrap();
+                    if let Ok(copy) = stream.try_clone() {
+                        state.connections.push(copy);
+                    }
+                    drop(state);
+                    thread::spawn(move || worker.serve(stream, born));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    thread::sleep(Duration::from_millis(3))
+                }
+                Err(_) => thread::sleep(Duration::from_millis(10)),
+            }
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream, born: u64) {
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_nodelay(true);
+        let mut buffer = Vec::new();
+        while let Some(message) = read_message(&mut stream, &mut buffer) {
+            // Behind a cut the bytes are not delivered; they are lost with their connection.
+            if !self.is_present(born) || self.state.0.lock().unwrap().is_cut {
+                thread::sleep(Duration::from_secs(5));
+                return;
+            }
+            let path = message
+                .first_line
+                .split(' ')
+                .nth(1)
+                .unwrap_or("")
+                .to_owned();
+            let body = Json::parse(&message.body).unwrap_or(Json::Null);
+            let expected = message.header("X-Guavavane-Expect-Instance");
+            if expected.is_some_and(|id| id != self.id) {
+                if !write_response(&mut stream, 421, "") {
+                    return;
+                }
+                continue;
+            }
+            let (status, text) = match self.answer(&path, &body, born) {
+                Some(answer) => answer,
+                None => {
+                    // No answer: the caller times out.
+                    thread::sleep(Duration::from_secs(4));
+                    return;
+                }
+            };
+            if self.state.0.lock().unwrap().is_cut || !write_response(&mut stream, status, &text) {
+                thread::sleep(Duration::from_secs(4));
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, path: &str, body: &Json, born: u64) -> Option<(u16, String)> {
+        let mut state = self.state.0.lock().unwrap();
+        let task = body.get("Task").text().to_owned();
+        let run = body.get("Run").number().unwrap_or(0);
+        let fence = body.get("Fence").number().unwrap_or(0);
+        let refusal = |state: &State, reason: &str| {
+            Some((
+                409,
+                format!(
+                    "{{\"ClockMs\":{},\"Reason\":\"{reason}\",\"born\":{}}}",
+                    Self::clock(state),
+                    state.born
+                ),
+            ))
+        };
+        let done = |state: &State| {
+            Some((
+                200,
+                format!(
+                    "{{\"ClockMs\":{},\"born\":{}}}",
+                    Self::clock(state),
+                    state.born
+                ),
+            ))
+        };
+        if path == "/health" {
+            return Some((200, "{}".to_owned()));
+        }
+        if path == "/hold"
+            && state.takes_late
+            && state.late.is_none()
+            && body.get("DeadlineMs").number().is_some()
+            && body.get("LastSeen").number().unwrap_or(0) > 0
+        {
+            state.takes_late = false;
+            state.late = Some(LateCall {
+                path: path.to_owned(),
+                body: body.clone(),
+                arrived: Instant::now(),
+            });
+            self.record.line(&format!(
+                "worker {} leaves {path} LastSeen {:?} DeadlineMs {:?} unanswered, clock {}",
+                self.id,
+                body.get("LastSeen").number(),
+                body.get("DeadlineMs").number(),
+                Self::clock(&state)
+            ));
+            return None;
+        }
+        if fence < state.fence {
+            return refusal(&state, "fence");
+        }
+        state.fence = fence;
+        match path {
+            "/run-start" => {
+                let deadline = body.get("DeadlineMs").number().unwrap_or(0);
+                if deadline <= Self::clock(&state) {
+                    return refusal(&state, "late");
+                }
+                Self::extend(&mut state, Some(deadline));
+                if state
+                    .running
+                    .get(&task)
+                    .is_some_and(|known| known.run == run)
+                {
+                    return done(&state);
+                }
+                if state
+                    .refused
+                    .get(&task)
+                    .is_some_and(|refused| run <= *refused)
+                {
+                    self.record.line(&format!(
+                        "worker {} refuses {task} run {run} as old",
+                        self.id
+                    ));
+                    return refusal(&state, "old");
+                }
+                if (state.running.len() as u64 + 1) * 240 > CPU {
+                    return refusal(&state, "room");
+                }
+                let spec = body.get("Spec").text().to_owned();
+                let length = spec
+                    .strip_prefix("ms=")
+                    .and_then(|s| s.split(' ').next())
+                    .and_then(|s| s.parse().ok());
+                let began_ms = self.record.now_ms();
+                let record = {
+                    let mut history = self.history.lock().unwrap();
+                    history.push(RunRecord {
+                        worker: self.id.clone(),
+                        task: task.clone(),
+                        run,
+                        began_ms,
+                        ended_ms: None,
+                        how: "",
+                        noted_ms: None,
+                    });
+                    history.len() - 1
+                };
+                self.record
+                    .line(&format!("worker {} starts {task} run {run}", self.id));
+                let began = Instant::now();
+                let ends_at = length.map(|ms| began + Duration::from_millis(ms));
+                state.running.insert(
+                    task,
+                    Run {
+                        run,
+                        began,
+                        ends_at,
+                        fails: false,
+                        record,
+                    },
+                );
+                done(&state)
+            }
+            "/run-stop" => {
+                let refused = state.refused.entry(task.clone()).or_insert(0);
+                *refused = (*refused).max(run);
+                if state
+                    .running
+                    .get(&task)
+                    .is_some_and(|known| known.run <= run)
+                {
+                    self.end_run(&mut state, &task, "stopped");
+                    self.state.1.notify_all();
+                }
+                self.record.line(&format!(
+                    "worker {} is told to stop {task} run {run}",
+                    self.id
+                ));
+                done(&state)
+            }
+            "/pace" => done(&state),
+            "/hold" => {
+                self.apply_hold(&mut state, body);
+                let wait =
+                    Duration::from_millis(body.get("WaitMs").number().unwrap_or(0).min(2_000));
+                let until = Instant::now() + wait;
+                let known = state.next_end;
+                while state.up
+                    && state.born == born
+                    && state.ends.is_empty()
+                    && state.next_end >= known
+                {
+                    let left = until.saturating_duration_since(Instant::now());
+                    if left.is_zero() {
+                        break;
+                    }
+                    state = self.state.1.wait_timeout(state, left).unwrap().0;
+                }
+                if !state.up || state.born != born {
+                    return None;
+                }
+                let running: Vec<String> = state
+                    .running
+                    .iter()
+                    .map(|(task, run)| {
+                        let percent = if run.ends_at.is_some() {
+                            50
+                        } else if run.began.elapsed() > Duration::from_millis(300) {
+                            100
+                        } else {
+                            0
+                        };
+                        format!("[\"{task}\",{},\"\",{percent},0]", run.run)
+                    })
+                    .collect();
+                let ends: Vec<String> = state
+                    .ends
+                    .iter()
+                    .take(500)
+                    .map(|end| {
+                        format!(
+                            "[{},\"{}\",{},\"{}\",\"\"]",
+                            end.number, end.task, end.run, end.how
+                        )
+                    })
+                    .collect();
+                Some((
+                    200,
+                    format!(
+                        "{{\"ClockMs\":{},\"born\":{},\"Running\":[{}],\"Finished\":[{}]}}",
+                        Self::clock(&state),
+                        state.born,
+                        running.join(","),
+                        ends.join(",")
+                    ),
+                ))
+            }
+            _ => Some((404, String::new())),
+        }
+    }
+}
