--- a/review/standin-3/cell.rs
+++ b/review/standin-3/cell.rs
@@ -208,7 +208,7 @@
              Zone = \"{zone}\"\nRegion = \"serra\"\nPortRange = [{internal},{internal}]\nSeeds = [{}]\nBootstrap = true\n\
              InFaultBudget = {}\n{data_line}Discovery = \"local\"\nEntry = \"vip\"\nHeartbeatMs = 1500\n\
              Contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"places\",\"advice\",\"upkeep\",\"sharing\"]\n\
-             config_mode = \"highest\"\nOrders = \"call\"\n\
+             config_mode = \"highest\"\nOrders = \"call\"\nAdvice = \"{advice}\"\n\
              [Zones]\ncaxias = \"serra\"\nbento = \"serra\"\nfarroupilha = \"serra\"\n[Listen]\n{listen}\n\
              [Limits]\nCpuShare = 0.35\nCores = 1\nMemoryMb = {memory}\nMaxFds = 4096\nLinkMbps = 200.0\nDiskMb = 128\n\
              [FaultTolerance]\nMachines = 1\nZones = 1\nRegions = 0\n\
@@ -216,7 +216,9 @@
              LossSlackMs = 200\nConfigApplyMs = 2000\nRollbackSlackMs = 250\nMaxStretchMs = 5000\nEvacuateMs = 5000\n\
              RecoveryS = 12\nMaxHoldMs = 6000\nStopMs = 400\nGangWaitMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\n\
              early_ms = 250\nfinish_s = 14\nstatus_s = 120\nLeaseMs = 3000\nThawSlackMs = 300\nPaceMs = 100\nImpactMs = 4000\n",
-            seeds.join(","), role == "control",
+            seeds.join(","),
+            role == "control",
+            advice = self.advice(),
         );
         let settings = self.folder.join(format!("{name}.toml"));
         fs::write(&settings, text).expect("settings");
@@ -228,6 +230,10 @@
         }
     }
 
+    /// Address of the advice service.
+    pub fn advice(&self) -> SocketAddr {
+        self.address(200, self.ports[4])
+    }
     pub fn address(&self, octet: usize, port: u16) -> SocketAddr {
         format!("{}.{octet}:{port}", self.net)
             .parse()
@@ -349,13 +355,19 @@
 
 /// Configuration with the queue of the cases and a number of further routes.
 pub fn config(version: u64, further: usize) -> String {
+    advised_config(version, further, "")
+}
+
+/// Configuration whose first queue has the given further fields.
+pub fn advised_config(version: u64, further: usize, fields: &str) -> String {
     let route = |name: &str, host: &str, prefix: &str| {
         format!(
             "{{\"Name\":\"{name}\",\"Host\":\"{host}\",\"PathPrefix\":\"{prefix}\",\"Kind\":\"unsafe\",\"TimeoutMs\":3000,\
              \"TargetLatencyMs\":250,\"Priority\":0,\"Service\":\"huvo11a\",\"MaxAttempts\":4,\"Stretch\":1.5}}"
         )
     };
-    let mut routes = vec![route("r-3hwrr6x", HOST, "/lohu930/")];
+    let first = route("r-3hwrr6x", HOST, "/lohu930/");
+    let mut routes = vec![format!("{}{fields}}}", &first[..first.len() - 1])];
     for number in 0..further {
         routes.push(route(
             &format!("r-{number:07}"),
--- a/review/standin-3/late_deadline.rs
+++ b/review/standin-3/late_deadline.rs
@@ -25,6 +25,15 @@
 pub fn start_cell(
     record: &Record,
     workers: usize,
+) -> Result<(Cell, Vec<Worker>, History), Verdict> {
+    start_configured_cell(record, workers, &config(1, 5))
+}
+
+/// Starts a cell with workers and puts a configuration in force.
+pub fn start_configured_cell(
+    record: &Record,
+    workers: usize,
+    config: &str,
 ) -> Result<(Cell, Vec<Worker>, History), Verdict> {
     let cell = Cell::start(record, 1, workers);
     let history: History = Arc::new(Mutex::new(Vec::new()));
@@ -45,12 +54,7 @@
     for worker in &stand_ins {
         worker.start();
     }
-    let answer = cell.order(
-        "POST",
-        "/Config.Put",
-        &config(1, 5),
-        Duration::from_secs(20),
-    );
+    let answer = cell.order("POST", "/Config.Put", config, Duration::from_secs(20));
     if answer.as_ref().map_or(0, Message::status) != 200 {
         return Err(Verdict::NotRun(
             "no configuration is acknowledged".to_owned(),
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,6 +3,7 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. With `TROUBLE=0` the
 //! disruption is left out.
 
+mod advised_gang;
 mod cell;
 mod http;
 mod worker;
@@ -47,6 +48,7 @@
     let verdict = match case.as_str() {
         "wide-config" => wide_config::run(&record, trouble),
         "late-deadline" => late_deadline::run(&record, trouble),
+        "advised-gang" => advised_gang::run(&record, trouble),
         "late-list" => late_list::run(&record, trouble),
         _ => Verdict::NotRun("no such case".to_owned()),
     };
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -43,6 +43,32 @@
     pub noted_ms: Option<u64>,
 }
 
+/// Members of one run of a gang that are present, and the time from which they work together.
+#[derive(Default)]
+struct Gang {
+    present: usize,
+    began: Option<Instant>,
+    is_broken: bool,
+}
+
+/// Runs of gangs on all workers, by step and run.
+static GANGS: Mutex<BTreeMap<(String, u64), Gang>> = Mutex::new(BTreeMap::new());
+/// `GangWaitMs` of the settings.
+const GANG_WAIT: Duration = Duration::from_millis(3_000);
+
+/// Step of a task.
+fn step_of(task: &str) -> String {
+    task.rsplit_once('.')
+        .map_or(task, |(step, _)| step)
+        .to_owned()
+}
+
+/// Number of processor thousandths, of members of a gang, and of milliseconds in a `Spec`.
+fn spec_number(spec: &str, name: &str) -> Option<u64> {
+    let field = spec.split(' ').find_map(|field| field.strip_prefix(name))?;
+    field.parse().ok()
+}
+
 /// Runs of all workers.
 pub type History = Arc<Mutex<Vec<RunRecord>>>;
 
@@ -53,6 +79,9 @@
     ends_at: Option<Instant>,
     fails: bool,
     record: usize,
+    cpu: u64,
+    /// Members of the gang and the time that they work together.
+    gang: Option<(usize, Duration)>,
 }
 
 struct End {
@@ -94,6 +123,30 @@
     is_cut: bool,
 }
 
+/// Members of gangs on a worker that end now.
+fn gang_ends(state: &State) -> Vec<(String, &'static str)> {
+    let mut gangs = GANGS.lock().unwrap();
+    let mut ends = Vec::new();
+    for (task, run) in &state.running {
+        let Some((members, length)) = run.gang else {
+            continue;
+        };
+        let gang = gangs.entry((step_of(task), run.run)).or_default();
+        if gang.present == members && gang.began.is_none() {
+            gang.began = Some(Instant::now());
+        }
+        let is_done = gang.began.is_some_and(|at| at.elapsed() >= length);
+        if gang.is_broken {
+            ends.push((task.clone(), "broken"));
+        } else if is_done {
+            ends.push((task.clone(), "done"));
+        } else if gang.began.is_none() && run.began.elapsed() >= GANG_WAIT {
+            ends.push((task.clone(), "alone"));
+        }
+    }
+    ends
+}
+
 /// Worker on its own address; clones share it.
 #[derive(Clone)]
 pub struct Worker {
@@ -275,6 +328,12 @@
         let Some(run) = state.running.remove(task) else {
             return;
         };
+        if run.gang.is_some() {
+            let mut gangs = GANGS.lock().unwrap();
+            let gang = gangs.entry((step_of(task), run.run)).or_default();
+            gang.present -= 1;
+            gang.is_broken |= how != "done";
+        }
         let refused = state.refused.entry(task.to_owned()).or_insert(0);
         *refused = (*refused).max(run.run);
         let number = state.next_end;
@@ -337,6 +396,8 @@
                 .filter(|(_, run)| run.ends_at.is_some_and(|at| at <= now))
                 .map(|(task, run)| (task.clone(), if run.fails { "failed" } else { "done" }))
                 .collect();
+            let over: Vec<(String, &'static str)> =
+                over.into_iter().chain(gang_ends(&state)).collect();
             for (task, how) in &over {
                 self.end_run(&mut state, task, how);
             }
@@ -530,14 +591,18 @@
                     ));
                     return refusal(&state, "old");
                 }
-                if (state.running.len() as u64 + 1) * 240 > CPU {
+                let spec = body.get("Spec").text().to_owned();
+                let cpu = spec_number(&spec, "cpu=").unwrap_or(240);
+                if state.running.values().map(|run| run.cpu).sum::<u64>() + cpu > CPU {
                     return refusal(&state, "room");
                 }
-                let spec = body.get("Spec").text().to_owned();
-                let length = spec
-                    .strip_prefix("ms=")
-                    .and_then(|s| s.split(' ').next())
-                    .and_then(|s| s.parse().ok());
+                let length = spec_number(&spec, "ms=").map(Duration::from_millis);
+                let members = spec_number(&spec, "gang=").map(|members| members as usize);
+                let gang = members.zip(length);
+                if gang.is_some() {
+                    let mut gangs = GANGS.lock().unwrap();
+                    gangs.entry((step_of(&task), run)).or_default().present += 1;
+                }
                 let began_ms = self.record.now_ms();
                 let record = {
                     let mut history = self.history.lock().unwrap();
@@ -555,7 +620,9 @@
                 self.record
                     .line(&format!("worker {} starts {task} run {run}", self.id));
                 let began = Instant::now();
-                let ends_at = length.map(|ms| began + Duration::from_millis(ms));
+                let ends_at = length
+                    .filter(|_| gang.is_none())
+                    .map(|length| began + length);
                 state.running.insert(
                     task,
                     Run {
@@ -564,6 +631,8 @@
                         ends_at,
                         fails: false,
                         record,
+                        cpu,
+                        gang,
                     },
                 );
                 done(&state)
