Review: drop two cases that earlier ones show, and bring the stand-in to what the others need

The stand-in loses late calls, crashes and cuts, and gets an advice service that takes calls in turn, tickets that workers check, and workers of several kinds.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,14 +3,15 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. With `TROUBLE=0` the
 //! disruption is left out.
 
+mod advice;
 mod advised_gang;
 mod cell;
+mod full_shares;
 mod http;
-mod worker;
-
-mod late_deadline;
-mod late_list;
+mod scene;
+mod slow_advice;
 mod wide_config;
+mod worker;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -47,9 +48,9 @@
     });
     let verdict = match case.as_str() {
         "wide-config" => wide_config::run(&record, trouble),
-        "late-deadline" => late_deadline::run(&record, trouble),
         "advised-gang" => advised_gang::run(&record, trouble),
-        "late-list" => late_list::run(&record, trouble),
+        "slow-advice" => slow_advice::run(&record, trouble),
+        "full-shares" => full_shares::run(&record, trouble),
         _ => Verdict::NotRun("no such case".to_owned()),
     };
     let (code, text) = match verdict {
