Review cases 13 and 14: a filling task gets no worker that has room; the former case 13 is now 14

Cause: has_idle_cpu asks for idle processor, or for a worker that is half free, where the rule asks for half of the service; the workers that the step may use are more than half reserved and filled by a long job. Case 14 (valid configuration of 0.79 MB never acknowledged) as before, moved for its weight.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Build first: the build of deploy/system.toml, review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/guavavane-platform ] && [ -x target/review-3/standin ] || exit 2
-exec target/review-3/standin advised-gang review/14/record.txt
+exec target/review-3/standin wide-config review/14/record.txt
