Control: accept configurations up to a limit from the memory, and refuse larger ones for good

Cause: the log accepted commands of 1 MiB, a default that did not follow from the 4 MiB that the port takes. A command carries the text and the catalog beside each other, 1.4 times the text. Every error of an order was answered with 503. Evidence: the leader's lines `order_not_committed error="command of ... bytes is too large"`; no body was refused and no leadership lost.

Change: the limit on commands is a 64th of the memory of the settings, 2 MiB at least, and at most a message between two processes. A larger configuration gets 413 before it is proposed. Those in progress share the limit (503 with Retry-After). Each error of an order has its own answer. A job with the longest legal texts was refused for the same bound and is accepted now. A worker whose facts no command can carry is no longer proposed for ever.

--- a/crates/guavavane_cell/src/control/command_size.rs
+++ b/crates/guavavane_cell/src/control/command_size.rs
@@ -5,17 +5,29 @@
 
 use std::sync::Arc;
 
+use bincode::enc::write::SizeWriter;
+
 use guavavane_jobs::ledger::StartChoice;
 use guavavane_jobs::prelude::JobLedger;
+use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RunCompletion;
 
-/// Most bytes of the items of one command; the log accepts twice as many.
+/// Most bytes of the items of one command; the log accepts four times as many.
 const ITEMS_BYTES_MAX: usize = 512 << 10;
 /// Bytes of a start or completion besides its checkpoint.
 const ITEM_BYTES: usize = 64;
 /// Longest checkpoint that is kept. A task with a longer one resumes from an earlier one.
 const CHECKPOINT_BYTES_MAX: usize = 64 << 10;
 
+/// Size of a command in the log, in bytes.
+pub(super) fn encoded_bytes(command: &LedgerCommand) -> usize {
+    let mut writer = SizeWriter::default();
+    let config = bincode::config::standard();
+    bincode::serde::encode_into_writer(command, &mut writer, config)
+        .expect("commands encode without failing");
+    writer.bytes_written
+}
+
 /// Whether a checkpoint may be kept.
 pub(super) fn is_checkpoint_kept(checkpoint: &str) -> bool {
     checkpoint.len() <= CHECKPOINT_BYTES_MAX
--- a/crates/guavavane_cell/src/control/commit.rs
+++ b/crates/guavavane_cell/src/control/commit.rs
@@ -10,8 +10,6 @@
 use super::input::CommitPurpose;
 use super::input::CommitResult;
 use super::input::EngineInput;
-use super::input::OperatorReply;
-use super::operator::send_reply;
 use crate::message::CallerReply;
 use crate::message::FromControl;
 use crate::message::StartTask;
@@ -72,14 +70,23 @@
             self.starts_in_flight -= 1;
         }
         match (purpose, result) {
-            (CommitPurpose::Operator(reply_sender), Ok(_)) => {
-                send_reply(reply_sender, OperatorReply::Done);
-                self.publish_changed_limits();
-                self.request_pass();
+            (CommitPurpose::Operator(reply_sender), result) => {
+                self.finish_order(reply_sender, result);
             }
-            (CommitPurpose::Operator(reply_sender), Err(error)) => {
-                tracing::info!(event = "order_not_committed", %error);
-                send_reply(reply_sender, OperatorReply::Unavailable);
+            (
+                CommitPurpose::PutCatalog {
+                    reply_sender,
+                    bytes,
+                },
+                result,
+            ) => {
+                self.catalog_admission.settle(bytes);
+                self.finish_order(reply_sender, result);
+            }
+            (CommitPurpose::AddWorker { report, .. }, Err(ProposeError::TooLarge { bytes })) => {
+                // It would be refused each time; the agent's next report may be shorter.
+                metric::count_event("worker_refused", "too_large");
+                tracing::warn!(event = "worker_refused", worker = %report.key.name, bytes);
             }
             (CommitPurpose::Submit { origin, key }, result) => {
                 self.job_admission.settle(key);
--- a/crates/guavavane_cell/src/control/engine.rs
+++ b/crates/guavavane_cell/src/control/engine.rs
@@ -17,6 +17,8 @@
 use super::session::SessionId;
 use super::session::SessionRole;
 use super::settings::ControlSettings;
+use crate::command_limit::CatalogAdmission;
+use crate::command_limit::CommandLimit;
 use crate::message::FromControl;
 use crate::message::ToControl;
 use crate::metric;
@@ -66,6 +68,8 @@
     pub(super) starts_in_flight: usize,
     /// Admission of jobs, with the proposals of this and earlier tenures.
     pub(super) job_admission: JobAdmission,
+    /// Admission of configurations, with the proposals of this and earlier tenures.
+    pub(super) catalog_admission: CatalogAdmission,
     pub(super) next_maintenance: BootTime,
 }
 
@@ -78,6 +82,7 @@
     ) -> Self {
         Self {
             job_admission: JobAdmission::new(JobBudget::derive(settings.memory_bytes)),
+            catalog_admission: CatalogAdmission::new(CommandLimit::derive(settings.memory_bytes)),
             settings,
             quorum,
             inputs,
--- a/crates/guavavane_cell/src/control/input.rs
+++ b/crates/guavavane_cell/src/control/input.rs
@@ -65,6 +65,15 @@
     /// No leader is known, no configuration is in force yet, or the outcome of the change is
     /// unknown.
     Unavailable,
+    /// Earlier configurations are not committed yet; the change was not made and may be sent again.
+    Busy,
+    /// The change takes `bytes` in the log, which accepts `bytes_max`; it can never be made.
+    TooLarge {
+        /// Size of the change in bytes.
+        bytes: usize,
+        /// Maximum size in bytes.
+        bytes_max: usize,
+    },
 }
 
 /// Call of an operator.
@@ -107,6 +116,11 @@
         key: JobKey,
     },
     Operator(OperatorReplySender),
+    PutCatalog {
+        reply_sender: OperatorReplySender,
+        /// Size of the command, as it was admitted.
+        bytes: usize,
+    },
     AddWorker {
         session: SessionId,
         report: Box<WorkerReport>,
--- a/crates/guavavane_cell/src/control/repeat.rs
+++ b/crates/guavavane_cell/src/control/repeat.rs
@@ -49,7 +49,8 @@
             // Their callers have got a reply.
             CommitPurpose::Submit { .. }
             | CommitPurpose::Cancel { .. }
-            | CommitPurpose::Operator(_) => {}
+            | CommitPurpose::Operator(_)
+            | CommitPurpose::PutCatalog { .. } => {}
         }
     }
 
--- a/crates/guavavane_cell/src/control/replica.rs
+++ b/crates/guavavane_cell/src/control/replica.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use super::settings::ControlSettings;
+use crate::command_limit::CommandLimit;
 use crate::message::FromControl;
 use crate::message::ToControl;
 use crate::seeds::SeedAddresses;
@@ -112,6 +113,7 @@
     quorum.snapshot_entries = SNAPSHOT_ENTRIES;
     quorum.snapshot_log_bytes = SNAPSHOT_LOG_BYTES;
     quorum.segment_bytes = SEGMENT_BYTES;
+    quorum.command_bytes_max = CommandLimit::derive(settings.memory_bytes).bytes_max();
     let plugin = QuorumPlugin {
         settings: CheckedSettings::try_from(quorum)?,
         data_folder: settings.data.clone(),
--- a/crates/guavavane_cell/src/lib.rs
+++ b/crates/guavavane_cell/src/lib.rs
@@ -13,6 +13,7 @@
 //! placement policy of that control daemon. This crate uses none of the four.
 
 pub mod agent;
+pub mod command_limit;
 pub mod control;
 pub mod entry;
 pub mod leader_client;
@@ -30,6 +31,9 @@
     pub use crate::agent::AgentHandle;
     pub use crate::agent::AgentSettings;
     pub use crate::agent::WorkerHeartbeat;
+    pub use crate::command_limit::CatalogAdmission;
+    pub use crate::command_limit::CatalogRefusal;
+    pub use crate::command_limit::CommandLimit;
     pub use crate::control::start_control;
     pub use crate::control::ControlHandle;
     pub use crate::control::ControlSettings;
--- a/crates/guavavane_transport/src/codec.rs
+++ b/crates/guavavane_transport/src/codec.rs
@@ -15,7 +15,7 @@
 use guavavane_model::prelude::IncarnationId;
 use guavavane_protocol::call::CallKind;
 use guavavane_protocol::call::FrameHeader;
-use guavavane_protocol::call::FRAME_MAX_BYTES;
+pub use guavavane_protocol::call::FRAME_MAX_BYTES;
 use guavavane_protocol::call::PROTOCOL_VERSION;
 
 /// Length of an encoded [`FrameHeader`], in bytes.
