Advice: count a ticket's validity from the earliest time at which it can have been given

Cause: the validity was counted from the request and used to 0.7 of it, so each ticket of a long decision had expired on arrival.

Change: a ticket counts from the time at which the decision on its worker was due, and from no more than 0.35 of the validity before the reply. A request names as many workers as are decided on within 0.35 of the validity, however long its constant part takes. A request that is lost after its time lets the service count as slower, so the next wait is longer. A queue whose tickets are valid for less than 20 ms can start nothing: its jobs are refused at once, and earlier ones wait with NoUsableTicket in the log.

--- a/crates/guavavane_cell/src/control/advice.rs
+++ b/crates/guavavane_cell/src/control/advice.rs
@@ -101,7 +101,7 @@
         };
         let Some(allowed) = reply.allowed else {
             tracing::warn!(event = "advice_unanswered", step = %reply.step);
-            return state.advice.cancel_request(reply.step);
+            return state.advice.record_loss(BootClock.now(), reply.step);
         };
         let find_worker =
             |name: &Arc<str>| reply.asked_workers.iter().find(|(_, known)| known == name);
--- a/crates/guavavane_cell/src/control/caller.rs
+++ b/crates/guavavane_cell/src/control/caller.rs
@@ -12,6 +12,7 @@
 use crate::message::FromControl;
 use crate::message::JobState;
 use crate::metric;
+use guavavane_jobs::prelude::AdviceTiming;
 use guavavane_jobs::prelude::BudgetExceeded;
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::JobLedger;
@@ -33,7 +34,7 @@
     },
     Job {
         queue: Arc<str>,
-        needs_advice: bool,
+        advice: Option<AdviceTiming>,
         key: JobKey,
     },
 }
@@ -46,7 +47,7 @@
         return Err(CallerReply::NoQueue);
     };
     let queue_name = Arc::clone(&queue.name);
-    let needs_advice = queue.advice.is_some();
+    let advice = queue.advice;
     if rest.is_empty() {
         return Ok(CallTarget::Queue { queue: queue_name });
     }
@@ -57,7 +58,7 @@
         })?;
     Ok(CallTarget::Job {
         queue: queue_name,
-        needs_advice,
+        advice,
         key,
     })
 }
@@ -105,16 +106,9 @@
             (Ok(CallTarget::Job { key, .. }), CallerAction::Cancel) => {
                 return self.cancel(origin, key);
             }
-            (
-                Ok(CallTarget::Job {
-                    key,
-                    queue,
-                    needs_advice,
-                }),
-                CallerAction::Submit(job),
-            ) => {
+            (Ok(CallTarget::Job { key, queue, advice }), CallerAction::Submit(job)) => {
                 let job = Arc::unwrap_or_clone(job);
-                return self.submit(origin, key, queue, needs_advice, job);
+                return self.submit(origin, key, queue, advice, job);
             }
         };
         self.reply(origin, reply);
@@ -150,7 +144,7 @@
         origin: CallOrigin,
         key: JobKey,
         queue: Arc<str>,
-        needs_advice: bool,
+        advice: Option<AdviceTiming>,
         job: RawJob,
     ) {
         if self.quorum.read_local(|ledger| ledger.job(key).is_some()) {
@@ -160,9 +154,11 @@
             Ok(spec) => spec,
             Err(fault) => return self.reply(origin, CallerReply::Invalid(fault.to_string())),
         };
-        if needs_advice && self.settings.advice.is_none() {
-            // No service issues tickets for this queue, so the job could never start.
-            tracing::info!(event = "job_refused", job = %key, reason = "advised_queue");
+        let has_service = self.settings.advice.is_some();
+        if advice.is_some_and(|timing| !has_service || !timing.is_usable()) {
+            // No service issues tickets for this queue that a start can use, so the job could never start.
+            metric::count_event("job_refused", "advised_queue");
+            tracing::info!(event = "job_refused", job = %key, reason = "advised_queue", has_service, ?advice);
             let retry_after_ms = NO_ADVICE_RETRY_MS;
             return self.reply(origin, CallerReply::Refused { retry_after_ms });
         }
--- a/crates/guavavane_cell/tests/advice.rs
+++ b/crates/guavavane_cell/tests/advice.rs
@@ -186,10 +186,10 @@
 /// Number of jobs that come at once.
 const BURST_JOBS: u64 = 12;
 
-/// Allows all workers and answers one request after the other, in the time of [`SLOW_TIMING`].
-async fn serve_in_turn(calls: Receiver<AdviceRequest>) {
+/// Allows all workers and answers one request after the other, in the time of a timing.
+async fn serve_in_turn(calls: Receiver<AdviceRequest>, timing: AdviceTiming) {
     while let Ok(call) = calls.recv_async().await {
-        let reply_ms = SLOW_TIMING.reply_ms(call.workers.len());
+        let reply_ms = timing.reply_ms(call.workers.len());
         tokio::time::sleep(Duration::from_millis(reply_ms)).await;
         let allowed = call.workers.into_iter().map(|name| AdvisedWorker {
             name,
@@ -205,7 +205,7 @@
 #[tokio::test]
 async fn jobs_of_a_burst_complete_although_the_service_answers_one_request_after_the_other() {
     let (advice, calls) = flume::bounded(32);
-    tokio::spawn(serve_in_turn(calls));
+    tokio::spawn(serve_in_turn(calls, SLOW_TIMING));
     let cell = TestCell::start_advised(2, Duration::from_millis(10), Some(advice)).await;
     cell.put_catalog_with(2, Some(SLOW_TIMING)).await;
     for job in 1..=BURST_JOBS {
@@ -217,3 +217,41 @@
             .await;
     }
 }
+
+// Guards against a queue that never runs anything because a decision takes most of the time for which a
+// ticket is valid, or longer.
+#[tokio::test]
+async fn jobs_complete_however_long_a_decision_takes() {
+    for decision_ms in [500, 700, 1_500] {
+        let timing = AdviceTiming {
+            decision_ms,
+            interval_ms: 10,
+            validity_ms: 1_000,
+        };
+        let (advice, calls) = flume::bounded(32);
+        tokio::spawn(serve_in_turn(calls, timing));
+        let cell = TestCell::start_advised(2, Duration::from_millis(10), Some(advice)).await;
+        cell.put_catalog_with(2, Some(timing)).await;
+        let accepted = cell.submit(1, vec![step(TASKS, vec![])]).await;
+        assert_eq!(accepted, CallerReply::Accepted);
+        cell.wait_for_state(1, JobState::Completed, START_TIMEOUT)
+            .await;
+    }
+}
+
+// Guards against a job that is accepted and can never start, since no ticket outlasts a commit.
+#[tokio::test]
+async fn a_job_is_refused_whose_tickets_expire_before_a_start_can_use_them() {
+    let (advice, calls) = flume::bounded(32);
+    tokio::spawn(serve_in_turn(calls, ADVICE_TIMING));
+    let cell = TestCell::start_advised(1, Duration::from_millis(10), Some(advice)).await;
+    for validity_ms in [0, 19] {
+        let timing = AdviceTiming {
+            validity_ms,
+            ..ADVICE_TIMING
+        };
+        cell.put_catalog_with(2 + validity_ms, Some(timing)).await;
+        let reply = cell.submit(1, vec![step(TASKS, vec![])]).await;
+        assert!(matches!(reply, CallerReply::Refused { .. }), "{reply:?}");
+    }
+}
--- a/crates/guavavane_jobs/src/plan/advice.rs
+++ b/crates/guavavane_jobs/src/plan/advice.rs
@@ -6,9 +6,12 @@
 //! with a valid ticket has free capacity. Tickets are dropped before their validity ends, because a
 //! start with an expired ticket is refused.
 //!
-//! The validity counts from the time of the request, so a ticket that waits behind many other requests
-//! has expired before it arrives. A request is therefore sent only if its reply is expected early
-//! enough to be used, or if no other request is open.
+//! The service does not say when it gave a ticket. It gave it no earlier than its decision on that worker
+//! was due, counted from the request, and no later than the reply. The validity counts from the earlier
+//! of the two. If the reply comes much later than it was due, because the request waited for others or
+//! the service is slower than configured, most of that time is taken to have passed before the ticket was
+//! given: a sound service gives none that has expired. A request is sent only if its reply is expected
+//! early enough to be used, or if no other request is open.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,8 +31,8 @@
 const PENDING_REQUESTS_MAX: usize = 8;
 /// Fraction of its validity for which a ticket is used: the start that needs it may take a while.
 const VALIDITY_FRACTION: f64 = 0.7;
-/// Fraction of the validity within which a reply is to arrive, so that its tickets can be used for as
-/// long again.
+/// Fraction of the validity for which a ticket may wait for the reply, so that it can be used for as long
+/// again.
 const REPLY_FRACTION: f64 = VALIDITY_FRACTION / 2.0;
 /// Largest factor by which the service is taken to be slower than configured.
 const SLOWDOWN_MAX: f64 = 8.0;
@@ -57,10 +60,24 @@
 #[derive(Clone, Copy, Debug)]
 struct OpenRequest {
     asked_at: BootTime,
+    timing: AdviceTiming,
     /// Time that the service takes for it by its configuration.
     service_time: Duration,
 }
 
+impl OpenRequest {
+    /// Earliest time at which the service can have given a ticket for the worker at a position of the
+    /// request, whose reply arrived at `now`.
+    fn given_at(&self, now: BootTime, position: usize) -> BootTime {
+        let due_ms = self.timing.reply_ms(position + 1);
+        let due_at = self.asked_at + Duration::from_millis(due_ms);
+        let waited_max = reply_time_max(&self.timing);
+        let waited_max_ms = u64::try_from(waited_max.as_millis()).unwrap_or(u64::MAX);
+        let earliest = BootTime::from_millis(now.as_millis().saturating_sub(waited_max_ms));
+        due_at.max(earliest).min(now)
+    }
+}
+
 /// Request to send to the service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TicketRequest {
@@ -157,6 +174,7 @@
         advice.asked_at = now;
         let request = OpenRequest {
             asked_at: now,
+            timing: *timing,
             service_time,
         };
         self.open_requests.insert(step, request);
@@ -174,16 +192,18 @@
         scaled(sum, self.slowdown)
     }
 
-    /// Number of workers that one request may name, so that its tickets arrive in time.
+    /// Number of workers that one request may name: the ticket of the first one waits for the decisions
+    /// on all others.
     fn request_workers_max(&self, timing: &AdviceTiming) -> usize {
         let time_max = reply_time_max(timing).div_f64(self.slowdown);
-        let fits = |workers: &usize| Duration::from_millis(timing.reply_ms(*workers)) <= time_max;
+        let wait_ms = |workers: usize| timing.interval_ms.saturating_mul(workers as u64 - 1);
+        let fits = |workers: &usize| Duration::from_millis(wait_ms(*workers)) <= time_max;
         let largest = (1..=REQUEST_WORKERS_MAX).rev().find(fits);
         largest.unwrap_or(1)
     }
 
-    /// Records the tickets of a reply that arrived at `now`; their validity starts when the request was
-    /// sent. Returns whether they arrived too late to be used.
+    /// Records the tickets of a reply that arrived at `now`. Returns whether none of them can be used any
+    /// more.
     pub fn record_reply(
         &mut self,
         now: BootTime,
@@ -193,26 +213,41 @@
         validity: Duration,
     ) -> bool {
         let request = self.open_requests.swap_remove(&step);
-        let asked_at = request.map_or(now, |request| request.asked_at);
         if let Some(request) = request {
             self.learn_slowdown(now, request);
         }
-        let valid_until = asked_at + validity.mul_f64(VALIDITY_FRACTION);
         let Some(advice) = self.steps.get_mut(&step) else {
             return false;
         };
         advice.pending = false;
-        advice.asked_workers.extend(requested);
+        let use_time = validity.mul_f64(VALIDITY_FRACTION);
+        let mut is_late = !allowed.is_empty();
         for (worker, ticket) in allowed {
-            advice.tickets.insert(
-                worker,
-                WorkerTicket {
-                    ticket,
-                    valid_until,
-                },
-            );
+            let position = requested.iter().position(|named| *named == worker);
+            let given_at = request.zip(position);
+            let given_at =
+                given_at.map_or(now, |(request, position)| request.given_at(now, position));
+            let valid_until = given_at + use_time;
+            is_late &= now >= valid_until;
+            let ticket = WorkerTicket {
+                ticket,
+                valid_until,
+            };
+            advice.tickets.insert(worker, ticket);
+        }
+        advice.asked_workers.extend(requested);
+        is_late
+    }
+
+    /// Ends a request that was not answered in time, and takes the service to be slower.
+    pub fn record_loss(&mut self, now: BootTime, step: StepKey) {
+        if let Some(request) = self.open_requests.get(&step).copied() {
+            let expected = scaled(request.service_time, self.slowdown);
+            if now.saturating_since(request.asked_at) > expected {
+                self.learn_slowdown(now, request);
+            }
         }
-        now >= valid_until
+        self.cancel_request(step);
     }
 
     /// Compares the time that the service took for a request with its configuration. It answers in
--- a/crates/guavavane_jobs/src/plan/obstacle.rs
+++ b/crates/guavavane_jobs/src/plan/obstacle.rs
@@ -25,6 +25,8 @@
     NoCapacity,
     /// The step holds no ticket of the advice service for it.
     NoTicket,
+    /// The tickets of the advice service expire before a start can use them.
+    NoUsableTicket,
     /// It belongs to another pool.
     OtherPool,
     /// It lacks the label that the step requires.
--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -154,7 +154,7 @@
 ) -> Option<PlacementContext<'pass>> {
     let job = ledger.job(key.job)?;
     let queue = ledger.catalog().queue(&job.queue);
-    let advice = queue.filter(|queue| queue.advice.is_some());
+    let advice = queue.and_then(|queue| queue.advice);
     let spec = ledger.step_spec(key)?;
     let interference = input.interference();
     let best_effort_images = match spec.kind {
@@ -169,6 +169,7 @@
         interference,
         best_effort_images,
         allowed_workers: advice.map(|_| input.allowed_workers(key)),
+        has_usable_advice: advice.is_none_or(|timing| timing.is_usable()),
         cpu_share_min,
         allows_trials: true,
         now: input.now(),
@@ -262,7 +263,7 @@
     let advice_steps = steps.iter().filter_map(|step| {
         let key = step.key;
         let job = ledger.job(key.job)?;
-        let timing = ledger.catalog().queue(&job.queue)?.advice?;
+        let timing = ledger.catalog().queue(&job.queue)?.usable_advice()?;
         let cpu_share_min = cpu_share_min(job, step, input.waiting_time(key));
         let accepted_share = cpu_share_min.min(CPU_SHARE_ACCEPTED);
         let mut context = step_context(ledger, input, key, accepted_share)?;
--- a/crates/guavavane_jobs/src/plan/placement.rs
+++ b/crates/guavavane_jobs/src/plan/placement.rs
@@ -69,6 +69,8 @@
     pub(super) best_effort_images: IndexSet<&'ledger Arc<str>>,
     /// Workers for which the step holds a ticket; none if the step needs no tickets.
     pub(super) allowed_workers: Option<IndexSet<WorkerIndex>>,
+    /// Whether the step needs no tickets, or they are valid for long enough to be used.
+    pub(super) has_usable_advice: bool,
     /// CPU share, from 0 to 1, that latency-critical tasks have to leave to a best-effort task.
     pub(super) cpu_share_min: f64,
     /// Whether a task may be a trial of a worker on probation.
@@ -98,7 +100,11 @@
     } else if !capacity.fits(&spec.reserved()) {
         Some(WorkerObstacle::NoCapacity)
     } else if allowed_workers.is_some_and(|allowed| !allowed.contains(&index)) {
-        Some(WorkerObstacle::NoTicket)
+        Some(if context.has_usable_advice {
+            WorkerObstacle::NoTicket
+        } else {
+            WorkerObstacle::NoUsableTicket
+        })
     } else if &*slot.facts.pool != context.pool {
         Some(WorkerObstacle::OtherPool)
     } else if label.is_some_and(|label| !slot.facts.has_label(label)) {
--- a/crates/guavavane_jobs/src/plan/speculation.rs
+++ b/crates/guavavane_jobs/src/plan/speculation.rs
@@ -653,7 +653,7 @@
     task: TaskKey,
 ) -> Option<AdviceStep> {
     let job = ledger.job(context.key.job)?;
-    let timing = ledger.catalog().queue(&job.queue)?.advice?;
+    let timing = ledger.catalog().queue(&job.queue)?.usable_advice()?;
     let site = FirstSite::find(ledger, table, &context, task)?;
     context.allowed_workers = None;
     let mut candidates = CandidateQueue::new(&context, table).into_ranking();
--- a/crates/guavavane_jobs/src/queue.rs
+++ b/crates/guavavane_jobs/src/queue.rs
@@ -24,7 +24,16 @@
     pub validity_ms: u64,
 }
 
+/// Shortest validity of a ticket that can be used, in milliseconds: a start is committed, ordered and sent to
+/// its worker with it.
+const VALIDITY_MIN_MS: u64 = 20;
+
 impl AdviceTiming {
+    /// Whether a start can reach its worker before its ticket expires.
+    pub fn is_usable(&self) -> bool {
+        self.validity_ms >= VALIDITY_MIN_MS
+    }
+
     /// Time in milliseconds until the reply to a request for this many workers.
     pub fn reply_ms(&self, workers: usize) -> u64 {
         let workers_ms = self.interval_ms.saturating_mul(workers as u64);
@@ -128,6 +137,11 @@
 }
 
 impl QueueSpec {
+    /// Timing of the advice that the steps of the queue need, if a start can use its tickets.
+    pub fn usable_advice(&self) -> Option<AdviceTiming> {
+        self.advice.filter(AdviceTiming::is_usable)
+    }
+
     /// Time in milliseconds from submission in which a job should end whose critical path takes
     /// `critical_path_ms`.
     pub fn objective_ms(&self, critical_path_ms: u64) -> u64 {
--- a/crates/guavavane_jobs/tests/advice_cache.rs
+++ b/crates/guavavane_jobs/tests/advice_cache.rs
@@ -281,3 +281,86 @@
     assert!(next_workers(&mut cache, asked_at, step_of(1), &workers(0..1)).is_some());
     assert!(cache.asked_at(step_of(2)) < cache.asked_at(step_of(1)));
 }
+
+/// Service that takes this long for a decision, whose tickets are valid for this long.
+fn decisions_of(decision_ms: u64, validity_ms: u64) -> AdviceTiming {
+    AdviceTiming {
+        decision_ms,
+        interval_ms: 10,
+        validity_ms,
+    }
+}
+
+// Guards against a queue that runs nothing because each ticket is taken to have expired on arrival.
+#[test]
+fn tickets_are_used_however_long_a_decision_takes() {
+    for (decision_ms, validity_ms) in [
+        (1_100, 3_000),
+        (2_200, 3_000),
+        (4_400, 3_000),
+        (60_000, 3_000),
+        (2_200, 300),
+        (0, 20),
+    ] {
+        for slowdown in [1, 2, 8] {
+            let timing = decisions_of(decision_ms, validity_ms);
+            let mut service = SimulatedService::new(timing, slowdown, 4);
+            assert_eq!(service.serve_burst(3), 3, "{timing:?}, {slowdown}");
+        }
+    }
+}
+
+// Guards against starts with a ticket that has expired, which a worker refuses.
+#[test]
+fn no_ticket_is_used_longer_than_it_can_be_valid() {
+    for (decision_ms, interval_ms) in [(2_200, 10), (10, 200), (0, 1_000), (4_000, 2_000)] {
+        let timing = AdviceTiming {
+            decision_ms,
+            interval_ms,
+            validity_ms: 3_000,
+        };
+        let mut cache = AdviceCache::default();
+        let time_max = reply_time_max(&timing);
+        let request = cache.next_request(time_at(0), step_of(1), &timing, time_max, &workers(0..8));
+        let requested = request.expect("a request is due").workers;
+        let replied_ms = timing.reply_ms(requested.len());
+        let allowed = requested
+            .iter()
+            .map(|worker| (*worker, Arc::from("ticket")));
+        let allowed = allowed.collect();
+        let validity = Duration::from_millis(timing.validity_ms);
+        let now = time_at(replied_ms);
+        let is_late = cache.record_reply(now, step_of(1), requested.clone(), allowed, validity);
+        assert!(!is_late, "{timing:?}");
+        for (position, worker) in requested.into_iter().enumerate() {
+            let expires_ms = timing.reply_ms(position + 1) + timing.validity_ms;
+            let is_usable = |ms| cache.ticket(time_at(ms), step_of(1), worker).is_some();
+            assert!(is_usable(replied_ms + 1_000), "{timing:?}, {position}");
+            assert!(!is_usable(expires_ms - 800), "{timing:?}, {position}");
+        }
+    }
+}
+
+// Guards against a request that is sent again and again with a timeout that its service never meets.
+#[test]
+fn a_request_without_a_reply_lengthens_the_next_wait() {
+    let timing = decisions_of(2_200, 3_000);
+    let mut cache = AdviceCache::default();
+    let mut now_ms = 0;
+    let mut reply_times = Vec::new();
+    for _ in 0..5 {
+        let now = time_at(now_ms);
+        let time_max = reply_time_max(&timing);
+        let request = cache.next_request(now, step_of(1), &timing, time_max, &workers(0..1));
+        let reply_time = request.expect("a request is due").reply_time;
+        now_ms += u64::try_from(reply_time.as_millis()).unwrap() + 3_000;
+        cache.record_loss(time_at(now_ms), step_of(1));
+        reply_times.push(reply_time);
+    }
+    assert!(
+        reply_times.is_sorted_by(|one, next| one < next),
+        "{reply_times:?}"
+    );
+    // An answer that comes at once, as a refusal does, says nothing about the time of a reply.
+    cache.record_loss(time_at(now_ms), step_of(1));
+}
