Placement: bound the wait of a best-effort job for processor that others may use for good

Cause: a job without runs gives up its CPU share after 1.5 s, but only on a worker of which half is free. Half of the service was meant. Where all usable workers are more than half reserved, the wait ended only with somebody else's task.

Change: after 1.5 s one task starts on any worker with room if half of the pool is free, after 10 s however full the pool is. Requests for tickets and the remembered refusals of a pass follow. Further tasks of the step require their CPU share as before.

--- a/crates/guavavane_jobs/src/plan/capacity.rs
+++ b/crates/guavavane_jobs/src/plan/capacity.rs
@@ -143,8 +143,7 @@
 
     /// Whether the reservations take at most half of the worker.
     pub fn is_half_free(&self) -> bool {
-        let twice = self.reserved.checked_add(&self.reserved);
-        twice.is_some_and(|twice| twice.fits_within(&self.total))
+        is_half_free(&self.reserved, &self.total)
     }
 
     /// Processor that no task is expected to use, in thousandths of a core; negative if best-effort
@@ -249,6 +248,12 @@
     }
 }
 
+/// Whether reservations take at most half of these resources.
+pub(super) fn is_half_free(reserved: &ResourceVector, total: &ResourceVector) -> bool {
+    let twice = reserved.checked_add(reserved);
+    twice.is_some_and(|twice| twice.fits_within(total))
+}
+
 /// Processor that a run is expected to use, in thousandths of a core; none for a best-effort run,
 /// which uses only what others leave.
 fn expected_cpu_millis(run: &RunRecord) -> u64 {
--- a/crates/guavavane_jobs/src/plan/capacity_table.rs
+++ b/crates/guavavane_jobs/src/plan/capacity_table.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use super::capacity::is_half_free;
 use super::capacity::WorkerCapacity;
 use super::capacity::WorkerCondition;
 use super::interference::InterferenceModel;
@@ -19,6 +20,7 @@
 use crate::ledger::WorkerIndex;
 use crate::ledger::WorkerRecord;
 use crate::worker::WorkerFacts;
+use guavavane_model::prelude::ResourceVector;
 
 /// Number of latency-critical images from which the table is built anew, to forget those of ended
 /// jobs.
@@ -102,6 +104,21 @@
         slots.any(|slot| slot.capacity.condition.probation.is_active())
     }
 
+    /// Whether the reservations on the workers of a pool that accept tasks take at most half of them.
+    pub(super) fn is_pool_half_free(&self, pool: &str) -> bool {
+        let workers = self.slots.values().filter(|slot| {
+            let is_schedulable = slot.capacity.condition.schedulable;
+            is_schedulable && &*slot.facts.pool == pool
+        });
+        let mut capacities = workers.map(|slot| &slot.capacity);
+        let none = (ResourceVector::default(), ResourceVector::default());
+        let sums = capacities.try_fold(none, |(reserved, total), capacity| {
+            let reserved = reserved.checked_add(&capacity.reserved)?;
+            Some((reserved, total.checked_add(&capacity.total)?))
+        });
+        sums.is_some_and(|(reserved, total)| is_half_free(&reserved, &total))
+    }
+
     /// Records that the condition of a worker has changed.
     pub fn mark_changed(&mut self, worker: WorkerIndex) {
         self.stale.insert(worker);
--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -44,8 +44,12 @@
 /// Most starts of one pass; bounds the size of one command in the log.
 const PASS_STARTS_MAX: usize = 256;
 
-/// Time after which a job without runs starts one best-effort task even if it gets no CPU share.
+/// Time after which a job without runs starts one best-effort task even if it gets no CPU share: on any
+/// worker if half of the pool is free, else on one of which half is free.
 const IDLE_JOB_WAIT_MAX: Duration = Duration::from_millis(1_500);
+/// Time after which it does so on any worker, however full the pool is: the tasks that it waits for may
+/// never end.
+const BUSY_POOL_WAIT_MAX: Duration = Duration::from_millis(10_000);
 
 /// Inputs of a scheduling pass besides the ledger.
 pub trait PassInput {
@@ -171,6 +175,7 @@
         allowed_workers: advice.map(|_| input.allowed_workers(key)),
         has_usable_advice: advice.is_none_or(|timing| timing.is_usable()),
         cpu_share_min,
+        accepts_busy_workers: false,
         allows_trials: true,
         now: input.now(),
     })
@@ -269,6 +274,8 @@
         let mut context = step_context(ledger, input, key, accepted_share)?;
         // Candidates are all feasible workers, with or without a ticket.
         context.allowed_workers = None;
+        context.accepts_busy_workers =
+            accepts_busy_workers(table, &context, input.waiting_time(key));
         Some(AdviceStep {
             key,
             timing,
@@ -296,6 +303,8 @@
         return;
     };
     context.allows_trials = allows_trials;
+    context.accepts_busy_workers =
+        accepts_busy_workers(scope.table, &context, input.waiting_time(key));
     let placed = scope.placed(key);
     if placed > 0 {
         context.cpu_share_min = context.cpu_share_min.max(CPU_SHARE_ACCEPTED);
@@ -342,6 +351,18 @@
     }
 }
 
+/// Whether a best-effort step that requires no CPU share any more may start on workers of which more than
+/// half is reserved.
+fn accepts_busy_workers(
+    table: &CapacityTable,
+    context: &PlacementContext<'_>,
+    waiting_time: Duration,
+) -> bool {
+    context.spec.best_effort
+        && context.cpu_share_min <= 0.0
+        && (waiting_time >= BUSY_POOL_WAIT_MAX || table.is_pool_half_free(context.pool))
+}
+
 fn start_choice<I: PassInput>(
     key: TaskKey,
     task: &TaskRecord,
--- a/crates/guavavane_jobs/src/plan/placement.rs
+++ b/crates/guavavane_jobs/src/plan/placement.rs
@@ -73,6 +73,9 @@
     pub(super) has_usable_advice: bool,
     /// CPU share, from 0 to 1, that latency-critical tasks have to leave to a best-effort task.
     pub(super) cpu_share_min: f64,
+    /// Whether a best-effort task that requires no CPU share is placed on any worker, and not only on
+    /// one of which half is free.
+    pub(super) accepts_busy_workers: bool,
     /// Whether a task may be a trial of a worker on probation.
     pub(super) allows_trials: bool,
     /// Time of the pass, for workers on probation.
@@ -137,7 +140,8 @@
 
 /// Whether a worker has idle processor for a best-effort task. A worker without best-effort and
 /// long-running tasks always has. A task that accepts any CPU share needs none on a worker of which
-/// half is free: best-effort tasks reserve no processor, and those that use it may take long.
+/// half is free, or on any if it accepts busy ones: best-effort tasks reserve no processor, and those that
+/// use it may take long.
 fn has_idle_cpu(context: &PlacementContext<'_>, capacity: &WorkerCapacity) -> bool {
     let spec = context.spec;
     if !spec.best_effort {
@@ -146,7 +150,7 @@
     let wanted_millis = i64::try_from(spec.demand.cpu_millis).unwrap_or(i64::MAX / 100);
     capacity.best_effort_tasks == 0 && capacity.long_running_tasks == 0
         || capacity.idle_cpu_millis() >= wanted_millis / 100 * BEST_EFFORT_IDLE_CPU_MIN_PERCENT
-        || context.cpu_share_min <= 0.0 && capacity.is_half_free()
+        || context.cpu_share_min <= 0.0 && (context.accepts_busy_workers || capacity.is_half_free())
 }
 
 /// Whether the latency-critical tasks of a worker are expected to leave a best-effort task the
--- a/crates/guavavane_jobs/src/plan/refused_demand.rs
+++ b/crates/guavavane_jobs/src/plan/refused_demand.rs
@@ -14,6 +14,7 @@
     image: Arc<str>,
     cpu_millis: u64,
     cpu_share_min: f64,
+    accepts_busy_workers: bool,
 }
 
 impl BestEffortDemand {
@@ -22,6 +23,7 @@
             image: Arc::clone(&context.spec.image),
             cpu_millis: context.spec.demand.cpu_millis,
             cpu_share_min: context.cpu_share_min,
+            accepts_busy_workers: context.accepts_busy_workers,
         })
     }
 
@@ -29,6 +31,7 @@
         self.image == other.image
             && self.cpu_millis <= other.cpu_millis
             && self.cpu_share_min <= other.cpu_share_min
+            && self.accepts_busy_workers >= other.accepts_busy_workers
     }
 }
 
--- a/crates/guavavane_jobs/tests/idle_best_effort.rs
+++ b/crates/guavavane_jobs/tests/idle_best_effort.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 
+use crate::support::add_labelled_worker;
 use crate::support::add_worker;
 use crate::support::apply;
 use crate::support::job_with_steps;
@@ -29,7 +30,10 @@
 use guavavane_jobs::prelude::JobKey;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_jobs::prelude::RawStep;
+use guavavane_model::prelude::ResourceVector;
 
+/// Capacity of a worker.
+const CAPACITY: ResourceVector = ResourceVector::new(16_000, 64_000, 0);
 /// Time after which a job of which nothing runs must have been started, in milliseconds.
 const WAIT_MS: u64 = 3_000;
 /// Processor of a best-effort task; two of them use all of a worker.
@@ -133,3 +137,76 @@
     let advice_steps = steps_needing_advice(&ledger, &table, &view, &steps);
     assert_eq!(advice_steps[0].candidates, [worker]);
 }
+
+/// Long-running step that serves nobody, so that no latency target limits what runs beside it.
+fn lasting_step(tasks: u64, cpu_millis: u64) -> RawStep {
+    let mut step = raw_step(tasks);
+    step.long_running = true;
+    step.demand.cpu_millis = cpu_millis;
+    step
+}
+
+/// Lets a best-effort job come to workers of which `lasting_millis` of processor are reserved and on which
+/// other best-effort tasks use the rest for good. `idle_workers` more lack the label that all of them
+/// require. Returns the time until its first task starts, in milliseconds, if one does.
+fn wait_beside_endless_tasks(lasting_millis: u64, idle_workers: u32) -> Option<u64> {
+    let mut ledger = ledger_with_queue();
+    let labelled = |mut step: RawStep| {
+        step.required_label = "b".to_owned();
+        vec![step]
+    };
+    for number in 0..2 {
+        add_labelled_worker(&mut ledger, number, CAPACITY, "b");
+    }
+    for number in 0..idle_workers {
+        add_labelled_worker(&mut ledger, 2 + number, CAPACITY, "a");
+    }
+    let lasting = job_with_steps(labelled(lasting_step(2, lasting_millis)));
+    submit(&mut ledger, 1, lasting);
+    let mut cell = Replay::new(ledger);
+    pass(&mut cell);
+    submit(
+        &mut cell.ledger,
+        2,
+        job_with_steps(labelled(best_effort_step(6))),
+    );
+    for _ in 0..10 {
+        pass(&mut cell);
+        cell.view.now_ms += 500;
+    }
+    let waiting = job_with_steps(labelled(best_effort_step(4)));
+    let waiting = submit(&mut cell.ledger, 3, waiting);
+    let began_ms = cell.view.now_ms;
+    while cell.view.now_ms - began_ms <= 60_000 {
+        pass(&mut cell);
+        if runs_of(&cell, waiting) > 0 {
+            assert_eq!(runs_of(&cell, waiting), 1, "one task, and no more");
+            return Some(cell.view.now_ms - began_ms);
+        }
+        cell.view.now_ms += 100;
+    }
+    None
+}
+
+// Guards against a job that waits for the end of tasks that may never end, on the few workers that it may
+// use, while most of the pool is idle.
+#[test]
+fn a_best_effort_job_starts_on_busy_workers_while_half_of_its_pool_is_free() {
+    for lasting_millis in [4_000, 9_600, 15_000] {
+        for idle_workers in [3, 9] {
+            let waited_ms = wait_beside_endless_tasks(lasting_millis, idle_workers);
+            let in_time = waited_ms.is_some_and(|waited_ms| waited_ms <= WAIT_MS);
+            assert!(in_time, "{lasting_millis}, {idle_workers}: {waited_ms:?}");
+        }
+    }
+}
+
+// Guards against a wait without a bound in a pool that is more than half full.
+#[test]
+fn a_best_effort_job_waits_for_a_bounded_time_in_a_busy_pool() {
+    for lasting_millis in [9_600, 15_000] {
+        let waited_ms = wait_beside_endless_tasks(lasting_millis, 0);
+        let is_bounded = waited_ms.is_some_and(|waited_ms| (WAIT_MS..=12_000).contains(&waited_ms));
+        assert!(is_bounded, "{lasting_millis}: {waited_ms:?}");
+    }
+}
--- a/crates/guavavane_jobs/tests/support/mod.rs
+++ b/crates/guavavane_jobs/tests/support/mod.rs
@@ -119,6 +119,15 @@
     ledger: &mut JobLedger,
     number: u32,
     capacity: ResourceVector,
+) -> WorkerIndex {
+    add_labelled_worker(ledger, number, capacity, "a")
+}
+
+pub(crate) fn add_labelled_worker(
+    ledger: &mut JobLedger,
+    number: u32,
+    capacity: ResourceVector,
+    label: &str,
 ) -> WorkerIndex {
     let command = LedgerCommand::AddWorker {
         key: WorkerKey {
@@ -130,7 +139,7 @@
             pool: Arc::from("pool"),
             data_centre: Arc::from("caxias"),
             capacity,
-            labels: vec![Arc::from("a"), Arc::from(format!("rack-{}", number / 3))],
+            labels: vec![Arc::from(label), Arc::from(format!("rack-{}", number / 3))],
         },
     };
     match apply(ledger, command) {
