--- a/crates/guavavane_control/src/replica.rs
+++ b/crates/guavavane_control/src/replica.rs
@@ -13,6 +13,7 @@
 use crate::settings::RunSettings;
 use crate::state::ControlState;
 use guavavane_daemon::prelude::ShutdownSignal;
+use guavavane_model::document::DOCUMENT_MAX_BYTES;
 use guavavane_protocol::replica::JoinReply;
 use guavavane_protocol::replica::JoinRequest;
 use guavavane_protocol::replica::ReplicaEnvelope;
@@ -41,6 +42,10 @@
 /// Timeout of the reply to a membership request.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// Maximum size of a command in the log, in bytes: a document of the largest legal size and what names its
+/// environment and version.
+pub const COMMAND_BYTES_MAX: usize = DOCUMENT_MAX_BYTES + (64 << 10);
+
 /// Initialises the data folder of one of the first voters.
 ///
 /// # Errors
@@ -70,6 +75,7 @@
     ensure_identity(settings, &settings.data_folder)?;
     let mut quorum = QuorumSettings::new(settings.advertise);
     quorum.cell = settings.cell;
+    quorum.command_bytes_max = COMMAND_BYTES_MAX;
     quorum.removal_timeout_ms = u64::try_from(settings.removal_timeout.as_millis())?;
     quorum.voters_wanted = settings.voters;
     quorum.voters_min = settings.voters;
