--- a/crates/guavavane_cell/src/command_limit.rs
+++ b/crates/guavavane_cell/src/command_limit.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Limit on each configuration, and on all that have no result.
+    pub fn limit(&self) -> CommandLimit {
+        self.limit
+    }
+
     /// Admits a configuration whose command has `bytes`; it counts until [`Self::settle`].
     ///
     /// # Errors
--- a/crates/guavavane_cell/src/control/operator.rs
+++ b/crates/guavavane_cell/src/control/operator.rs
@@ -11,7 +11,6 @@
 use super::input::OperatorReply;
 use super::input::OperatorReplySender;
 use crate::command_limit::CatalogRefusal;
-use crate::command_limit::CommandLimit;
 use crate::metric;
 use guavavane_jobs::prelude::LedgerCommand;
 use guavavane_quorum::prelude::ProposeError;
@@ -70,9 +69,7 @@
             }
         }
     }
-}
 
-impl ControlEngine {
     /// Proposes a configuration, or refuses it at once if the log can't take it.
     fn propose_catalog(&mut self, command: LedgerCommand, reply_sender: OperatorReplySender) {
         let bytes = encoded_bytes(&command);
@@ -106,7 +103,7 @@
         };
         metric::count_event("order_refused", "not_committed");
         tracing::info!(event = "order_not_committed", %error);
-        let bytes_max = CommandLimit::derive(self.settings.memory_bytes).bytes_max();
+        let bytes_max = self.catalog_admission.limit().bytes_max();
         let reply = match error {
             ProposeError::NotLeader { .. } => self.redirect_reply(),
             ProposeError::Overloaded => OperatorReply::Busy,
--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -49,7 +49,7 @@
 const IDLE_JOB_WAIT_MAX: Duration = Duration::from_millis(1_500);
 /// Time after which it does so on any worker, however full the pool is: the tasks that it waits for may
 /// never end.
-const BUSY_POOL_WAIT_MAX: Duration = Duration::from_millis(10_000);
+const BUSY_POOL_WAIT_MAX: Duration = Duration::from_millis(30_000);
 
 /// Inputs of a scheduling pass besides the ledger.
 pub trait PassInput {
