Placement: let workers of which half is free go first for a job without runs

Cause: with any worker allowed after 1.5 s, a job could start on a busy one though another was half free.

Measured: the tests of idle_best_effort.rs pass.

--- a/crates/guavavane_jobs/src/plan/pass.rs
+++ b/crates/guavavane_jobs/src/plan/pass.rs
@@ -44,9 +44,11 @@
 /// Most starts of one pass; bounds the size of one command in the log.
 const PASS_STARTS_MAX: usize = 256;
 
-/// Time after which a job without runs starts one best-effort task even if it gets no CPU share: on any
-/// worker if half of the pool is free, else on one of which half is free.
+/// Time after which a job without runs starts one best-effort task even if it gets no CPU share, on a
+/// worker of which half is free.
 const IDLE_JOB_WAIT_MAX: Duration = Duration::from_millis(1_500);
+/// Time after which it does so on any worker, if half of the pool is free.
+const BUSY_WORKER_WAIT_MAX: Duration = Duration::from_millis(2_000);
 /// Time after which it does so on any worker, however full the pool is: the tasks that it waits for may
 /// never end.
 const BUSY_POOL_WAIT_MAX: Duration = Duration::from_millis(30_000);
@@ -360,6 +362,7 @@
 ) -> bool {
     context.spec.best_effort
         && context.cpu_share_min <= 0.0
+        && waiting_time >= BUSY_WORKER_WAIT_MAX
         && (waiting_time >= BUSY_POOL_WAIT_MAX || table.is_pool_half_free(context.pool))
 }
 
